--- /dev/null
+++ b/crates/dispatch/src/books.rs
@@ -0,0 +1,143 @@
+//! What a dispatcher remembers: plain records, with no decision in them.
+
+use crate::types::{Execution, Job, Listing, Nanos, Report, Submission, Worker};
+
+/// A sum that loses its past: what was added `span` ago counts 1/e.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Decaying {
+    sum: f64,
+    at: Nanos,
+}
+
+impl Decaying {
+    pub(crate) fn read(&self, now: Nanos, span: f64) -> f64 {
+        self.sum * (-((now - self.at) as f64) / span).exp()
+    }
+
+    pub(crate) fn add(&mut self, now: Nanos, span: f64, amount: f64) {
+        (self.sum, self.at) = (self.read(now, span) + amount, now);
+    }
+}
+
+/// An execution that has not ended.
+#[derive(Debug)]
+pub(crate) struct Out {
+    pub(crate) submission: Submission,
+    pub(crate) execution: Execution,
+    pub(crate) sent: Nanos,
+    pub(crate) slots: f64,
+    pub(crate) memory: f64,
+    pub(crate) started: bool,
+}
+
+/// What is known of one worker.
+#[derive(Debug, Default)]
+pub(crate) struct Desk {
+    pub(crate) listing: Listing,
+    pub(crate) report: Report,
+    pub(crate) reported: Option<Nanos>,
+    /// The most slots that its reports have shown it to have.
+    pub(crate) slots: f64,
+    /// What this node has there, the oldest first.
+    pub(crate) out: Vec<Out>,
+    pub(crate) own_slots: f64,
+    pub(crate) own_memory: f64,
+    /// When a job of ours there last gave a sign.
+    pub(crate) heard: Nanos,
+    /// The probe that is out.
+    pub(crate) probed: Option<Nanos>,
+    /// Answered probes still wanted before it gets work again.
+    pub(crate) aside: u32,
+    pub(crate) strikes: u32,
+    pub(crate) served: u32,
+    /// It lost its process, so it will be cold, whatever the list still says.
+    pub(crate) died: bool,
+    /// Slots sent while cold, less what its budget has paid off.
+    pub(crate) pushed: f64,
+    pub(crate) pushed_at: Nanos,
+}
+
+impl Desk {
+    pub(crate) fn send(&mut self, out: Out) {
+        self.own_slots += out.slots;
+        self.own_memory += out.memory;
+        self.out.push(out);
+    }
+
+    pub(crate) fn end(&mut self, submission: Submission, execution: Execution) -> Option<Out> {
+        let i = self.out.iter().position(|o| o.submission == submission && o.execution == execution)?;
+        let out = self.out.remove(i);
+        // Summed anew, so that no rounding is carried along.
+        self.own_slots = self.out.iter().map(|o| o.slots).sum();
+        self.own_memory = self.out.iter().map(|o| o.memory).sum();
+        Some(out)
+    }
+}
+
+/// What is known of one submission, until its last execution has ended.
+#[derive(Debug, Default)]
+pub(crate) struct Held {
+    pub(crate) job: Job,
+    pub(crate) known: bool,
+    pub(crate) open: bool,
+    pub(crate) streaming: bool,
+    pub(crate) taken: Nanos,
+    pub(crate) executions: Execution,
+    pub(crate) out: u16,
+    /// An ended execution may have run.
+    pub(crate) perhaps_ran: bool,
+    /// The first execution that may have run or still may: its worker and when it was sent.
+    pub(crate) anchor: Option<(Worker, Nanos)>,
+    pub(crate) tried: Vec<Worker>,
+}
+
+impl Held {
+    pub(crate) fn take(&mut self, job: Job, now: Nanos) {
+        let mut tried = std::mem::take(&mut self.tried);
+        tried.clear();
+        *self = Self { job, known: true, open: true, taken: now, tried, ..Self::default() };
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Kind {
+    pub(crate) threshold: f64,
+    pub(crate) run: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Tenant {
+    pub(crate) sent: Decaying,
+    pub(crate) within: Decaying,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct AnswerTime {
+    pub(crate) mean: f64,
+    pub(crate) shortest: f64,
+}
+
+/// The entry at a small index, made if it is new.
+pub(crate) fn at<T: Default>(entries: &mut Vec<T>, index: u32) -> &mut T {
+    let index = index as usize;
+    if index >= entries.len() {
+        entries.resize_with(index + 1, T::default);
+    }
+    &mut entries[index]
+}
+
+/// A uniformly random one of however many are offered.
+#[derive(Debug, Default)]
+pub(crate) struct Draw {
+    pub(crate) offered: usize,
+    pub(crate) pick: Option<Worker>,
+}
+
+impl Draw {
+    pub(crate) fn offer(&mut self, worker: Worker, chance: &mut fastrand::Rng) {
+        self.offered += 1;
+        if chance.usize(..self.offered) == 0 {
+            self.pick = Some(worker);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/decide.rs
@@ -0,0 +1,534 @@
+//! All decisions of a node. Make one [`Dispatcher`] from the standing orders, hand it whatever happens
+//! through [`Dispatcher::decide`] in the order in which it happened, and carry out the returned orders
+//! in theirs. The interface is `types.rs`. Nothing here reads a clock or shares anything.
+//!
+//! The ordinary path is the design's: a random worker below threshold, else a random ready one. Beside it:
+//! 1. executor health: set aside on failure or silence, back after answered probes;
+//! 2. overdue executions: a copy elsewhere where the product bears a repeat;
+//! 3. cold budget: this node's part of what all nodes together may send a worker that has just started;
+//! 4. in-flight limit: follows the shortest answer time over the present one;
+//! 5. fairness: what a tenant sends beyond its share gets only room that nobody else needs;
+//! 6. following the list, and refreshing old reports by probes as far as their price bears.
+
+use crate::books::{AnswerTime, Decaying, Desk, Draw, Held, Kind, Out, Tenant, at};
+use crate::types::{
+    Ending, Event, Group, Health, ListKind, Listing, Nanos, Order, Outcome, Repeats, Report, StandingOrders,
+    Submission, Worker,
+};
+
+const THRESHOLD_START: f64 = 8.0;
+const THRESHOLD_FLOOR: f64 = 1.0;
+/// Served jobs in a row after which a kind's threshold regains a slot.
+const RUN: u32 = 16;
+/// The most that set-asides in a row may double the probes asked for.
+const MAX_STRIKES: u32 = 6;
+/// Points of the result that refreshing reports may cost.
+const PROBE_SPEND: f64 = 0.005;
+const SECOND: f64 = 1e9;
+
+pub struct Dispatcher {
+    terms: StandingOrders,
+    chance: fastrand::Rng,
+    now: Nanos,
+    desks: Vec<Option<Desk>>,
+    kinds: Vec<Option<Kind>>,
+    held: Vec<Held>,
+    tenants: Vec<Tenant>,
+    answers: Vec<AnswerTime>,
+    /// Answer times as multiples of their products' shortest.
+    stretch: f64,
+    limit: f64,
+    in_flight: f64,
+    arrivals: Decaying,
+    memory_per_slot: f64,
+    /// How old reports are known to be at arrival, and when that was seen.
+    lag: (Nanos, Nanos),
+    next_pulse: Nanos,
+    subscribe_at: Nanos,
+    todo: Vec<Order>,
+}
+
+impl Dispatcher {
+    #[must_use]
+    pub fn new(terms: StandingOrders) -> Self {
+        Self {
+            chance: fastrand::Rng::with_seed(terms.seed),
+            now: 0,
+            desks: Vec::new(),
+            kinds: Vec::new(),
+            held: Vec::new(),
+            tenants: vec![Tenant::default(); terms.quotas.len()],
+            answers: vec![AnswerTime::default(); terms.products.len()],
+            stretch: 1.0,
+            limit: f64::INFINITY,
+            in_flight: 0.0,
+            arrivals: Decaying::default(),
+            memory_per_slot: 1.0,
+            lag: (0, 0),
+            next_pulse: 0,
+            subscribe_at: 0,
+            todo: Vec::new(),
+            terms,
+        }
+    }
+
+    /// Takes one thing that happened, returns what is to be done, in order.
+    pub fn decide(&mut self, now: Nanos, event: Event<'_>) -> &[Order] {
+        self.todo.clear();
+        self.now = self.now.max(now);
+        if self.now >= self.next_pulse {
+            self.pulse();
+        }
+        match event {
+            Event::Listed { kind, entries } => self.listed(kind, entries),
+            Event::Submitted { submission, job } => {
+                at(&mut self.held, submission).take(job, self.now);
+                self.submitted(submission);
+                self.forget(submission);
+            }
+            Event::Left { submission } => {
+                if let Some(held) = self.held.get_mut(submission as usize).filter(|h| h.open) {
+                    held.open = false;
+                    self.call_off(submission);
+                    self.forget(submission);
+                }
+            }
+            Event::Streaming { submission, .. } => {
+                if let Some(held) = self.held.get_mut(submission as usize) {
+                    held.streaming = true;
+                }
+            }
+            Event::Noted { submission, execution } => {
+                for desk in self.desks.iter_mut().flatten() {
+                    let mut outs = desk.out.iter_mut();
+                    if let Some(out) = outs.find(|o| o.submission == submission && o.execution == execution) {
+                        (out.started, desk.heard) = (true, self.now);
+                    }
+                }
+            }
+            Event::Ended(ending) => {
+                self.ended(&ending);
+                self.reported(ending.worker, ending.report);
+                self.settle(ending.submission);
+                self.forget(ending.submission);
+            }
+            Event::Probed { worker, answered, report } => {
+                if let Some(Some(desk)) = self.desks.get_mut(worker as usize) {
+                    desk.probed = None;
+                    match answered {
+                        Some(true) => come_closer(desk, self.now),
+                        Some(false) => desk.aside = desk.aside.max(1),
+                        None => {}
+                    }
+                    self.reported(worker, report);
+                }
+            }
+            // The pulse was seen to above; a stale timer calls for nothing.
+            Event::Rang { .. } => {}
+        }
+        &self.todo
+    }
+
+    fn listed(&mut self, kind: ListKind, entries: &[Listing]) {
+        if kind == ListKind::Failed {
+            // A list not asked for again would count as told of drains that were never heard of.
+            self.subscribe_at = self.now + self.terms.ask_within.unwrap_or(0) / 10;
+            return;
+        }
+        if kind != ListKind::Changes {
+            self.desks.iter_mut().flatten().for_each(|d| d.listing.health = Health::Gone);
+        }
+        for &listing in entries {
+            if at(&mut self.kinds, listing.kind.into()).is_none() {
+                let known = self.kinds.iter().flatten();
+                let (sum, n) = known.fold((0.0, 0.0), |(sum, n), k| (sum + k.threshold, n + 1.0));
+                let threshold = if n > 0.0 { sum / n } else { THRESHOLD_START };
+                self.kinds[usize::from(listing.kind)] = Some(Kind { threshold, run: 0 });
+            }
+            let desk = at(&mut self.desks, listing.worker).get_or_insert_default();
+            if listing.started > desk.listing.started {
+                // What it reported belongs to a process that is no more.
+                (desk.reported, desk.died) = (None, false);
+            }
+            let started = listing.started.max(desk.listing.started);
+            desk.listing = Listing { started, ..listing };
+        }
+    }
+
+    fn submitted(&mut self, submission: Submission) {
+        self.arrivals.add(self.now, SECOND, 1.0);
+        let job = self.held[submission as usize].job;
+        self.memory_per_slot += (job.memory / job.slots - self.memory_per_slot) / 16.0;
+        if usize::from(job.product) >= self.terms.products.len() {
+            return self.finish(submission, false);
+        }
+        let excess = self.beyond_share(usize::from(job.tenant));
+        let (members, ready, worker) = self.choose(submission);
+        let crowded = members * 2 < ready;
+        if (excess && crowded) || self.in_flight + job.slots > self.limit.max(ready as f64) {
+            return self.finish(submission, excess);
+        }
+        if let Some(worker) = worker {
+            self.execute(submission, worker);
+        }
+        if self.held[submission as usize].out == 0 {
+            self.finish(submission, false);
+        }
+    }
+
+    /// Whether a tenant is past its share here. This node's part of all traffic is not told: it is taken
+    /// from the median tenant, so that one that sends far too much does not widen its own share.
+    fn beyond_share(&mut self, tenant: usize) -> bool {
+        if tenant >= self.tenants.len() || self.terms.excess_payoff >= 1.0 {
+            return false;
+        }
+        let (now, span) = (self.now, 2.0 * SECOND);
+        self.tenants[tenant].sent.add(now, span, 1.0);
+        let quotas = &self.terms.quotas;
+        let half: f64 = quotas.iter().sum::<f64>() / 2.0;
+        let usage = |t: usize| self.tenants[t].sent.read(now, span) / quotas[t].max(1e-9);
+        let mut part = f64::INFINITY;
+        for t in 0..quotas.len() {
+            let least: f64 = (0..quotas.len()).filter(|&u| usage(u) <= usage(t)).map(|u| quotas[u]).sum();
+            if least >= half {
+                part = part.min(usage(t));
+            }
+        }
+        let part = part.max(span / SECOND / f64::from(self.terms.nodes));
+        let beyond = self.tenants[tenant].within.read(now, span) >= part * quotas[tenant];
+        if !beyond {
+            self.tenants[tenant].within.add(now, span, 1.0);
+        }
+        beyond
+    }
+
+    /// The design: a random member of the set below threshold, else a random ready worker.
+    /// Also tells how many belong to the set and how many are ready.
+    fn choose(&mut self, submission: Submission) -> (usize, usize, Option<Worker>) {
+        let held = &self.held[submission as usize];
+        let fit = self.desks.iter().flatten().filter(|d| self.fit(d));
+        let (own, ready) = fit.fold((0.0, 0), |(own, n), d| (own + d.own_slots, n + 1));
+        let mean = own / ready.max(1) as f64;
+        let (mut members, mut others, mut aside) = (Draw::default(), Draw::default(), Draw::default());
+        let mut chance = self.chance.clone();
+        for (i, desk) in self.desks.iter().enumerate() {
+            let worker = i as Worker;
+            let Some(desk) = desk.as_ref().filter(|_| !held.tried.contains(&worker)) else { continue };
+            if !self.allowed(held, worker) {
+                continue;
+            }
+            if !self.fit(desk) {
+                aside.offer(worker, &mut chance);
+                continue;
+            }
+            others.offer(worker, &mut chance);
+            if self.below_threshold(desk, held, mean) {
+                members.offer(worker, &mut chance);
+            }
+        }
+        // With most workers set aside, the few left must not collapse under everybody's work.
+        let few = others.offered < aside.offered;
+        if few && chance.usize(..others.offered + aside.offered) >= others.offered {
+            others.pick = aside.pick;
+        }
+        self.chance = chance;
+        (members.offered, ready, members.pick.or(others.pick).or(aside.pick))
+    }
+
+    fn below_threshold(&self, desk: &Desk, held: &Held, mean: f64) -> bool {
+        let (job, own) = (&held.job, desk.own_slots);
+        let threshold = self.kinds[usize::from(desk.listing.kind)].map_or(0.0, |k| k.threshold);
+        if own + job.slots > threshold || own > mean + job.slots {
+            return false;
+        }
+        if self.terms.tells_start && desk.out.iter().any(|o| !o.started) {
+            return false;
+        }
+        // Nothing is known of a worker before its first report: one job at a time is the feeler.
+        let Some(reported) = desk.reported else { return desk.out.is_empty() };
+        // A late report misses jobs that were sent before it came: what is younger than the reports' known
+        // age counts as sent since, and what we hold is never free.
+        let taken_at = reported.saturating_sub(self.lag());
+        let since =
+            |part: fn(&Out) -> f64| desk.out.iter().filter(|o| o.sent > taken_at).map(part).sum::<f64>();
+        let (free, waiting) = (desk.report.free_slots.map(whole), desk.report.waiting.map_or(0.0, whole));
+        if free.is_some_and(|f| (f - waiting - since(|o| o.slots)).min(desk.slots - own) < job.slots) {
+            return false;
+        }
+        let others = (desk.slots - free.unwrap_or(0.0) - own).max(0.0) * self.memory_per_slot;
+        let left = desk.report.free_memory.map(|m| f64::from(m) - since(|o| o.memory));
+        let left = left.unwrap_or(desk.slots - desk.own_memory - others);
+        // What is larger than a worker's memory may look can only run alone.
+        !self.terms.counts_memory || left >= job.memory || free.is_some_and(|f| f >= desk.slots)
+    }
+
+    fn lag(&self) -> Nanos {
+        self.lag.0.saturating_sub((self.now - self.lag.1) / 8)
+    }
+
+    /// Gets work: ready, not set aside, and no probe unanswered for too long.
+    fn fit(&self, desk: &Desk) -> bool {
+        let silent = desk.probed.is_some_and(|p| self.now - p > self.terms.connect_timeout / 4);
+        desk.listing.health == Health::Ready && desk.aside == 0 && !silent
+    }
+
+    /// The rules on executions; asked again by `execute`, the only place that orders one.
+    fn allowed(&self, held: &Held, worker: Worker) -> bool {
+        let Some(Some(desk)) = self.desks.get(worker as usize) else { return false };
+        let product = &self.terms.products[usize::from(held.job.product)];
+        let over = !held.open || held.streaming || held.executions >= self.terms.max_executions;
+        let late = self.now + self.terms.answer_slack >= held.job.cut_off;
+        let second = held.out > 0 && !self.terms.may_duplicate;
+        let stranger = product.kind.is_some_and(|k| k != desk.listing.kind);
+        if over || late || second || stranger || desk.listing.health != Health::Ready {
+            return false;
+        }
+        let repeat = match (held.anchor, product.repeats) {
+            (None, _) | (_, Repeats::Harmless) => true,
+            (Some(_), Repeats::OneShot) => false,
+            (Some((first, sent)), Repeats::Stamped { group, memory }) => {
+                let same = self.desks[first as usize].as_ref().is_some_and(|f| match group {
+                    Group::All => true,
+                    Group::Zone => f.listing.zone == desk.listing.zone,
+                    Group::Cell => f.listing.cell == desk.listing.cell,
+                });
+                // A copy must reach them while they remember, connecting included.
+                same && self.now + self.terms.connect_timeout < sent + memory
+            }
+        };
+        let (level, depth) = self.cold_budget(desk);
+        repeat && (level <= 0.0 || level + held.job.slots <= depth)
+    }
+
+    /// What a cold worker has been pushed with and the most that this may be. Half of this node's part flows
+    /// off, and half is the depth, since a window can hold both.
+    fn cold_budget(&self, desk: &Desk) -> (f64, f64) {
+        let age = self.now.saturating_sub(desk.listing.started);
+        if desk.listing.started == 0 || age >= self.terms.cold_for {
+            return (0.0, f64::INFINITY);
+        }
+        let like =
+            self.desks.iter().flatten().filter(|d| d.listing.kind == desk.listing.kind && d.slots > 0.0);
+        let (slots, n) = like.fold((desk.slots, 1.0), |(sum, n), d| (sum + d.slots, n + 1.0));
+        let took = |(a, p): (&AnswerTime, _)| if a.mean > 0.0 { a.mean } else { p };
+        let agreed = self.terms.products.iter().map(|p| p.agreed as f64);
+        let took: f64 = self.answers.iter().zip(agreed).map(took).sum::<f64>() / self.answers.len() as f64;
+        let warmth = age as f64 / self.terms.cold_for as f64;
+        let present = self.terms.cold_from + (1.0 - self.terms.cold_from) * warmth;
+        let part = self.terms.fall_multiple * present / f64::from(self.terms.nodes) / 2.0;
+        let rate = part * (slots / n).max(1.0) / took;
+        let paid = (self.now - desk.pushed_at) as f64 * rate;
+        ((desk.pushed - paid).max(0.0), rate * self.terms.fall_window as f64)
+    }
+
+    fn execute(&mut self, submission: Submission, worker: Worker) {
+        if !self.allowed(&self.held[submission as usize], worker) {
+            return;
+        }
+        let level = self.desks[worker as usize].as_ref().map_or(0.0, |d| self.cold_budget(d).0);
+        let (now, held) = (self.now, &mut self.held[submission as usize]);
+        let Some(desk) = &mut self.desks[worker as usize] else { return };
+        (desk.pushed, desk.pushed_at) = (level + held.job.slots, now);
+        if desk.out.is_empty() {
+            desk.heard = now;
+        }
+        let (execution, slots, memory) = (held.executions, held.job.slots, held.job.memory);
+        desk.send(Out { submission, execution, sent: now, slots, memory, started: false });
+        held.anchor.get_or_insert((worker, now));
+        held.executions += 1;
+        held.out += 1;
+        held.tried.push(worker);
+        self.in_flight += slots;
+        let timeout = held.job.cut_off - now - self.terms.answer_slack / 2;
+        self.todo.push(Order::Execute { submission, worker, timeout });
+    }
+
+    /// The only place that gives a final answer: dismissed where a retry is harmless, else aborted.
+    fn finish(&mut self, submission: Submission, excess: bool) {
+        let held = &mut self.held[submission as usize];
+        if !std::mem::take(&mut held.open) {
+            return;
+        }
+        let repeats = self.terms.products.get(usize::from(held.job.product)).map(|p| p.repeats);
+        let harmless =
+            matches!(repeats, Some(Repeats::Harmless | Repeats::Stamped { group: Group::All, .. }));
+        if harmless || held.anchor.is_none() {
+            let come_back = self.terms.come_back.map(|most| if excess { most } else { most / 8 });
+            self.todo.push(Order::Dismiss { submission, come_back });
+        } else {
+            self.todo.push(Order::Abort { submission });
+        }
+        self.call_off(submission);
+    }
+
+    fn forget(&mut self, submission: Submission) {
+        let held = self.held.get_mut(submission as usize).filter(|h| h.known && !h.open && h.out == 0);
+        if let Some(held) = held {
+            held.known = false;
+            self.todo.push(Order::Forget { submission });
+        }
+    }
+
+    fn call_off(&mut self, submission: Submission) {
+        if self.terms.may_cancel && self.held[submission as usize].out > 0 {
+            let out = self.desks.iter().flatten().flat_map(|d| &d.out).filter(|o| o.submission == submission);
+            self.todo.extend(out.map(|o| Order::Cancel { submission, execution: o.execution }));
+        }
+    }
+
+    fn ended(&mut self, ending: &Ending) {
+        let (now, outcome) = (self.now, ending.outcome);
+        let Some(Some(desk)) = self.desks.get_mut(ending.worker as usize) else { return };
+        let Some(held) = self.held.get_mut(ending.submission as usize) else { return };
+        let Some(out) = desk.end(ending.submission, ending.execution) else { return };
+        held.out -= 1;
+        held.perhaps_ran |= !outcome.never_ran();
+        if held.out == 0 && !held.perhaps_ran {
+            held.anchor = None;
+        }
+        self.in_flight = (self.in_flight - out.slots).max(0.0);
+        let Some(kind) = &mut self.kinds[usize::from(desk.listing.kind)] else { return };
+        match outcome {
+            Outcome::Satisfied => {
+                (desk.heard, desk.served) = (now, desk.served + 1);
+                if desk.served >= RUN / 2 {
+                    (desk.served, desk.strikes) = (0, desk.strikes.saturating_sub(1));
+                }
+                kind.run += 1;
+                if kind.run >= RUN {
+                    (kind.run, kind.threshold) = (0, (kind.threshold + 1.0).min(THRESHOLD_START));
+                }
+            }
+            Outcome::Full => {
+                desk.heard = now;
+                if desk.listing.health == Health::Ready {
+                    (kind.run, kind.threshold) = (0, (kind.threshold - out.slots).max(THRESHOLD_FLOOR));
+                }
+            }
+            // A fast-failing worker looks empty and would draw all the work.
+            Outcome::Error => set_aside(desk, false),
+            Outcome::Reset | Outcome::ConnectFailed => set_aside(desk, true),
+            Outcome::TimedOut if desk.heard <= out.sent => set_aside(desk, false),
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent => {}
+        }
+        let product = usize::from(held.job.product);
+        if ending.closed && std::mem::take(&mut held.open) {
+            self.call_off(ending.submission);
+        }
+        if outcome == Outcome::Satisfied {
+            self.answered(product, ending.took as f64);
+        }
+    }
+
+    /// Lets the limit follow the shortest answer time over the present one.
+    fn answered(&mut self, product: usize, took: f64) {
+        let a = &mut self.answers[product];
+        a.mean = if a.mean == 0.0 { took } else { a.mean + (took - a.mean) / 32.0 };
+        a.shortest =
+            if a.shortest == 0.0 { took } else { a.mean.min(a.shortest + (a.mean - a.shortest) / 2048.0) };
+        self.stretch += (took / a.shortest - self.stretch) / 32.0;
+        let most = self.desks.len() as f64 * THRESHOLD_START;
+        let limit = self.limit.min(most);
+        let wanted = limit * (2.0 / self.stretch).clamp(0.5, 1.0) + limit.sqrt();
+        self.limit = limit + (wanted - limit) / 16.0;
+    }
+
+    /// After an execution has ended: a further one if it may and there is a point, else the final answer.
+    fn settle(&mut self, submission: Submission) {
+        let Some(held) = self.held.get(submission as usize).filter(|h| h.open && h.out == 0) else { return };
+        let product = &self.terms.products[usize::from(held.job.product)];
+        let pointless = product.late_payoff == 0.0 && self.now > held.taken + 4 * product.agreed;
+        if !pointless && let (_, _, Some(worker)) = self.choose(submission) {
+            self.execute(submission, worker);
+        }
+        if self.held[submission as usize].out == 0 {
+            self.finish(submission, false);
+        }
+    }
+
+    fn reported(&mut self, worker: Worker, report: Option<Report>) {
+        let lag = self.lag();
+        let Some(Some(desk)) = self.desks.get_mut(worker as usize) else { return };
+        let Some(report) = report else { return };
+        (desk.report, desk.reported) = (report, Some(self.now));
+        let Some(in_hand) = report.in_hand.map(whole) else { return };
+        let busy = in_hand - report.waiting.map_or(0.0, whole);
+        desk.slots = report.free_slots.map_or(desk.slots, |free| desk.slots.max(whole(free) + busy));
+        // A report of fewer jobs than we hold there was taken before the newest of them arrived.
+        if let Some(missed) = desk.out.get(in_hand as usize) {
+            let age = self.now - missed.sent;
+            if age >= lag {
+                self.lag = (age, self.now);
+            }
+        }
+    }
+
+    fn pulse(&mut self) {
+        let period = (self.terms.connect_timeout / 2).max(1_000_000);
+        self.next_pulse = self.now + period;
+        self.todo.push(Order::Ring { at: self.next_pulse, token: 0 });
+        if self.terms.ask_within.is_some() && self.now >= self.subscribe_at {
+            self.subscribe_at = Nanos::MAX;
+            self.todo.push(Order::Subscribe);
+        }
+        let listed = self.desks.iter().flatten().filter(|d| d.listing.health == Health::Ready).count() as f64;
+        let rate = self.arrivals.read(self.now, SECOND).max(1.0);
+        let refresh = SECOND * listed * self.terms.probe_price / (rate * PROBE_SPEND);
+        let took = self.answers.iter().map(|a| a.mean).fold(0.0, f64::max);
+        let silence = 2.0 * (self.terms.progress_every.unwrap_or(0) as f64 + took) + period as f64;
+        for i in 0..self.desks.len() {
+            let Some(desk) = self.desks[i].as_mut().filter(|d| d.listing.health != Health::Gone) else {
+                continue;
+            };
+            if !desk.out.is_empty() && took > 0.0 && (self.now - desk.heard) as f64 > silence {
+                // Probes may still be answered where jobs are not.
+                desk.heard = self.now;
+                set_aside(desk, false);
+            }
+            let old = desk.reported.is_none_or(|r| (self.now - r) as f64 > refresh);
+            if !self.terms.may_probe {
+                come_closer(desk, self.now);
+            } else if desk.probed.is_none() && (desk.aside > 0 || old) {
+                desk.probed = Some(self.now);
+                self.todo.push(Order::Probe { worker: i as Worker });
+            }
+            let silent = self.desks[i].as_ref().filter(|d| !self.fit(d));
+            for j in 0..silent.map_or(0, |d| d.out.len()) {
+                self.rescue(i, j);
+            }
+        }
+    }
+
+    /// A copy of what a silent worker holds, where the product bears a repeat.
+    fn rescue(&mut self, desk: usize, out: usize) {
+        let Some(out) = self.desks[desk].as_ref().and_then(|d| d.out.get(out)) else { return };
+        let submission = out.submission;
+        if self.held[submission as usize].open && self.held[submission as usize].out == 1 {
+            let (members, _, worker) = self.choose(submission);
+            if let Some(worker) = worker.filter(|_| members > 0) {
+                self.execute(submission, worker);
+            }
+        }
+    }
+}
+
+/// Failures in a row ask for ever more answered probes: a probe does not show that jobs succeed.
+fn set_aside(desk: &mut Desk, died: bool) {
+    if desk.aside == 0 {
+        desk.strikes = (desk.strikes + 1).min(MAX_STRIKES);
+    }
+    (desk.aside, desk.served) = (1 << desk.strikes, 0);
+    desk.died |= died;
+}
+
+fn come_closer(desk: &mut Desk, now: Nanos) {
+    desk.aside = desk.aside.saturating_sub(1);
+    if desk.aside == 0 && std::mem::take(&mut desk.died) {
+        // The list tells of the new start late; until then this is the best that is known of it.
+        (desk.listing.started, desk.reported) = (now, None);
+    }
+}
+
+fn whole(figure: f32) -> f64 {
+    f64::from(figure).round()
+}
--- /dev/null
+++ b/crates/dispatch/src/types.rs
@@ -0,0 +1,225 @@
+//! What the decisions are told, what they order, and what is read once at start.
+//!
+//! Times are nanoseconds on the caller's clock, which only goes forward. Submissions and workers are
+//! small indices that the caller hands out; a submission keeps its index until its last execution
+//! has ended, and a worker keeps its own for good.
+
+pub type Nanos = u64;
+pub type Submission = u32;
+pub type Worker = u32;
+/// An execution of a submission, numbered from 0 in the order of the [`Order::Execute`]s.
+pub type Execution = u16;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    /// May run any number of times.
+    Harmless,
+    /// Carries a mark by which the workers of one group drop repeats for `memory`.
+    Stamped { group: Group, memory: Nanos },
+    /// Must never run twice.
+    OneShot,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Product {
+    pub repeats: Repeats,
+    pub agreed: Nanos,
+    pub payoff: f64,
+    /// The part of the payoff that is left after the agreed time.
+    pub late_payoff: f64,
+    /// The one kind of worker that runs it, if not every kind does.
+    pub kind: Option<u16>,
+}
+
+/// The terms under which a node works, read once at start.
+#[derive(Clone, Debug)]
+pub struct StandingOrders {
+    pub seed: u64,
+    pub nodes: u32,
+    pub zone: u16,
+    pub products: Vec<Product>,
+    /// Submissions a second within each tenant's share, for all nodes together.
+    pub quotas: Vec<f64>,
+    /// What a submission beyond its tenant's share is worth, as a part of the payoff.
+    pub excess_payoff: f64,
+    /// Points lost for each probe a submission, and for each crossing of zones.
+    pub probe_price: f64,
+    pub crossing_price: f64,
+    pub max_executions: u16,
+    pub may_duplicate: bool,
+    pub may_probe: bool,
+    pub may_cancel: bool,
+    /// The longest come-back time that clients heed, where they are given one.
+    pub come_back: Option<Nanos>,
+    pub connect_timeout: Nanos,
+    pub answer_slack: Nanos,
+    pub cold_from: f64,
+    pub cold_for: Nanos,
+    pub fall_multiple: f64,
+    pub fall_window: Nanos,
+    /// Where the list must be asked for: how long a node may go without asking.
+    pub ask_within: Option<Nanos>,
+    /// Time between progress notes, where workers send them.
+    pub progress_every: Option<Nanos>,
+    pub tells_start: bool,
+    pub counts_memory: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Health {
+    Ready,
+    Draining,
+    #[default]
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Listing {
+    pub worker: Worker,
+    pub health: Health,
+    pub kind: u16,
+    pub zone: u16,
+    pub cell: u16,
+    /// The last start, 0 if long ago.
+    pub started: Nanos,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    Changes,
+    Whole,
+    /// The whole list as it was once known, perhaps long ago.
+    Cached,
+    /// A call failed or the subscription broke; the old list stands.
+    Failed,
+}
+
+/// A worker's load report. A figure that is not told, or makes no sense, is absent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    pub free_slots: Option<f32>,
+    pub free_memory: Option<f32>,
+    pub waiting: Option<f32>,
+    pub in_hand: Option<f32>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Satisfied,
+    /// Turned away unseen.
+    Full,
+    Error,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    NotSent,
+}
+
+impl Outcome {
+    #[must_use]
+    pub fn never_ran(self) -> bool {
+        matches!(self, Self::Full | Self::ConnectFailed | Self::NotSent)
+    }
+}
+
+/// What a submission asks for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Job {
+    pub product: u8,
+    pub tenant: u16,
+    pub cut_off: Nanos,
+    pub slots: f64,
+    pub memory: f64,
+}
+
+/// How an execution ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ending {
+    pub submission: Submission,
+    pub execution: Execution,
+    pub worker: Worker,
+    pub outcome: Outcome,
+    /// The submission is over, by this ending or before it.
+    pub closed: bool,
+    pub took: Nanos,
+    pub report: Option<Report>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Event<'a> {
+    Listed {
+        kind: ListKind,
+        entries: &'a [Listing],
+    },
+    Submitted {
+        submission: Submission,
+        job: Job,
+    },
+    /// The client left, or was answered by others; nothing more is owed.
+    Left {
+        submission: Submission,
+    },
+    /// The answer has begun; no cut-off runs any longer.
+    Streaming {
+        submission: Submission,
+        execution: Execution,
+    },
+    /// The job has started or made progress.
+    Noted {
+        submission: Submission,
+        execution: Execution,
+    },
+    Ended(Ending),
+    Probed {
+        worker: Worker,
+        /// `None` when the worker turned the probe away, having too many of them.
+        answered: Option<bool>,
+        report: Option<Report>,
+    },
+    Rang {
+        token: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Order {
+    Execute {
+        submission: Submission,
+        worker: Worker,
+        timeout: Nanos,
+    },
+    Cancel {
+        submission: Submission,
+        execution: Execution,
+    },
+    /// Final: turned away, with the promise that a retry is harmless.
+    Dismiss {
+        submission: Submission,
+        come_back: Option<Nanos>,
+    },
+    /// Final: not done, with no promise.
+    Abort {
+        submission: Submission,
+    },
+    Probe {
+        worker: Worker,
+    },
+    /// Ask for the changes of the list from now on.
+    Subscribe,
+    /// The submission is over and its last execution has ended: its index is free again.
+    Forget {
+        submission: Submission,
+    },
+    Ring {
+        at: Nanos,
+        token: u64,
+    },
+}
--- /dev/null
+++ b/crates/simhost/src/instance.rs
@@ -0,0 +1,129 @@
+//! One instance: a dispatcher and the maps between the wire's ids and its small indices.
+
+use std::collections::HashMap;
+
+use linestack_dispatch::decide::Dispatcher;
+use linestack_dispatch::types::{Ending, Event, Listing, Nanos, Order};
+use linestack_simwire::{Incoming, Outgoing, Reply, ReportLayout, Start};
+
+pub struct Instance {
+    node: u16,
+    dispatcher: Dispatcher,
+    layout: ReportLayout,
+    submissions: HashMap<u64, u32>,
+    calls: Vec<u64>,
+    free: Vec<u32>,
+    workers: HashMap<u32, u32>,
+    executors: Vec<u32>,
+    listings: Vec<Listing>,
+}
+
+impl Instance {
+    pub fn new(node: u16, start: Start) -> Self {
+        Self {
+            node,
+            dispatcher: Dispatcher::new(start.orders),
+            layout: start.layout,
+            submissions: HashMap::new(),
+            calls: Vec::new(),
+            free: Vec::new(),
+            workers: HashMap::new(),
+            executors: Vec::new(),
+            listings: Vec::new(),
+        }
+    }
+
+    /// Hands one event to the dispatcher and adds its orders to the reply. Events about submissions
+    /// or workers that this instance does not know, or knows no more, are dropped.
+    pub fn take(&mut self, clock: Nanos, event: Incoming, reply: &mut Reply) {
+        if let Some(event) = self.translate(event) {
+            // The listings are lent to the event and taken back after it.
+            let listings = std::mem::take(&mut self.listings);
+            let event = match event {
+                Event::Listed { kind, .. } => Event::Listed { kind, entries: &listings },
+                other => other,
+            };
+            for order in self.dispatcher.decide(clock, event) {
+                let call = |submission: &u32| self.calls[*submission as usize];
+                let action = match order {
+                    Order::Execute { submission, worker, timeout } => Outgoing::Execute {
+                        call: call(submission),
+                        timeout: *timeout,
+                        executor: self.executors[*worker as usize],
+                    },
+                    Order::Cancel { submission, execution } => {
+                        Outgoing::Cancel { call: call(submission), execution: *execution }
+                    }
+                    Order::Dismiss { submission, come_back } => {
+                        Outgoing::Dismiss { call: call(submission), come_back: come_back.unwrap_or(0) }
+                    }
+                    Order::Abort { submission } => Outgoing::Abort { call: call(submission) },
+                    Order::Probe { worker } => Outgoing::Probe { executor: self.executors[*worker as usize] },
+                    Order::Subscribe => Outgoing::Subscribe,
+                    Order::Ring { at, token } => Outgoing::Ring { at: *at, token: *token },
+                    Order::Forget { submission } => {
+                        self.submissions.remove(&call(submission));
+                        self.free.push(*submission);
+                        continue;
+                    }
+                };
+                reply.push(self.node, action);
+            }
+            self.listings = listings;
+        }
+    }
+
+    fn translate(&mut self, event: Incoming) -> Option<Event<'static>> {
+        let known = |call: u64| self.submissions.get(&call).copied();
+        Some(match event {
+            Incoming::Begin(_) | Incoming::Killed | Incoming::Peer => return None,
+            Incoming::Listed { kind, entries } => {
+                self.listings.clear();
+                for e in entries {
+                    let worker = *self.workers.entry(e.executor).or_insert_with(|| {
+                        self.executors.push(e.executor);
+                        self.executors.len() as u32 - 1
+                    });
+                    let (health, kind, zone, cell, started) = (e.health, e.kind, e.zone, e.cell, e.started);
+                    self.listings.push(Listing { worker, health, kind, zone, cell, started });
+                }
+                Event::Listed { kind, entries: &[] }
+            }
+            Incoming::Submitted { call, job } => {
+                if known(call).is_some() {
+                    return None;
+                }
+                let submission = self.free.pop().unwrap_or(self.calls.len() as u32);
+                if submission as usize == self.calls.len() {
+                    self.calls.push(call);
+                } else {
+                    self.calls[submission as usize] = call;
+                }
+                self.submissions.insert(call, submission);
+                Event::Submitted { submission, job }
+            }
+            Incoming::Left { call } => Event::Left { submission: known(call)? },
+            Incoming::Streaming { call, execution } => {
+                Event::Streaming { submission: known(call)?, execution }
+            }
+            Incoming::Noted { call, execution } => Event::Noted { submission: known(call)?, execution },
+            Incoming::Ended { call, execution, executor, outcome, closed, took, figures } => {
+                Event::Ended(Ending {
+                    submission: known(call)?,
+                    execution,
+                    worker: *self.workers.get(&executor)?,
+                    outcome,
+                    closed,
+                    took,
+                    report: self.layout.report(figures),
+                })
+            }
+            Incoming::Probed { executor, answered, figures } => Event::Probed {
+                worker: *self.workers.get(&executor)?,
+                answered,
+                report: self.layout.report(figures),
+            },
+            Incoming::Rang { token } => Event::Rang { token },
+        })
+    }
+}
--- /dev/null
+++ b/crates/simwire/src/lib.rs
@@ -0,0 +1,399 @@
+//! The simulator's wire: batches of events in, replies out.
+//!
+//! Ids stay as the wire gives them here; the host maps them to linestack's small indices.
+
+mod start;
+
+use std::io::{self, Read, Write};
+
+use linestack_dispatch::types::{Health, Job, ListKind, Nanos, Outcome, Report};
+use thiserror::Error;
+
+pub use start::{ReportLayout, Start};
+
+const HEADER: usize = 20;
+const EVENT: usize = 56;
+const ACTION: usize = 24;
+const ENTRY: usize = 23;
+
+#[derive(Debug, Error)]
+pub enum Fault {
+    #[error("the frame after batch {after} is cut short: {found} of {wanted} bytes")]
+    CutShort { after: u32, found: usize, wanted: usize },
+    #[error("batch {batch}: {records} records do not fit in {length} bytes")]
+    Length { batch: u32, records: u32, length: u32 },
+    #[error("batch {batch}: record {record} has the unknown event code {code}")]
+    Code { batch: u32, record: u32, code: u8 },
+    #[error("batch {batch}: record {record} points outside the tail ({offset} + {length} of {tail} bytes)")]
+    Tail { batch: u32, record: u32, offset: u32, length: u64, tail: usize },
+    #[error("batch {batch}: the start text is not usable: {why}")]
+    Start { batch: u32, why: serde_json::Error },
+    #[error("batch {batch}: record {record} has the unknown {what} {value}")]
+    Value { batch: u32, record: u32, what: &'static str, value: u8 },
+    #[error("after batch {after}: {why}")]
+    Io { after: u32, why: io::Error },
+}
+
+/// A line of a list, with the wire's own id.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Entry {
+    pub executor: u32,
+    pub health: Health,
+    pub kind: u16,
+    pub zone: u16,
+    pub cell: u16,
+    pub started: Nanos,
+}
+
+/// Up to four figures of a load report, in the order of the site's fields.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Figures {
+    count: u8,
+    values: [f32; 4],
+}
+
+#[derive(Debug)]
+pub enum Incoming {
+    Begin(Box<Start>),
+    Killed,
+    Listed {
+        kind: ListKind,
+        entries: Vec<Entry>,
+    },
+    Submitted {
+        call: u64,
+        job: Job,
+    },
+    Left {
+        call: u64,
+    },
+    Streaming {
+        call: u64,
+        execution: u16,
+    },
+    Noted {
+        call: u64,
+        execution: u16,
+    },
+    Ended {
+        call: u64,
+        execution: u16,
+        executor: u32,
+        outcome: Outcome,
+        closed: bool,
+        took: Nanos,
+        figures: Figures,
+    },
+    Probed {
+        executor: u32,
+        answered: Option<bool>,
+        figures: Figures,
+    },
+    Rang {
+        token: u64,
+    },
+    /// A message from another node; nothing here acts on one.
+    Peer,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Outgoing {
+    Cancel { call: u64, execution: u16 },
+    Ring { at: Nanos, token: u64 },
+    Probe { executor: u32 },
+    Abort { call: u64 },
+    Execute { call: u64, timeout: Nanos, executor: u32 },
+    Subscribe,
+    Dismiss { call: u64, come_back: Nanos },
+}
+
+#[derive(Default)]
+pub struct Batch {
+    pub clock: Nanos,
+    pub number: u32,
+    records: u32,
+    body: Vec<u8>,
+}
+
+impl Batch {
+    /// Reads the next batch in place of this one. False at a clean end of the input.
+    pub fn read(&mut self, input: &mut impl Read) -> Result<bool, Fault> {
+        let after = self.number;
+        let mut fill = |body: &mut Vec<u8>, wanted: usize| {
+            body.clear();
+            let found = input
+                .by_ref()
+                .take(wanted as u64)
+                .read_to_end(body)
+                .map_err(|why| Fault::Io { after, why })?;
+            Ok(found)
+        };
+        let found = fill(&mut self.body, HEADER)?;
+        if found == 0 {
+            return Ok(false);
+        }
+        if found < HEADER {
+            return Err(Fault::CutShort { after, found, wanted: HEADER });
+        }
+        let header = Fields(&self.body);
+        let (clock, length, records, number) = (header.f64(0), header.u32(8), header.u32(12), header.u32(16));
+        (self.clock, self.records, self.number) = (nanos(clock), records, number);
+        if u64::from(records) * EVENT as u64 > u64::from(length) {
+            return Err(Fault::Length { batch: number, records, length });
+        }
+        let found = fill(&mut self.body, length as usize)?;
+        if found < length as usize {
+            return Err(Fault::CutShort { after, found, wanted: length as usize });
+        }
+        Ok(true)
+    }
+
+    /// The events with the numbers of the instances that they are for.
+    pub fn events(&self) -> impl Iterator<Item = Result<(u16, Incoming), Fault>> {
+        (0..self.records).map(|record| self.event(record))
+    }
+
+    fn event(&self, record: u32) -> Result<(u16, Incoming), Fault> {
+        let f = Fields(&self.body[record as usize * EVENT..][..EVENT]);
+        let value = |what, value| Fault::Value { batch: self.number, record, what, value };
+        let event = match f.u8(0) {
+            1 => Incoming::Submitted {
+                call: f.u64(3),
+                job: Job {
+                    product: f.u8(11),
+                    tenant: f.u16(12),
+                    cut_off: nanos(f.f64(22)),
+                    slots: positive(f.f32(38)).filter(|s| *s > 0.0).unwrap_or(1.0).into(),
+                    memory: positive(f.f32(42)).unwrap_or(0.0).into(),
+                },
+            },
+            2 => Incoming::Probed {
+                executor: f.u32(3),
+                answered: match f.u16(7) {
+                    200 => Some(true),
+                    429 => None,
+                    _ => Some(false),
+                },
+                figures: f.figures(17),
+            },
+            3 => Incoming::Killed,
+            4 => Incoming::Ended {
+                call: f.u64(3),
+                execution: f.u16(11),
+                executor: f.u32(28),
+                outcome: outcome(f.u16(13)),
+                closed: f.u8(19) != 0,
+                took: nanos(f.f64(20)),
+                figures: f.figures(32),
+            },
+            5 => Incoming::Noted { call: f.u64(3), execution: f.u16(11) },
+            6 => {
+                let kind = match f.u8(3) {
+                    0 => ListKind::Changes,
+                    1 => ListKind::Whole,
+                    2 => ListKind::Cached,
+                    3 => ListKind::Failed,
+                    other => return Err(value("kind of list", other)),
+                };
+                let bytes = self.tail(record, f.u32(8), u64::from(f.u32(12)) * ENTRY as u64)?;
+                let entries = bytes.chunks_exact(ENTRY).map(|entry| {
+                    let e = Fields(entry);
+                    let health = match e.u8(6) {
+                        1 => Health::Draining,
+                        2 => Health::Ready,
+                        3 => Health::Gone,
+                        other => return Err(value("health", other)),
+                    };
+                    Ok(Entry {
+                        executor: e.u32(15),
+                        health,
+                        kind: e.u16(4),
+                        zone: e.u16(21),
+                        cell: e.u16(19),
+                        started: nanos(e.f64(7)),
+                    })
+                });
+                Incoming::Listed { kind, entries: entries.collect::<Result<_, _>>()? }
+            }
+            7 => {
+                let text = self.tail(record, f.u32(11), u64::from(f.u32(15)))?;
+                let start =
+                    Start::read(text, f.u64(3)).map_err(|why| Fault::Start { batch: self.number, why })?;
+                Incoming::Begin(Box::new(start))
+            }
+            8 => {
+                self.tail(record, f.u32(7), u64::from(f.u32(11)))?;
+                Incoming::Peer
+            }
+            9 => Incoming::Streaming { call: f.u64(3), execution: f.u16(15) },
+            10 => Incoming::Rang { token: f.u64(3) },
+            11 => Incoming::Left { call: f.u64(3) },
+            code => return Err(Fault::Code { batch: self.number, record, code }),
+        };
+        Ok((f.u16(1), event))
+    }
+
+    fn tail(&self, record: u32, offset: u32, length: u64) -> Result<&[u8], Fault> {
+        let tail = &self.body[self.records as usize * EVENT..];
+        let (from, to) = (u64::from(offset), u64::from(offset) + length);
+        if length == 0 {
+            return Ok(&[]);
+        }
+        if to > tail.len() as u64 {
+            return Err(Fault::Tail { batch: self.number, record, offset, length, tail: tail.len() });
+        }
+        Ok(&tail[from as usize..to as usize])
+    }
+}
+
+/// The reply to one batch; it is written whole or not at all.
+#[derive(Default)]
+pub struct Reply {
+    records: u32,
+    body: Vec<u8>,
+}
+
+impl Reply {
+    pub fn push(&mut self, node: u16, action: Outgoing) {
+        let mut record = [0; ACTION];
+        record[1..3].copy_from_slice(&node.to_be_bytes());
+        let mut put = |at: usize, bytes: &[u8]| record[at..at + bytes.len()].copy_from_slice(bytes);
+        let code = match action {
+            Outgoing::Cancel { call, execution } => {
+                put(3, &call.to_be_bytes());
+                put(11, &execution.to_be_bytes());
+                1
+            }
+            Outgoing::Ring { at, token } => {
+                put(3, &millis(at).to_be_bytes());
+                put(11, &token.to_be_bytes());
+                2
+            }
+            Outgoing::Probe { executor } => {
+                put(3, &executor.to_be_bytes());
+                4
+            }
+            Outgoing::Abort { call } => {
+                put(3, &call.to_be_bytes());
+                5
+            }
+            Outgoing::Execute { call, timeout, executor } => {
+                put(3, &call.to_be_bytes());
+                put(11, &millis(timeout).to_be_bytes());
+                put(19, &executor.to_be_bytes());
+                8
+            }
+            Outgoing::Subscribe => {
+                put(3, &[1]);
+                10
+            }
+            Outgoing::Dismiss { call, come_back } => {
+                put(3, &call.to_be_bytes());
+                put(11, &millis(come_back).to_be_bytes());
+                12
+            }
+        };
+        record[0] = code;
+        self.records += 1;
+        self.body.extend_from_slice(&record);
+    }
+
+    /// Writes the reply to the batch of this number and empties it for the next.
+    pub fn write(&mut self, batch: u32, output: &mut impl Write) -> io::Result<()> {
+        output.write_all(&self.records.to_be_bytes())?;
+        output.write_all(&(self.body.len() as u32).to_be_bytes())?;
+        output.write_all(&batch.to_be_bytes())?;
+        output.write_all(&self.body)?;
+        output.flush()?;
+        self.records = 0;
+        self.body.clear();
+        Ok(())
+    }
+}
+
+struct Fields<'a>(&'a [u8]);
+
+impl Fields<'_> {
+    fn bytes<const N: usize>(&self, at: usize) -> [u8; N] {
+        std::array::from_fn(|i| self.0[at + i])
+    }
+
+    fn u8(&self, at: usize) -> u8 {
+        self.0[at]
+    }
+
+    fn u16(&self, at: usize) -> u16 {
+        u16::from_be_bytes(self.bytes(at))
+    }
+
+    fn u32(&self, at: usize) -> u32 {
+        u32::from_be_bytes(self.bytes(at))
+    }
+
+    fn u64(&self, at: usize) -> u64 {
+        u64::from_be_bytes(self.bytes(at))
+    }
+
+    fn f32(&self, at: usize) -> f32 {
+        f32::from_be_bytes(self.bytes(at))
+    }
+
+    fn f64(&self, at: usize) -> f64 {
+        f64::from_be_bytes(self.bytes(at))
+    }
+
+    fn figures(&self, at: usize) -> Figures {
+        Figures { count: self.u8(at), values: std::array::from_fn(|i| self.f32(at + 1 + 4 * i)) }
+    }
+}
+
+impl ReportLayout {
+    /// The report that these figures make, if one came.
+    #[must_use]
+    pub fn report(&self, figures: Figures) -> Option<Report> {
+        let get = |place: Option<usize>| {
+            place.filter(|p| *p < usize::from(figures.count)).and_then(|p| positive(*figures.values.get(p)?))
+        };
+        let report = Report {
+            free_slots: get(self.free_slots),
+            free_memory: get(self.free_memory),
+            waiting: get(self.waiting),
+            in_hand: get(self.in_hand),
+        };
+        (report != Report::default()).then_some(report)
+    }
+}
+
+fn outcome(reason: u16) -> Outcome {
+    match reason {
+        200 => Outcome::Satisfied,
+        429 => Outcome::Full,
+        408 => Outcome::TimedOut,
+        521 => Outcome::ConnectFailed,
+        520 => Outcome::Reset,
+        444 => Outcome::Cancelled,
+        409 => Outcome::NotSent,
+        // What is not known may have run.
+        _ => Outcome::Error,
+    }
+}
+
+fn positive(figure: f32) -> Option<f32> {
+    (figure.is_finite() && figure >= 0.0).then_some(figure)
+}
+
+pub(crate) fn nanos(millis: f64) -> Nanos {
+    // A cast of what is negative or not a number gives 0.
+    (millis * 1e6).round() as Nanos
+}
+
+fn millis(nanos: Nanos) -> f64 {
+    nanos as f64 / 1e6
+}
+
+impl Start {
+    fn read(text: &[u8], seed: u64) -> Result<Self, serde_json::Error> {
+        let (orders, layout) = start::read(text, seed)?;
+        Ok(Self { orders, layout })
+    }
+}
--- /dev/null
+++ b/crates/simwire/src/start.rs
@@ -0,0 +1,227 @@
+//! The start text: JSON with the wire's names, read into the standing orders.
+
+use linestack_dispatch::types::{Group, Nanos, Product, Repeats, StandingOrders};
+use serde::Deserialize;
+
+use crate::nanos;
+
+/// What an instance is started with.
+#[derive(Debug)]
+pub struct Start {
+    pub orders: StandingOrders,
+    pub layout: ReportLayout,
+}
+
+/// Where in a load report each figure stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReportLayout {
+    pub free_slots: Option<usize>,
+    pub free_memory: Option<usize>,
+    pub waiting: Option<usize>,
+    pub in_hand: Option<usize>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Info {
+    az: u16,
+    balancers: u32,
+    deductions: Deductions,
+    discovery: String,
+    excess_payoff: f64,
+    family_info: FamilyInfo,
+    invariants: Invariants,
+    limits: Limits,
+    products: Vec<Class>,
+    report: Reports,
+    tenants: Vec<Tenant>,
+}
+
+impl Default for Info {
+    fn default() -> Self {
+        Self {
+            az: 0,
+            balancers: 1,
+            deductions: Deductions::default(),
+            discovery: String::new(),
+            excess_payoff: 1.0,
+            family_info: FamilyInfo::default(),
+            invariants: Invariants::default(),
+            limits: Limits::default(),
+            products: Vec::new(),
+            report: Reports::default(),
+            tenants: Vec::new(),
+        }
+    }
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Deductions {
+    probe: f64,
+    cross_zone: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct FamilyInfo {
+    class_kind: Vec<i32>,
+    memory_unit: Option<String>,
+    progress_ms: f64,
+    report_x0: String,
+    report_x1: String,
+    tells_start: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Invariants {
+    answer_slack_ms: f64,
+    cold_from: f64,
+    cold_ms: f64,
+    drain_grace_ms: f64,
+    fall_ms: f64,
+    fall_multiple: f64,
+    must_ask_in_ms: f64,
+}
+
+impl Default for Invariants {
+    fn default() -> Self {
+        Self {
+            answer_slack_ms: 0.0,
+            cold_from: 1.0,
+            cold_ms: 0.0,
+            drain_grace_ms: 0.0,
+            fall_ms: 1000.0,
+            fall_multiple: 1.0,
+            must_ask_in_ms: 10_000.0,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Limits {
+    cancel: bool,
+    connect_timeout_ms: f64,
+    max_executions: u16,
+    max_retry_after_ms: f64,
+    may_duplicate: bool,
+    may_probe: bool,
+    retry_after: bool,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            cancel: false,
+            connect_timeout_ms: 250.0,
+            max_executions: 1,
+            max_retry_after_ms: 0.0,
+            may_duplicate: false,
+            may_probe: false,
+            retry_after: false,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Class {
+    agreed_time_ms: f64,
+    cut_off_ms: f64,
+    dedup_scope: String,
+    effect: String,
+    late_payoff: f64,
+    memory_span_ms: f64,
+    payoff: f64,
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Self {
+            agreed_time_ms: 0.0,
+            cut_off_ms: 0.0,
+            dedup_scope: String::new(),
+            // Without a word on repeats, none may be made.
+            effect: "side_effect".into(),
+            late_payoff: 0.0,
+            memory_span_ms: 0.0,
+            payoff: 1.0,
+        }
+    }
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Reports {
+    fields: Vec<String>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Tenant {
+    quota_per_s: f64,
+}
+
+pub(crate) fn read(text: &[u8], seed: u64) -> Result<(StandingOrders, ReportLayout), serde_json::Error> {
+    let info: Info = serde_json::from_slice(text)?;
+    let family = &info.family_info;
+    let product = |(i, class): (usize, &Class)| Product {
+        repeats: match class.effect.as_str() {
+            "pure" => Repeats::Harmless,
+            "token" => Repeats::Stamped {
+                group: match class.dedup_scope.as_str() {
+                    "all" => Group::All,
+                    "zone" => Group::Zone,
+                    _ => Group::Cell,
+                },
+                memory: nanos(class.memory_span_ms),
+            },
+            _ => Repeats::OneShot,
+        },
+        agreed: nanos(class.agreed_time_ms),
+        payoff: class.payoff,
+        late_payoff: class.late_payoff,
+        kind: family.class_kind.get(i).and_then(|k| u16::try_from(*k).ok()),
+    };
+    let field = |name: &str| info.report.fields.iter().position(|f| f == name);
+    let extra = |word: &str| {
+        let x0 = field("x0").filter(|_| family.report_x0.contains(word));
+        x0.or_else(|| field("x1").filter(|_| family.report_x1.contains(word)))
+    };
+    let layout = ReportLayout {
+        free_slots: extra("slot"),
+        free_memory: extra("memory"),
+        waiting: field("backlog"),
+        in_hand: field("outstanding"),
+    };
+    let (limits, rules) = (&info.limits, &info.invariants);
+    let some = |span: Nanos| (span > 0).then_some(span);
+    let orders = StandingOrders {
+        seed,
+        nodes: info.balancers.max(1),
+        zone: info.az,
+        products: info.products.iter().enumerate().map(product).collect(),
+        quotas: info.tenants.iter().map(|t| t.quota_per_s.max(0.0)).collect(),
+        excess_payoff: info.excess_payoff,
+        probe_price: info.deductions.probe,
+        crossing_price: info.deductions.cross_zone,
+        max_executions: limits.max_executions,
+        may_duplicate: limits.may_duplicate,
+        may_probe: limits.may_probe,
+        may_cancel: limits.cancel,
+        come_back: some(nanos(limits.max_retry_after_ms)).filter(|_| limits.retry_after),
+        connect_timeout: nanos(limits.connect_timeout_ms),
+        answer_slack: nanos(rules.answer_slack_ms),
+        cold_from: rules.cold_from,
+        cold_for: nanos(rules.cold_ms),
+        fall_multiple: rules.fall_multiple,
+        fall_window: nanos(rules.fall_ms),
+        ask_within: some(nanos(rules.must_ask_in_ms)).filter(|_| info.discovery == "on_request"),
+        progress_every: some(nanos(family.progress_ms)),
+        tells_start: family.tells_start,
+        counts_memory: family.memory_unit.as_ref().is_some_and(|unit| !unit.is_empty()),
+    };
+    Ok((orders, layout))
+}
