--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -210,6 +210,7 @@
         let (own, ready) = fit.fold((0.0, 0), |(own, n), d| (own + d.own_slots, n + 1));
         let mean = own / ready.max(1) as f64;
         let (mut members, mut others, mut aside) = (Draw::default(), Draw::default(), Draw::default());
+        let mut near = Draw::default();
         let mut chance = self.chance.clone();
         for (i, desk) in self.desks.iter().enumerate() {
             let worker = i as Worker;
@@ -224,6 +225,9 @@
             others.offer(worker, &mut chance);
             if self.below_threshold(desk, held, mean) {
                 members.offer(worker, &mut chance);
+                if self.terms.crossing_price > 0.0 && desk.listing.zone == self.terms.zone {
+                    near.offer(worker, &mut chance);
+                }
             }
         }
         // With most workers set aside, the few left must not collapse under everybody's work.
@@ -232,7 +236,7 @@
             others.pick = aside.pick;
         }
         self.chance = chance;
-        (members.offered, ready, members.pick.or(others.pick).or(aside.pick))
+        (members.offered, ready, near.pick.or(members.pick).or(others.pick).or(aside.pick))
     }
 
     fn below_threshold(&self, desk: &Desk, held: &Held, mean: f64) -> bool {
