--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -113,6 +113,7 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct AnswerTime {
+    pub(crate) seen: f64,
     pub(crate) mean: f64,
     pub(crate) shortest: f64,
 }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -427,10 +427,12 @@
     /// Lets the limit follow the shortest answer time over the present one.
     fn answered(&mut self, product: usize, took: f64) {
         let a = &mut self.answers[product];
-        a.mean = if a.mean == 0.0 { took } else { a.mean + (took - a.mean) / 32.0 };
-        a.shortest =
-            if a.shortest == 0.0 { took } else { a.mean.min(a.shortest + (a.mean - a.shortest) / 2048.0) };
-        self.stretch += (took / a.shortest - self.stretch) / 32.0;
+        a.seen = (a.seen + 1.0).min(128.0);
+        a.mean += (took - a.mean) / a.seen;
+        // A mean of few answers may be far too short, and the limit would never recover from it.
+        let drifted = a.shortest + (a.mean - a.shortest) / 2048.0;
+        a.shortest = if a.seen < 32.0 { a.mean } else { a.mean.min(drifted) };
+        self.stretch += (took / a.shortest - self.stretch) / 64.0;
         let most = self.desks.len() as f64 * THRESHOLD_START;
         let limit = self.limit.min(most);
         let wanted = limit * (2.0 / self.stretch).clamp(0.5, 1.0) + limit.sqrt();
