Leave reports aside that are older than an answer takes

Cause: while load reports come seconds late, the set was built from figures that describe the past; nodes refused excess for lack of members and sent to workers long since full.

What the nodes see is reports that name fewer jobs than they hold there; the age proven by that is compared with the mean answer time. While it is larger, a worker belongs when our own slots there are at most the mean.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -248,6 +248,10 @@
         if self.terms.tells_start && desk.out.iter().any(|o| !o.started) {
             return false;
         }
+        // Reports older than the jobs they count say nothing of now; what we hold there ourselves does.
+        if self.lag() as f64 > self.answers.iter().map(|a| a.mean).fold(0.0, f64::max) {
+            return own <= mean;
+        }
         // Nothing is known of a worker before its first report: one job at a time is the feeler.
         let Some(reported) = desk.reported else { return desk.out.is_empty() };
         // A late report misses jobs that were sent before it came: what is younger than the reports' known
