--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -23,7 +23,7 @@
 /// The most that set-asides in a row may double the probes asked for.
 const MAX_STRIKES: u32 = 6;
 /// Points of the result that refreshing reports may cost.
-const PROBE_SPEND: f64 = 0.005;
+const PROBE_SPEND: f64 = 0.03;
 const SECOND: f64 = 1e9;
 
 pub struct Dispatcher {
@@ -483,7 +483,11 @@
         }
         let listed = self.desks.iter().flatten().filter(|d| d.listing.health == Health::Ready).count() as f64;
         let rate = self.arrivals.read(self.now, SECOND).max(1.0);
-        let refresh = SECOND * listed * self.terms.probe_price / (rate * PROBE_SPEND);
+        let ready = self.desks.iter().flatten().filter(|d| d.listing.health == Health::Ready);
+        let full = ready.filter(|d| d.report.free_slots.is_none_or(|f| f < 1.0)).count() as f64;
+        let spread = SECOND * listed * self.terms.probe_price / (rate * PROBE_SPEND) * listed / (full + 0.5);
+        // Asking more often than reports are renewed brings nothing new.
+        let refresh = spread.max(self.lag() as f64);
         let took = self.answers.iter().map(|a| a.mean).fold(0.0, f64::max);
         let silence = 2.0 * (self.terms.progress_every.unwrap_or(0) as f64 + took) + period as f64;
         for i in 0..self.desks.len() {
