Excess is taken while a third of the workers has room, not half

Cause: with fresher reports the set is a truer figure of the room that is left, and half of the workers idle is more than the tenants inside their share need.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -164,7 +164,7 @@
         }
         let excess = self.beyond_share(usize::from(job.tenant));
         let (members, ready, worker) = self.choose(submission);
-        let crowded = members * 2 < ready;
+        let crowded = members * 3 < ready;
         if (excess && crowded) || self.in_flight + job.slots > self.limit.max(ready as f64) {
             return self.finish(submission, excess);
         }
