A random ready worker only where its queue leaves the agreed time

Errors and cold workers were ruled out: resets fell in the first 5 s only, and the workers that stayed up were as slow.

Now the waiting jobs that a worker reports, times the usual answer time, over its slots, must leave the job its agreed time, its growing part included; where no worker does, the submission is dismissed at once.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -222,7 +222,9 @@
                 aside.offer(worker, &mut chance);
                 continue;
             }
-            others.offer(worker, &mut chance);
+            if self.in_time(desk, held) {
+                others.offer(worker, &mut chance);
+            }
             if self.below_threshold(desk, held, mean) {
                 members.offer(worker, &mut chance);
                 if self.terms.crossing_price > 0.0 && desk.listing.zone == self.terms.zone {
@@ -270,6 +272,16 @@
         !self.terms.counts_memory || left >= job.memory || free.is_some_and(|f| f >= desk.slots)
     }
 
+    /// Whether the jobs reported to wait there leave this one its agreed time. Where work piles up faster
+    /// than it is done, queues would fill until every answer is late.
+    fn in_time(&self, desk: &Desk, held: &Held) -> bool {
+        let (product, usual) = (usize::from(held.job.product), |a: &AnswerTime| a.shortest);
+        let each = self.answers.iter().map(usual).sum::<f64>() / self.answers.len() as f64;
+        let wait = desk.report.waiting.map_or(0.0, whole) * each / desk.slots.max(1.0);
+        let terms = &self.terms.products[product];
+        wait <= terms.agreed as f64 + (terms.stretch - 1.0).max(0.0) * usual(&self.answers[product])
+    }
+
     fn lag(&self) -> Nanos {
         self.lag.0.saturating_sub((self.now - self.lag.1) / 8)
     }
--- a/crates/dispatch/src/types.rs
+++ b/crates/dispatch/src/types.rs
@@ -31,6 +31,8 @@
 pub struct Product {
     pub repeats: Repeats,
     pub agreed: Nanos,
+    /// By how many times its own running time the agreed time grows.
+    pub stretch: f64,
     pub payoff: f64,
     /// The part of the payoff that is left after the agreed time.
     pub late_payoff: f64,
--- a/crates/simwire/src/start.rs
+++ b/crates/simwire/src/start.rs
@@ -66,6 +66,7 @@
 #[serde(rename_all = "camelCase", default)]
 struct FamilyInfo {
     class_kind: Vec<i32>,
+    class_stretch: Vec<f64>,
     memory_unit: Option<String>,
     progress_ms: f64,
     report_x0: String,
@@ -129,6 +130,7 @@
 #[serde(rename_all = "camelCase", default)]
 struct Class {
     agreed_time_ms: f64,
+    aim_stretch: Option<f64>,
     cut_off_ms: f64,
     dedup_scope: String,
     effect: String,
@@ -141,6 +143,7 @@
     fn default() -> Self {
         Self {
             agreed_time_ms: 0.0,
+            aim_stretch: None,
             cut_off_ms: 0.0,
             dedup_scope: String::new(),
             // Without a word on repeats, none may be made.
@@ -181,6 +184,7 @@
             _ => Repeats::OneShot,
         },
         agreed: nanos(class.agreed_time_ms),
+        stretch: class.aim_stretch.or(family.class_stretch.get(i).copied()).unwrap_or(0.0),
         payoff: class.payoff,
         late_payoff: class.late_payoff,
         kind: family.class_kind.get(i).and_then(|k| u16::try_from(*k).ok()),
