Keep room for products that pay more while few workers are below threshold

A slow or failing worker was ruled out, as the full answers came evenly from all five that were left.

A submission is now dismissed, with a come-back time, unless a fifth of the ready workers, times how far its payoff is below the best, has room.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -24,6 +24,8 @@
 const MAX_STRIKES: u32 = 6;
 /// Points of the result that refreshing reports may cost.
 const PROBE_SPEND: f64 = 0.03;
+/// The part of the workers kept for the products that pay best.
+const RESERVE: f64 = 0.2;
 const SECOND: f64 = 1e9;
 
 pub struct Dispatcher {
@@ -164,8 +166,8 @@
         }
         let excess = self.beyond_share(usize::from(job.tenant));
         let (members, ready, worker) = self.choose(submission);
-        let crowded = members * 3 < ready;
-        if (excess && crowded) || self.in_flight + job.slots > self.limit.max(ready as f64) {
+        let crowded = (members as f64) < ready as f64 * self.reserve(usize::from(job.product), excess);
+        if crowded || self.in_flight + job.slots > self.limit.max(ready as f64) {
             return self.finish(submission, excess);
         }
         if let Some(worker) = worker {
@@ -176,6 +178,16 @@
         }
     }
 
+    /// The part of the ready workers that must have room before this is taken: room is kept for products that
+    /// pay more, and for tenants inside their shares.
+    fn reserve(&self, product: usize, excess: bool) -> f64 {
+        if excess {
+            return 1.0 / 3.0;
+        }
+        let best = self.terms.products.iter().map(|p| p.payoff).fold(f64::MIN_POSITIVE, f64::max);
+        RESERVE * (1.0 - self.terms.products[product].payoff / best)
+    }
+
     /// Whether a tenant is past its share here. This node's part of all traffic is not told: it is taken
     /// from the median tenant, so that one that sends far too much does not widen its own share.
     fn beyond_share(&mut self, tenant: usize) -> bool {
