Tests of the decisions, the frames and the program's input

Tables of cases: each rule, the set with its exclusions, set-asides and returns, the limits, bad input. They found one mistake: products never answered yet counted as instant when the wait in a queue was estimated.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -287,11 +287,12 @@
     /// Whether the jobs reported to wait there leave this one its agreed time. Where work piles up faster
     /// than it is done, queues would fill until every answer is late.
     fn in_time(&self, desk: &Desk, held: &Held) -> bool {
-        let (product, usual) = (usize::from(held.job.product), |a: &AnswerTime| a.shortest);
-        let each = self.answers.iter().map(usual).sum::<f64>() / self.answers.len() as f64;
+        let seen = self.answers.iter().filter(|a| a.seen > 0.0);
+        let each = seen.clone().map(|a| a.shortest).sum::<f64>() / seen.count().max(1) as f64;
         let wait = desk.report.waiting.map_or(0.0, whole) * each / desk.slots.max(1.0);
-        let terms = &self.terms.products[product];
-        wait <= terms.agreed as f64 + (terms.stretch - 1.0).max(0.0) * usual(&self.answers[product])
+        let product = usize::from(held.job.product);
+        let (terms, usual) = (&self.terms.products[product], self.answers[product].shortest);
+        wait <= terms.agreed as f64 + (terms.stretch - 1.0).max(0.0) * usual
     }
 
     fn lag(&self) -> Nanos {
--- /dev/null
+++ b/crates/dispatch/tests/decisions.rs
@@ -0,0 +1,416 @@
+//! Tables of cases on the decisions alone: what happened, and what is ordered.
+
+use linestack_dispatch::decide::Dispatcher;
+use linestack_dispatch::types::*;
+use rstest::rstest;
+
+const MS: Nanos = 1_000_000;
+const STAMPED: Repeats = Repeats::Stamped { group: Group::Cell, memory: 3_000 * MS };
+
+/// A node with a clock, fed with plain figures.
+struct Node {
+    dispatcher: Dispatcher,
+    now: Nanos,
+    next: Submission,
+}
+
+fn terms(repeats: Repeats) -> StandingOrders {
+    let product =
+        |payoff| Product { repeats, agreed: 400 * MS, stretch: 1.0, payoff, late_payoff: 0.5, kind: None };
+    StandingOrders {
+        seed: 7,
+        nodes: 2,
+        zone: 0,
+        products: vec![product(4.0), product(1.0)],
+        quotas: vec![],
+        excess_payoff: 0.1,
+        probe_price: 0.0,
+        crossing_price: 0.0,
+        max_executions: 3,
+        may_duplicate: true,
+        may_probe: true,
+        may_cancel: true,
+        come_back: Some(2_000 * MS),
+        connect_timeout: 250 * MS,
+        answer_slack: 16 * MS,
+        cold_from: 0.2,
+        cold_for: 10_000 * MS,
+        fall_multiple: 3.0,
+        fall_window: 1_000 * MS,
+        ask_within: None,
+        progress_every: Some(1_000 * MS),
+        tells_start: false,
+        counts_memory: false,
+    }
+}
+
+fn listing(worker: Worker) -> Listing {
+    Listing { worker, health: Health::Ready, cell: worker as u16 / 2, ..Listing::default() }
+}
+
+/// Free slots, jobs waiting, jobs in hand.
+fn report(free: f32, waiting: f32, in_hand: f32) -> Option<Report> {
+    Some(Report { free_slots: Some(free), waiting: Some(waiting), in_hand: Some(in_hand), free_memory: None })
+}
+
+impl Node {
+    /// Workers with four idle slots each.
+    fn new(terms: StandingOrders, workers: Worker) -> Self {
+        let mut node = Self { dispatcher: Dispatcher::new(terms), now: 5_000_000 * MS, next: 0 };
+        let entries: Vec<_> = (0..workers).map(listing).collect();
+        node.event(Event::Listed { kind: ListKind::Cached, entries: &entries });
+        (0..workers).for_each(|w| drop(node.probed(w, Some(true), report(4.0, 0.0, 0.0))));
+        node
+    }
+
+    fn event(&mut self, event: Event<'_>) -> Vec<Order> {
+        let ordered = self.dispatcher.decide(self.now, event).iter();
+        ordered.filter(|o| !matches!(o, Order::Ring { .. } | Order::Forget { .. })).copied().collect()
+    }
+
+    fn list(&mut self, kind: ListKind, entries: &[Listing]) -> Vec<Order> {
+        self.event(Event::Listed { kind, entries })
+    }
+
+    fn submit(&mut self, product: u8, tenant: u16, memory: f64) -> Vec<Order> {
+        let job = Job { product, tenant, cut_off: self.now + 5_000 * MS, slots: 1.0, memory };
+        self.next += 1;
+        self.event(Event::Submitted { submission: self.next - 1, job })
+    }
+
+    fn ended(&mut self, worker: Worker, execution: Execution, outcome: Outcome) -> Vec<Order> {
+        let (submission, closed) = (self.next - 1, outcome == Outcome::Satisfied);
+        let ending = Ending { submission, execution, worker, outcome, closed, took: 300 * MS, report: None };
+        self.event(Event::Ended(ending))
+    }
+
+    fn probed(&mut self, worker: Worker, answered: Option<bool>, report: Option<Report>) -> Vec<Order> {
+        self.event(Event::Probed { worker, answered, report })
+    }
+
+    /// Lets time pass in steps in which every probe sent to these workers is answered.
+    fn pass(&mut self, span: Nanos, answering: &[Worker]) -> Vec<Order> {
+        let (end, mut all) = (self.now + span, Vec::new());
+        while self.now < end {
+            self.now += 25 * MS;
+            for order in self.event(Event::Rang { token: 0 }) {
+                match order {
+                    Order::Probe { worker } if answering.contains(&worker) => {
+                        all.extend(self.probed(worker, Some(true), report(4.0, 0.0, 0.0)));
+                    }
+                    Order::Probe { .. } => {}
+                    other => all.push(other),
+                }
+            }
+        }
+        all
+    }
+
+    /// The workers that one submission after another goes to, each satisfied at once.
+    fn spread(&mut self, n: usize) -> Vec<Worker> {
+        let one = |node: &mut Self| {
+            let worker = sent(&node.submit(0, 0, 0.0));
+            worker.inspect(|w| drop(node.ended(*w, 0, Outcome::Satisfied)))
+        };
+        (0..n).filter_map(|_| one(self)).collect()
+    }
+}
+
+fn sent(orders: &[Order]) -> Option<Worker> {
+    orders.iter().find_map(|o| if let Order::Execute { worker, .. } = o { Some(*worker) } else { None })
+}
+
+fn dismissed(orders: &[Order]) -> bool {
+    orders.iter().any(|o| matches!(o, Order::Dismiss { .. }))
+}
+
+fn aborted(orders: &[Order]) -> bool {
+    orders.iter().any(|o| matches!(o, Order::Abort { .. }))
+}
+
+#[rstest]
+#[case::one_shot_never_ran(Repeats::OneShot, Outcome::Full, "again")]
+#[case::one_shot_no_connection(Repeats::OneShot, Outcome::ConnectFailed, "again")]
+#[case::one_shot_perhaps_ran(Repeats::OneShot, Outcome::Error, "abort")]
+#[case::one_shot_broken(Repeats::OneShot, Outcome::Reset, "abort")]
+#[case::one_shot_timed_out(Repeats::OneShot, Outcome::TimedOut, "abort")]
+#[case::one_shot_called_off(Repeats::OneShot, Outcome::Cancelled, "abort")]
+#[case::stamped_never_ran(STAMPED, Outcome::Full, "again")]
+#[case::stamped_perhaps_ran(STAMPED, Outcome::Error, "same cell")]
+#[case::harmless_perhaps_ran(Repeats::Harmless, Outcome::Error, "again")]
+fn an_effect_is_never_doubled(#[case] repeats: Repeats, #[case] outcome: Outcome, #[case] expected: &str) {
+    let mut node = Node::new(terms(repeats), 6);
+    let first = sent(&node.submit(0, 0, 0.0)).unwrap();
+    node.now += 50 * MS;
+    let next = node.ended(first, 0, outcome);
+    match expected {
+        "again" => assert_ne!(sent(&next).unwrap(), first),
+        "same cell" => assert_eq!(sent(&next).unwrap(), first ^ 1),
+        _ => assert!(aborted(&next) && sent(&next).is_none()),
+    }
+}
+
+#[rstest]
+#[case::inside_its_memory(2_000, true)]
+#[case::past_its_memory(2_900, false)]
+fn stamped_repeats_stay_inside_the_memory_span(#[case] after: u64, #[case] again: bool) {
+    let mut node = Node::new(terms(STAMPED), 2);
+    let first = sent(&node.submit(0, 0, 0.0)).unwrap();
+    node.now += after * MS;
+    let next = node.ended(first, 0, Outcome::Error);
+    assert_eq!((sent(&next).is_some(), aborted(&next)), (again, !again));
+}
+
+#[rstest]
+#[case::used_up(3)]
+#[case::no_other_worker(2)]
+fn full_answers_end_in_a_prompt_dismissal(#[case] workers: Worker) {
+    let mut node = Node::new(terms(Repeats::OneShot), workers);
+    let mut orders = node.submit(0, 0, 0.0);
+    let mut executions = 0;
+    while let Some(worker) = sent(&orders) {
+        orders = node.ended(worker, executions, Outcome::Full);
+        executions += 1;
+    }
+    assert_eq!((u32::from(executions), dismissed(&orders)), (workers, true));
+}
+
+#[rstest]
+#[case::draining(ListKind::Changes, Some(Health::Draining))]
+#[case::gone(ListKind::Changes, Some(Health::Gone))]
+#[case::missing_from_a_whole_list(ListKind::Whole, None)]
+fn drains_are_kept(#[case] kind: ListKind, #[case] health: Option<Health>) {
+    let mut node = Node::new(terms(Repeats::Harmless), 2);
+    let told = health.map_or(listing(1), |health| Listing { health, ..listing(0) });
+    node.list(kind, &[told]);
+    assert_eq!(node.spread(20), [1; 20]);
+    node.list(ListKind::Whole, &[]);
+    assert!(dismissed(&node.submit(0, 0, 0.0)));
+}
+
+#[test]
+fn a_failed_list_call_is_made_again_in_time() {
+    let asks = |orders: &[Order]| orders.iter().filter(|o| **o == Order::Subscribe).count();
+    let mut dispatcher =
+        Dispatcher::new(StandingOrders { ask_within: Some(10_000 * MS), ..terms(Repeats::Harmless) });
+    assert_eq!(
+        asks(dispatcher.decide(5_000 * MS, Event::Listed { kind: ListKind::Cached, entries: &[] })),
+        1
+    );
+    let mut node = Node { dispatcher, now: 5_001 * MS, next: 0 };
+    assert_eq!(asks(&node.pass(4_000 * MS, &[])), 0);
+    node.list(ListKind::Failed, &[]);
+    assert_eq!(asks(&node.pass(4_000 * MS, &[])), 1);
+}
+
+#[test]
+fn a_cold_worker_is_not_pushed_over() {
+    let mut node = Node::new(StandingOrders { may_probe: false, ..terms(Repeats::Harmless) }, 2);
+    node.list(ListKind::Changes, &[Listing { started: node.now, ..listing(0) }]);
+    // 100 submissions in a second: 3 x 0.24 of four slots at a third of a second a job are 8.6, for two nodes.
+    let mut cold = 0;
+    for _ in 0..100 {
+        cold += node.spread(1).iter().filter(|w| **w == 0).count();
+        node.now += 10 * MS;
+    }
+    assert!((1..=4).contains(&cold), "{cold} sent");
+    node.now += 10_000 * MS;
+    node.probed(0, Some(true), report(4.0, 0.0, 0.0));
+    node.probed(1, Some(true), report(4.0, 0.0, 0.0));
+    assert!(node.spread(100).iter().filter(|w| **w == 0).count() > 25);
+}
+
+#[rstest]
+#[case::reported_full(report(0.0, 0.0, 4.0), false)]
+#[case::jobs_waiting(report(1.0, 2.0, 5.0), false)]
+#[case::one_free(report(1.0, 0.0, 3.0), true)]
+#[case::no_figures(Some(Report::default()), true)]
+fn the_set_follows_the_last_report(#[case] told: Option<Report>, #[case] member: bool) {
+    let mut node = Node::new(terms(Repeats::Harmless), 2);
+    node.probed(0, Some(true), told);
+    assert_eq!(node.spread(30).contains(&0), member);
+}
+
+#[test]
+fn slots_sent_since_the_report_are_taken_off_and_a_late_report_does_not_free_them() {
+    let mut node = Node::new(terms(Repeats::Harmless), 2);
+    node.probed(1, Some(true), report(0.0, 0.0, 4.0));
+    for _ in 0..2 {
+        assert_eq!(sent(&node.submit(0, 0, 0.0)), Some(0));
+    }
+    node.now += 20 * MS;
+    // It was taken before the two arrived, so two of its four free slots are theirs.
+    node.probed(0, Some(true), report(4.0, 0.0, 0.0));
+    node.probed(1, Some(true), report(1.0, 0.0, 3.0));
+    let next: Vec<_> = (0..3).map(|_| sent(&node.submit(0, 0, 0.0)).unwrap()).collect();
+    assert!(next.contains(&1), "{next:?}");
+}
+
+#[test]
+fn reports_older_than_an_answer_takes_are_left_aside() {
+    let mut node = Node::new(terms(Repeats::Harmless), 2);
+    node.spread(4);
+    let held = sent(&node.submit(0, 0, 0.0)).unwrap();
+    node.now += 1_000 * MS;
+    node.probed(held, Some(true), report(4.0, 0.0, 0.0));
+    // By its report the other has no room, but the report says nothing of now.
+    node.probed(1 - held, Some(true), report(0.0, 0.0, 0.0));
+    assert_eq!(node.spread(10), [1 - held; 10]);
+}
+
+#[rstest]
+#[case::counted(true, 3.5, false)]
+#[case::not_counted(false, 3.5, true)]
+#[case::it_fits(true, 0.5, true)]
+fn memory_must_fit_where_it_is_counted(
+    #[case] counts_memory: bool,
+    #[case] memory: f64,
+    #[case] member: bool,
+) {
+    let mut node = Node::new(StandingOrders { counts_memory, ..terms(Repeats::Harmless) }, 2);
+    node.probed(0, Some(true), report(3.0, 0.0, 1.0));
+    let goes = |node: &mut Node| {
+        let worker = sent(&node.submit(0, 0, memory)).unwrap();
+        node.ended(worker, 0, Outcome::Satisfied);
+        worker
+    };
+    assert_eq!((0..20).any(|_| goes(&mut node) == 0), member);
+}
+
+#[test]
+fn a_worker_with_an_unstarted_job_of_ours_is_at_threshold() {
+    let mut node = Node::new(StandingOrders { tells_start: true, ..terms(Repeats::Harmless) }, 2);
+    let first = sent(&node.submit(0, 0, 0.0)).unwrap();
+    assert_eq!(sent(&node.submit(0, 0, 0.0)), Some(1 - first));
+}
+
+#[test]
+fn a_restarted_node_sends_one_feeler_to_each_worker_it_knows_nothing_of() {
+    let mut node = Node { dispatcher: Dispatcher::new(terms(Repeats::Harmless)), now: 5_000 * MS, next: 0 };
+    node.list(ListKind::Cached, &[listing(0), listing(1), listing(2)]);
+    let mut first: Vec<_> = (0..3).map(|_| sent(&node.submit(0, 0, 0.0)).unwrap()).collect();
+    first.sort_unstable();
+    assert_eq!(first, [0, 1, 2]);
+}
+
+#[rstest]
+#[case::fast_errors(Outcome::Error)]
+#[case::broken_connection(Outcome::Reset)]
+#[case::no_connection(Outcome::ConnectFailed)]
+fn a_failing_worker_is_set_aside_and_returns_after_answered_probes(#[case] outcome: Outcome) {
+    let mut node = Node::new(terms(Repeats::Harmless), 3);
+    let bad = sent(&node.submit(0, 0, 0.0)).unwrap();
+    node.ended(bad, 0, outcome);
+    node.now += MS;
+    assert!(!node.spread(30).contains(&bad));
+    node.pass(3_000 * MS, &[0, 1, 2]);
+    assert!(node.spread(60).contains(&bad));
+}
+
+#[test]
+fn a_worker_that_answers_no_probe_is_left_out_until_it_does() {
+    let mut node = Node::new(terms(Repeats::Harmless), 3);
+    node.pass(500 * MS, &[0, 1]);
+    assert!(!node.spread(30).contains(&2));
+    node.probed(2, Some(true), report(4.0, 0.0, 0.0));
+    assert!(node.spread(30).contains(&2));
+}
+
+#[rstest]
+#[case::harmless_is_copied(Repeats::Harmless, true)]
+#[case::one_shot_waits(Repeats::OneShot, false)]
+fn what_a_silent_worker_holds_is_copied_where_that_is_safe(#[case] repeats: Repeats, #[case] copied: bool) {
+    let mut node = Node::new(terms(repeats), 3);
+    let silent = sent(&node.submit(0, 0, 0.0)).unwrap();
+    let others: Vec<_> = (0..3).filter(|w| *w != silent).collect();
+    let orders = node.pass(1_000 * MS, &others);
+    assert_eq!(sent(&orders).is_some_and(|w| w != silent), copied);
+    assert!(!dismissed(&orders) && !aborted(&orders));
+}
+
+#[test]
+fn a_worker_whose_jobs_stay_silent_is_set_aside_though_it_answers_probes() {
+    let mut node = Node::new(terms(Repeats::OneShot), 3);
+    node.spread(3);
+    let silent = sent(&node.submit(0, 0, 0.0)).unwrap();
+    node.pass(2_800 * MS, &[0, 1, 2]);
+    assert!(!node.spread(20).contains(&silent));
+}
+
+#[test]
+fn a_queue_that_outlasts_the_agreed_time_is_not_joined() {
+    let mut node = Node::new(terms(Repeats::Harmless), 1);
+    node.spread(1);
+    node.probed(0, Some(true), report(0.0, 4.0, 8.0));
+    assert_eq!(sent(&node.submit(0, 0, 0.0)), Some(0));
+    node.probed(0, Some(true), report(0.0, 9.0, 13.0));
+    assert!(dismissed(&node.submit(0, 0, 0.0)));
+}
+
+#[rstest]
+#[case::pays_best(0, true)]
+#[case::pays_less(1, false)]
+fn the_last_room_is_kept_for_what_pays_more(#[case] product: u8, #[case] taken: bool) {
+    let mut node = Node::new(terms(Repeats::Harmless), 10);
+    (0..9).for_each(|w| drop(node.probed(w, Some(true), report(0.0, 1.0, 5.0))));
+    assert_eq!(sent(&node.submit(product, 0, 0.0)).is_some(), taken);
+}
+
+#[test]
+fn a_tenant_far_over_its_share_costs_the_others_nothing() {
+    let terms = StandingOrders { quotas: vec![4.0, 4.0, 4.0], may_probe: false, ..terms(Repeats::Harmless) };
+    let mut node = Node::new(terms, 6);
+    (0..5).for_each(|w| drop(node.probed(w, Some(true), report(0.0, 0.0, 4.0))));
+    let mut refused = [0; 3];
+    for i in 0..60 {
+        let tenant = if i % 10 == 0 { i / 10 % 2 + 1 } else { 0 };
+        let orders = node.submit(0, tenant, 0.0);
+        match sent(&orders) {
+            Some(worker) => drop(node.ended(worker, 0, Outcome::Satisfied)),
+            None => refused[usize::from(tenant)] += 1,
+        }
+        node.now += 20 * MS;
+    }
+    assert!(refused[0] > 30 && refused[1..] == [0, 0], "{refused:?}");
+}
+
+#[test]
+fn nothing_follows_the_end_and_the_index_is_free_after_the_last_execution() {
+    let mut node = Node::new(terms(Repeats::Harmless), 3);
+    let worker = sent(&node.submit(0, 0, 0.0)).unwrap();
+    let left = node.dispatcher.decide(node.now, Event::Left { submission: 0 }).to_vec();
+    assert_eq!(left, [Order::Cancel { submission: 0, execution: 0 }]);
+    let ending = Ending {
+        submission: 0,
+        execution: 0,
+        worker,
+        outcome: Outcome::Cancelled,
+        closed: true,
+        took: 0,
+        report: None,
+    };
+    assert_eq!(node.dispatcher.decide(node.now, Event::Ended(ending)), [Order::Forget { submission: 0 }]);
+    assert_eq!(node.dispatcher.decide(node.now, Event::Ended(ending)), []);
+}
+
+#[rstest]
+#[case::unknown_submission(Event::Left { submission: 99 })]
+#[case::unknown_execution(Event::Noted { submission: 0, execution: 9 })]
+#[case::unknown_worker(Event::Probed { worker: 99, answered: Some(false), report: None })]
+#[case::unknown_stream(Event::Streaming { submission: 99, execution: 0 })]
+#[case::stale_timer(Event::Rang { token: 12 })]
+fn events_about_the_unknown_do_no_harm(#[case] event: Event<'static>) {
+    let mut node = Node::new(terms(Repeats::Harmless), 2);
+    assert_eq!(node.event(event), []);
+    assert!(sent(&node.submit(0, 0, 0.0)).is_some());
+    assert!(aborted(&node.submit(9, 0, 0.0)) || node.next == 2);
+}
+
+#[test]
+fn the_same_events_lead_to_the_same_orders() {
+    let run = || {
+        let mut node = Node::new(terms(Repeats::Harmless), 5);
+        (0..50).map(|_| node.submit(0, 0, 0.0)).collect::<Vec<_>>()
+    };
+    assert_eq!(run(), run());
+}
--- /dev/null
+++ b/crates/simwire/tests/frames.rs
@@ -0,0 +1,118 @@
+//! Frames and start texts, good and bad.
+
+use linestack_dispatch::types::{Group, Health, ListKind, Outcome, Repeats};
+use linestack_simwire::{Batch, Fault, Incoming, Outgoing, Reply};
+use rstest::rstest;
+
+/// A batch of one event with these bytes after its code, and a tail.
+fn frame(code: u8, fields: &[u8], tail: &[u8]) -> Vec<u8> {
+    let mut record = vec![code];
+    record.extend_from_slice(fields);
+    record.resize(56, 0);
+    let mut frame = 2.5f64.to_be_bytes().to_vec();
+    for part in [56 + tail.len() as u32, 1, 7] {
+        frame.extend_from_slice(&part.to_be_bytes());
+    }
+    [frame, record, tail.to_vec()].concat()
+}
+
+fn decoded(frame: &[u8]) -> Result<(u16, Incoming), Fault> {
+    let mut batch = Batch::default();
+    assert!(batch.read(&mut &*frame)?);
+    assert_eq!((batch.clock, batch.number), (2_500_000, 7));
+    batch.events().next().expect("one event")
+}
+
+fn begin(text: &str) -> Vec<u8> {
+    let fields = [&[0; 10][..], &0u32.to_be_bytes(), &(text.len() as u32).to_be_bytes()].concat();
+    frame(7, &fields, text.as_bytes())
+}
+
+#[test]
+fn an_ending_keeps_its_figures_and_drops_those_that_make_no_sense() {
+    let mut fields = vec![0, 3];
+    fields.extend(5u64.to_be_bytes());
+    fields.extend([0, 2, 0x01, 0xad, 0, 0, 0, 0, 1]);
+    fields.extend(1.5f64.to_be_bytes());
+    fields.extend(9u32.to_be_bytes());
+    fields.push(3);
+    [2.0f32, f32::NAN, -1.0].iter().for_each(|f| fields.extend(f.to_be_bytes()));
+    let (node, event) = decoded(&frame(4, &fields, &[])).unwrap();
+    let Incoming::Ended { call, execution, executor, outcome, closed, took, figures } = event else {
+        panic!()
+    };
+    assert_eq!((node, call, execution, executor, closed, took), (3, 5, 2, 9, true, 1_500_000));
+    assert_eq!(outcome, Outcome::Full);
+    let text =
+        r#"{"report":{"fields":["x0","backlog","outstanding"]},"familyInfo":{"reportX0":"free slots"}}"#;
+    let Incoming::Begin(start) = decoded(&begin(text)).unwrap().1 else { panic!() };
+    let report = start.layout.report(figures).unwrap();
+    assert_eq!((report.free_slots, report.waiting, report.in_hand), (Some(2.0), None, None));
+}
+
+#[test]
+fn a_list_entry_keeps_its_place() {
+    let entry = [&[0; 4][..], &[0, 1, 1], &2.0f64.to_be_bytes(), &[0, 0, 0, 8, 0, 4, 0, 2]].concat();
+    let fields = [&[0, 3, 1, 0, 0, 0, 9][..], &0u32.to_be_bytes(), &1u32.to_be_bytes()].concat();
+    let (_, event) = decoded(&frame(6, &fields, &entry)).unwrap();
+    let Incoming::Listed { kind: ListKind::Whole, entries } = event else { panic!() };
+    let e = entries[0];
+    assert_eq!((e.executor, e.health, e.kind, e.zone, e.cell), (8, Health::Draining, 1, 2, 4));
+    assert_eq!(e.started, 2_000_000);
+}
+
+#[rstest]
+#[case::nothing_said("{}", 0, None, None)]
+#[case::unknown_keys(r#"{"later":[1],"limits":{"other":{}}}"#, 0, None, None)]
+#[case::asked_list(r#"{"discovery":"on_request"}"#, 0, None, Some(10_000_000_000))]
+#[case::come_back(r#"{"limits":{"retryAfter":true,"maxRetryAfterMs":2}}"#, 0, Some(2_000_000), None)]
+#[case::not_heeded(r#"{"limits":{"retryAfter":false,"maxRetryAfterMs":2}}"#, 0, None, None)]
+#[case::tenants(r#"{"tenants":[{"quotaPerS":2.0},{}]}"#, 2, None, None)]
+fn what_a_site_leaves_out_is_filled_in(
+    #[case] text: &str,
+    #[case] tenants: usize,
+    #[case] come_back: Option<u64>,
+    #[case] ask_within: Option<u64>,
+) {
+    let Incoming::Begin(start) = decoded(&begin(text)).unwrap().1 else { panic!() };
+    let o = start.orders;
+    assert_eq!((o.quotas.len(), o.come_back, o.ask_within), (tenants, come_back, ask_within));
+    assert!(!o.may_probe && !o.may_duplicate && o.max_executions == 1);
+}
+
+#[rstest]
+#[case::harmless(r#""effect":"pure""#, Repeats::Harmless)]
+#[case::stamped(
+    r#""effect":"token","dedupScope":"zone","memorySpanMs":3"#,
+    Repeats::Stamped { group: Group::Zone, memory: 3_000_000 }
+)]
+#[case::one_shot(r#""effect":"side_effect""#, Repeats::OneShot)]
+#[case::never_heard_of(r#""effect":"other""#, Repeats::OneShot)]
+fn products_say_what_a_repeat_does(#[case] fields: &str, #[case] repeats: Repeats) {
+    let text = format!(r#"{{"products":[{{{fields}}}]}}"#);
+    let Incoming::Begin(start) = decoded(&begin(&text)).unwrap().1 else { panic!() };
+    assert_eq!(start.orders.products[0].repeats, repeats);
+}
+
+#[rstest]
+#[case::unknown_code(frame(99, &[], &[]), "unknown event code 99")]
+#[case::unknown_list(frame(6, &[0, 0, 9], &[]), "unknown kind of list 9")]
+#[case::outside_the_tail(frame(7, &[0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 4, 0, 0, 0, 9], b"{}"), "outside the tail")]
+#[case::not_json(begin("{]"), "start text")]
+#[case::cut_short(frame(10, &[], &[])[..50].to_vec(), "cut short: 30 of 56")]
+#[case::cut_header(vec![0; 5], "cut short: 5 of 20")]
+#[case::wrong_length([&[0; 11][..], &[9, 0, 0, 0, 1], &[0; 13]].concat(), "do not fit in 9 bytes")]
+fn a_bad_frame_is_said_plainly(#[case] frame: Vec<u8>, #[case] said: &str) {
+    let fault = decoded(&frame).unwrap_err().to_string();
+    assert!(fault.contains(said) && !fault.contains('\n'), "{fault}");
+}
+
+#[test]
+fn a_reply_has_its_header_and_fixed_records() {
+    let (mut reply, mut written) = (Reply::default(), Vec::new());
+    reply.push(3, Outgoing::Execute { call: 5, timeout: 1_500_000, executor: 9 });
+    reply.write(7, &mut written).unwrap();
+    let header = [0, 0, 0, 1, 0, 0, 0, 24, 0, 0, 0, 7];
+    let record = [&[8, 0, 3][..], &5u64.to_be_bytes(), &1.5f64.to_be_bytes(), &[0, 0, 0, 9, 0]].concat();
+    assert_eq!(written, [&header[..], &record].concat());
+}
