--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -289,7 +289,11 @@
     fn in_time(&self, desk: &Desk, held: &Held) -> bool {
         let seen = self.answers.iter().filter(|a| a.seen > 0.0);
         let each = seen.clone().map(|a| a.shortest).sum::<f64>() / seen.count().max(1) as f64;
-        let wait = desk.report.waiting.map_or(0.0, whole) * each / desk.slots.max(1.0);
+        let taken_at = desk.reported.map_or(0, |r| r.saturating_sub(self.lag()));
+        let since = desk.out.iter().filter(|o| o.sent > taken_at && !o.started).map(|o| o.slots).sum::<f64>();
+        let ahead =
+            desk.report.waiting.map_or(0.0, whole) + since - desk.report.free_slots.map_or(0.0, whole);
+        let wait = ahead * each / desk.slots.max(1.0);
         let product = usize::from(held.job.product);
         let (terms, usual) = (&self.terms.products[product], self.answers[product].shortest);
         wait <= terms.agreed as f64 + (terms.stretch - 1.0).max(0.0) * usual
