Workers slower than the mean lately are drawn after the others

Judged by effect: answer times as multiples of what the same products usually take, decaying over the warm-up time.

Also: where most workers are not set aside, one that is set aside is no longer drawn when the queues of the others are too long. Measuring moved to the records.

--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -44,6 +44,9 @@
     pub(crate) own_memory: f64,
     /// When a job of ours there last gave a sign.
     pub(crate) heard: Nanos,
+    /// Its answers lately, and their times as multiples of what was usual.
+    pub(crate) answers: Decaying,
+    pub(crate) paces: Decaying,
     /// The probe that is out.
     pub(crate) probed: Option<Nanos>,
     /// Answered probes still wanted before it gets work again.
@@ -64,6 +67,26 @@
         self.out.push(out);
     }
 
+    /// Its answer times lately, as a multiple of what was usual; four usual ones are taken as given.
+    pub(crate) fn pace(&self, now: Nanos, span: f64) -> f64 {
+        (self.paces.read(now, span) + 4.0) / (self.answers.read(now, span) + 4.0)
+    }
+
+    pub(crate) fn paced(&mut self, now: Nanos, span: f64, pace: f64) {
+        self.paces.add(now, span, pace);
+        self.answers.add(now, span, 1.0);
+    }
+
+    /// Notes a report. If it names fewer jobs than we hold there, it was taken before the newest of them
+    /// arrived: the age that this proves is returned.
+    pub(crate) fn take_report(&mut self, report: Report, now: Nanos) -> Option<Nanos> {
+        (self.report, self.reported) = (report, Some(now));
+        let in_hand = whole(report.in_hand?);
+        let busy = in_hand - report.waiting.map_or(0.0, whole);
+        self.slots = report.free_slots.map_or(self.slots, |free| self.slots.max(whole(free) + busy));
+        self.out.get(in_hand as usize).map(|missed| now - missed.sent)
+    }
+
     pub(crate) fn end(&mut self, submission: Submission, execution: Execution) -> Option<Out> {
         let i = self.out.iter().position(|o| o.submission == submission && o.execution == execution)?;
         let out = self.out.remove(i);
@@ -118,6 +141,21 @@
     pub(crate) shortest: f64,
 }
 
+impl AnswerTime {
+    pub(crate) fn add(&mut self, took: f64) {
+        self.seen = (self.seen + 1.0).min(128.0);
+        self.mean += (took - self.mean) / self.seen;
+        // A mean of few answers may be far too short, and what follows it would never recover.
+        let drifted = self.shortest + (self.mean - self.shortest) / 2048.0;
+        self.shortest = if self.seen < 32.0 { self.mean } else { self.mean.min(drifted) };
+    }
+}
+
+/// A report's figure without its noise.
+pub(crate) fn whole(figure: f32) -> f64 {
+    f64::from(figure).round()
+}
+
 /// The entry at a small index, made if it is new.
 pub(crate) fn at<T: Default>(entries: &mut Vec<T>, index: u32) -> &mut T {
     let index = index as usize;
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -10,7 +10,7 @@
 //! 5. fairness: what a tenant sends beyond its share gets only room that nobody else needs;
 //! 6. following the list, and refreshing old reports by probes as far as their price bears.
 
-use crate::books::{AnswerTime, Decaying, Desk, Draw, Held, Kind, Out, Tenant, at};
+use crate::books::{AnswerTime, Decaying, Desk, Draw, Held, Kind, Out, Tenant, at, whole};
 use crate::types::{
     Ending, Event, Group, Health, ListKind, Listing, Nanos, Order, Outcome, Repeats, Report, StandingOrders,
     Submission, Worker,
@@ -26,6 +26,8 @@
 const PROBE_SPEND: f64 = 0.03;
 /// The part of the workers kept for the products that pay best.
 const RESERVE: f64 = 0.2;
+/// A worker that takes this many times the workers' mean for the same jobs is left out of the set.
+const SLOW: f64 = 1.1;
 const SECOND: f64 = 1e9;
 
 pub struct Dispatcher {
@@ -219,11 +221,13 @@
     fn choose(&mut self, submission: Submission) -> (usize, usize, Option<Worker>) {
         let held = &self.held[submission as usize];
         let fit = self.desks.iter().flatten().filter(|d| self.fit(d));
-        let (own, ready) = fit.fold((0.0, 0), |(own, n), d| (own + d.own_slots, n + 1));
-        let mean = own / ready.max(1) as f64;
+        let span = self.terms.cold_for as f64;
+        let sum = |(own, pace, n), d: &Desk| (own + d.own_slots, pace + d.pace(self.now, span), n + 1);
+        let (own, pace, ready) = fit.fold((0.0, 0.0, 0), sum);
+        let (mean, pace) = (own / ready.max(1) as f64, pace / ready.max(1) as f64);
         let (mut members, mut others, mut aside) = (Draw::default(), Draw::default(), Draw::default());
-        let mut near = Draw::default();
-        let mut chance = self.chance.clone();
+        let (mut near, mut quick) = (Draw::default(), Draw::default());
+        let (mut fits, mut chance) = (0, self.chance.clone());
         for (i, desk) in self.desks.iter().enumerate() {
             let worker = i as Worker;
             let Some(desk) = desk.as_ref().filter(|_| !held.tried.contains(&worker)) else { continue };
@@ -234,23 +238,27 @@
                 aside.offer(worker, &mut chance);
                 continue;
             }
+            fits += 1;
             if self.in_time(desk, held) {
                 others.offer(worker, &mut chance);
             }
             if self.below_threshold(desk, held, mean) {
                 members.offer(worker, &mut chance);
-                if self.terms.crossing_price > 0.0 && desk.listing.zone == self.terms.zone {
+                if self.terms.crossing_price <= 0.0 || desk.listing.zone == self.terms.zone {
                     near.offer(worker, &mut chance);
+                    if desk.pace(self.now, span) <= SLOW * pace {
+                        quick.offer(worker, &mut chance);
+                    }
                 }
             }
         }
-        // With most workers set aside, the few left must not collapse under everybody's work.
-        let few = others.offered < aside.offered;
-        if few && chance.usize(..others.offered + aside.offered) >= others.offered {
+        // With most workers set aside, the few left must not collapse under everybody's work; else a worker
+        // set aside is no refuge from the queues of the others.
+        if fits < aside.offered && chance.usize(..fits + aside.offered) >= fits {
             others.pick = aside.pick;
         }
         self.chance = chance;
-        (members.offered, ready, near.pick.or(members.pick).or(others.pick).or(aside.pick))
+        (members.offered, ready, quick.pick.or(near.pick).or(members.pick).or(others.pick))
     }
 
     fn below_threshold(&self, desk: &Desk, held: &Held, mean: f64) -> bool {
@@ -424,10 +432,14 @@
             held.anchor = None;
         }
         self.in_flight = (self.in_flight - out.slots).max(0.0);
+        let (product, took) = (usize::from(held.job.product), ending.took as f64);
         let Some(kind) = &mut self.kinds[usize::from(desk.listing.kind)] else { return };
         match outcome {
             Outcome::Satisfied => {
                 (desk.heard, desk.served) = (now, desk.served + 1);
+                if self.answers[product].seen > 0.0 {
+                    desk.paced(now, self.terms.cold_for as f64, took / self.answers[product].mean);
+                }
                 if desk.served >= RUN / 2 {
                     (desk.served, desk.strikes) = (0, desk.strikes.saturating_sub(1));
                 }
@@ -448,24 +460,18 @@
             Outcome::TimedOut if desk.heard <= out.sent => set_aside(desk, false),
             Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent => {}
         }
-        let product = usize::from(held.job.product);
         if ending.closed && std::mem::take(&mut held.open) {
             self.call_off(ending.submission);
         }
         if outcome == Outcome::Satisfied {
-            self.answered(product, ending.took as f64);
+            self.answered(product, took);
         }
     }
 
     /// Lets the limit follow the shortest answer time over the present one.
     fn answered(&mut self, product: usize, took: f64) {
-        let a = &mut self.answers[product];
-        a.seen = (a.seen + 1.0).min(128.0);
-        a.mean += (took - a.mean) / a.seen;
-        // A mean of few answers may be far too short, and the limit would never recover from it.
-        let drifted = a.shortest + (a.mean - a.shortest) / 2048.0;
-        a.shortest = if a.seen < 32.0 { a.mean } else { a.mean.min(drifted) };
-        self.stretch += (took / a.shortest - self.stretch) / 64.0;
+        self.answers[product].add(took);
+        self.stretch += (took / self.answers[product].shortest - self.stretch) / 32.0;
         let most = self.desks.len() as f64 * THRESHOLD_START;
         let limit = self.limit.min(most);
         let wanted = limit * (2.0 / self.stretch).clamp(0.5, 1.0) + limit.sqrt();
@@ -488,17 +494,8 @@
     fn reported(&mut self, worker: Worker, report: Option<Report>) {
         let lag = self.lag();
         let Some(Some(desk)) = self.desks.get_mut(worker as usize) else { return };
-        let Some(report) = report else { return };
-        (desk.report, desk.reported) = (report, Some(self.now));
-        let Some(in_hand) = report.in_hand.map(whole) else { return };
-        let busy = in_hand - report.waiting.map_or(0.0, whole);
-        desk.slots = report.free_slots.map_or(desk.slots, |free| desk.slots.max(whole(free) + busy));
-        // A report of fewer jobs than we hold there was taken before the newest of them arrived.
-        if let Some(missed) = desk.out.get(in_hand as usize) {
-            let age = self.now - missed.sent;
-            if age >= lag {
-                self.lag = (age, self.now);
-            }
+        if let Some(age) = report.and_then(|r| desk.take_report(r, self.now)).filter(|age| *age >= lag) {
+            self.lag = (age, self.now);
         }
     }
 
@@ -571,7 +568,3 @@
         (desk.listing.started, desk.reported) = (now, None);
     }
 }
-
-fn whole(figure: f32) -> f64 {
-    f64::from(figure).round()
-}
