--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -23,7 +23,7 @@
 /// The most that set-asides in a row may double the probes asked for.
 const MAX_STRIKES: u32 = 6;
 /// Points of the result that refreshing reports may cost.
-const PROBE_SPEND: f64 = 0.03;
+const PROBE_SPEND: f64 = 0.015;
 /// The part of the workers kept for the products that pay best.
 const RESERVE: f64 = 0.2;
 /// A worker that takes this many times the workers' mean for the same jobs is left out of the set.
@@ -500,7 +500,7 @@
     }
 
     fn pulse(&mut self) {
-        let period = (self.terms.connect_timeout / 2).max(1_000_000);
+        let period = (self.terms.connect_timeout / 5).max(1_000_000);
         self.next_pulse = self.now + period;
         self.todo.push(Order::Ring { at: self.next_pulse, token: 0 });
         if self.terms.ask_within.is_some() && self.now >= self.subscribe_at {
