Jobs told as not started in half the agreed time move to a worker with room

Workers there tell starts, so a job without one is known to wait: where its product bears a repeat it gets a copy from the set, and the waiting execution is called off. All jobs sent since the report count as ahead in a queue.

Conclusion: kept where starts are told.

--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -27,7 +27,8 @@
     pub(crate) sent: Nanos,
     pub(crate) slots: f64,
     pub(crate) memory: f64,
-    pub(crate) started: bool,
+    /// It has not started, as far as is known.
+    pub(crate) waits: bool,
 }
 
 /// What is known of one worker.
@@ -156,6 +157,14 @@
     f64::from(figure).round()
 }
 
+/// The median of some values, each as heavy as its weight.
+pub(crate) fn median(weights: &[f64], value: impl Fn(usize) -> f64) -> f64 {
+    let half = weights.iter().sum::<f64>() / 2.0;
+    let up_to =
+        |limit: f64| (0..weights.len()).filter(|&i| value(i) <= limit).map(|i| weights[i]).sum::<f64>();
+    (0..weights.len()).map(&value).filter(|v| up_to(*v) >= half).fold(f64::INFINITY, f64::min)
+}
+
 /// The entry at a small index, made if it is new.
 pub(crate) fn at<T: Default>(entries: &mut Vec<T>, index: u32) -> &mut T {
     let index = index as usize;
@@ -165,6 +174,14 @@
     &mut entries[index]
 }
 
+/// A worker drawn for a submission, out of how many below threshold and how many that get work at all.
+#[derive(Debug, Default)]
+pub(crate) struct Choice {
+    pub(crate) members: usize,
+    pub(crate) ready: usize,
+    pub(crate) pick: Option<Worker>,
+}
+
 /// A uniformly random one of however many are offered.
 #[derive(Debug, Default)]
 pub(crate) struct Draw {
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -10,7 +10,7 @@
 //! 5. fairness: what a tenant sends beyond its share gets only room that nobody else needs;
 //! 6. following the list, and refreshing old reports by probes as far as their price bears.
 
-use crate::books::{AnswerTime, Decaying, Desk, Draw, Held, Kind, Out, Tenant, at, whole};
+use crate::books::{AnswerTime, Choice, Decaying, Desk, Draw, Held, Kind, Out, Tenant, at, median, whole};
 use crate::types::{
     Ending, Event, Group, Health, ListKind, Listing, Nanos, Order, Outcome, Repeats, Report, StandingOrders,
     Submission, Worker,
@@ -106,7 +106,7 @@
                 for desk in self.desks.iter_mut().flatten() {
                     let mut outs = desk.out.iter_mut();
                     if let Some(out) = outs.find(|o| o.submission == submission && o.execution == execution) {
-                        (out.started, desk.heard) = (true, self.now);
+                        (out.waits, desk.heard) = (false, self.now);
                     }
                 }
             }
@@ -167,14 +167,17 @@
             return self.finish(submission, false);
         }
         let excess = self.beyond_share(usize::from(job.tenant));
-        let (members, ready, worker) = self.choose(submission);
-        let crowded = (members as f64) < ready as f64 * self.reserve(usize::from(job.product), excess);
-        if crowded || self.in_flight + job.slots > self.limit.max(ready as f64) {
+        let choice = self.choose(submission);
+        let room = self.reserve(usize::from(job.product), excess) * choice.ready as f64;
+        let limit = self.limit.max(choice.ready as f64);
+        if (choice.members as f64) < room || self.in_flight + job.slots > limit {
             return self.finish(submission, excess);
         }
-        if let Some(worker) = worker {
-            self.execute(submission, worker);
-        }
+        self.execute_or_finish(submission, &choice);
+    }
+
+    fn execute_or_finish(&mut self, submission: Submission, choice: &Choice) {
+        self.execute(submission, choice);
         if self.held[submission as usize].out == 0 {
             self.finish(submission, false);
         }
@@ -198,16 +201,8 @@
         }
         let (now, span) = (self.now, 2.0 * SECOND);
         self.tenants[tenant].sent.add(now, span, 1.0);
-        let quotas = &self.terms.quotas;
-        let half: f64 = quotas.iter().sum::<f64>() / 2.0;
-        let usage = |t: usize| self.tenants[t].sent.read(now, span) / quotas[t].max(1e-9);
-        let mut part = f64::INFINITY;
-        for t in 0..quotas.len() {
-            let least: f64 = (0..quotas.len()).filter(|&u| usage(u) <= usage(t)).map(|u| quotas[u]).sum();
-            if least >= half {
-                part = part.min(usage(t));
-            }
-        }
+        let (quotas, sent) = (&self.terms.quotas, &self.tenants);
+        let part = median(quotas, |t| sent[t].sent.read(now, span) / quotas[t].max(f64::MIN_POSITIVE));
         let part = part.max(span / SECOND / f64::from(self.terms.nodes));
         let beyond = self.tenants[tenant].within.read(now, span) >= part * quotas[tenant];
         if !beyond {
@@ -218,7 +213,7 @@
 
     /// The design: a random member of the set below threshold, else a random ready worker.
     /// Also tells how many belong to the set and how many are ready.
-    fn choose(&mut self, submission: Submission) -> (usize, usize, Option<Worker>) {
+    fn choose(&mut self, submission: Submission) -> Choice {
         let held = &self.held[submission as usize];
         let fit = self.desks.iter().flatten().filter(|d| self.fit(d));
         let span = self.terms.cold_for as f64;
@@ -258,7 +253,8 @@
             others.pick = aside.pick;
         }
         self.chance = chance;
-        (members.offered, ready, quick.pick.or(near.pick).or(members.pick).or(others.pick))
+        let pick = quick.pick.or(near.pick).or(members.pick).or(others.pick);
+        Choice { members: members.offered, ready, pick }
     }
 
     fn below_threshold(&self, desk: &Desk, held: &Held, mean: f64) -> bool {
@@ -267,7 +263,7 @@
         if own + job.slots > threshold || own > mean + job.slots {
             return false;
         }
-        if self.terms.tells_start && desk.out.iter().any(|o| !o.started) {
+        if self.terms.tells_start && desk.out.iter().any(|o| o.waits) {
             return false;
         }
         // Reports older than the jobs they count say nothing of now; what we hold there ourselves does.
@@ -298,7 +294,7 @@
         let seen = self.answers.iter().filter(|a| a.seen > 0.0);
         let each = seen.clone().map(|a| a.shortest).sum::<f64>() / seen.count().max(1) as f64;
         let taken_at = desk.reported.map_or(0, |r| r.saturating_sub(self.lag()));
-        let since = desk.out.iter().filter(|o| o.sent > taken_at && !o.started).map(|o| o.slots).sum::<f64>();
+        let since = desk.out.iter().filter(|o| o.sent > taken_at).map(|o| o.slots).sum::<f64>();
         let ahead =
             desk.report.waiting.map_or(0.0, whole) + since - desk.report.free_slots.map_or(0.0, whole);
         let wait = ahead * each / desk.slots.max(1.0);
@@ -366,10 +362,11 @@
         ((desk.pushed - paid).max(0.0), rate * self.terms.fall_window as f64)
     }
 
-    fn execute(&mut self, submission: Submission, worker: Worker) {
-        if !self.allowed(&self.held[submission as usize], worker) {
+    fn execute(&mut self, submission: Submission, choice: &Choice) {
+        let Some(worker) = choice.pick.filter(|w| self.allowed(&self.held[submission as usize], *w)) else {
             return;
-        }
+        };
+        let waits = self.terms.tells_start;
         let level = self.desks[worker as usize].as_ref().map_or(0.0, |d| self.cold_budget(d).0);
         let (now, held) = (self.now, &mut self.held[submission as usize]);
         let Some(desk) = &mut self.desks[worker as usize] else { return };
@@ -378,7 +375,7 @@
             desk.heard = now;
         }
         let (execution, slots, memory) = (held.executions, held.job.slots, held.job.memory);
-        desk.send(Out { submission, execution, sent: now, slots, memory, started: false });
+        desk.send(Out { submission, execution, sent: now, slots, memory, waits });
         held.anchor.get_or_insert((worker, now));
         held.executions += 1;
         held.out += 1;
@@ -483,12 +480,8 @@
         let Some(held) = self.held.get(submission as usize).filter(|h| h.open && h.out == 0) else { return };
         let product = &self.terms.products[usize::from(held.job.product)];
         let pointless = product.late_payoff == 0.0 && self.now > held.taken + 4 * product.agreed;
-        if !pointless && let (_, _, Some(worker)) = self.choose(submission) {
-            self.execute(submission, worker);
-        }
-        if self.held[submission as usize].out == 0 {
-            self.finish(submission, false);
-        }
+        let choice = if pointless { Choice::default() } else { self.choose(submission) };
+        self.execute_or_finish(submission, &choice);
     }
 
     fn reported(&mut self, worker: Worker, report: Option<Report>) {
@@ -507,19 +500,18 @@
             self.subscribe_at = Nanos::MAX;
             self.todo.push(Order::Subscribe);
         }
-        let listed = self.desks.iter().flatten().filter(|d| d.listing.health == Health::Ready).count() as f64;
-        let rate = self.arrivals.read(self.now, SECOND).max(1.0);
         let ready = self.desks.iter().flatten().filter(|d| d.listing.health == Health::Ready);
-        let full = ready.filter(|d| d.report.free_slots.is_none_or(|f| f < 1.0)).count() as f64;
-        let spread = SECOND * listed * self.terms.probe_price / (rate * PROBE_SPEND) * listed / (full + 0.5);
+        let full = |d: &Desk| f64::from(d.report.free_slots.is_none_or(|f| f < 1.0));
+        let (listed, full) = ready.fold((0.0, 0.5), |(n, sum), d| (n + 1.0, sum + full(d)));
+        let bearable = self.arrivals.read(self.now, SECOND).max(1.0) * PROBE_SPEND / self.terms.probe_price;
+        let spread = SECOND * listed / bearable * listed / full;
         // Asking more often than reports are renewed brings nothing new.
         let refresh = spread.max(self.lag() as f64);
         let took = self.answers.iter().map(|a| a.mean).fold(0.0, f64::max);
         let silence = 2.0 * (self.terms.progress_every.unwrap_or(0) as f64 + took) + period as f64;
         for i in 0..self.desks.len() {
-            let Some(desk) = self.desks[i].as_mut().filter(|d| d.listing.health != Health::Gone) else {
-                continue;
-            };
+            let desk = self.desks[i].as_mut().filter(|d| d.listing.health != Health::Gone);
+            let Some(desk) = desk else { continue };
             if !desk.out.is_empty() && took > 0.0 && (self.now - desk.heard) as f64 > silence {
                 // Probes may still be answered where jobs are not.
                 desk.heard = self.now;
@@ -532,21 +524,30 @@
                 desk.probed = Some(self.now);
                 self.todo.push(Order::Probe { worker: i as Worker });
             }
-            let silent = self.desks[i].as_ref().filter(|d| !self.fit(d));
-            for j in 0..silent.map_or(0, |d| d.out.len()) {
+            for j in 0..desk.out.len() {
                 self.rescue(i, j);
             }
         }
     }
 
-    /// A copy of what a silent worker holds, where the product bears a repeat.
+    /// A copy of what a silent worker holds, or has not started in time, where the product bears a repeat and
+    /// another has room.
     fn rescue(&mut self, desk: usize, out: usize) {
-        let Some(out) = self.desks[desk].as_ref().and_then(|d| d.out.get(out)) else { return };
-        let submission = out.submission;
-        if self.held[submission as usize].open && self.held[submission as usize].out == 1 {
-            let (members, _, worker) = self.choose(submission);
-            if let Some(worker) = worker.filter(|_| members > 0) {
-                self.execute(submission, worker);
+        let Some((desk, out)) = self.desks[desk].as_ref().and_then(|d| Some((d, d.out.get(out)?))) else {
+            return;
+        };
+        let (submission, execution, held) =
+            (out.submission, out.execution, &self.held[out.submission as usize]);
+        let agreed = self.terms.products[usize::from(held.job.product)].agreed;
+        let (waits, stuck) = (out.waits, out.waits && self.now - out.sent > agreed / 2);
+        if !held.open || held.out != 1 || (self.fit(desk) && !stuck) {
+            return;
+        }
+        let choice = self.choose(submission);
+        if choice.members > 0 {
+            self.execute(submission, &choice);
+            if waits && self.terms.may_cancel && self.held[submission as usize].out > 1 {
+                self.todo.push(Order::Cancel { submission, execution });
             }
         }
     }
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -328,6 +328,20 @@
     assert!(!dismissed(&orders) && !aborted(&orders));
 }
 
+#[rstest]
+#[case::never_started(false, true)]
+#[case::started(true, false)]
+fn a_job_told_as_not_started_in_time_moves(#[case] started: bool, #[case] moved: bool) {
+    let mut node = Node::new(StandingOrders { tells_start: true, ..terms(Repeats::Harmless) }, 2);
+    let first = sent(&node.submit(0, 0, 0.0)).unwrap();
+    if started {
+        node.event(Event::Noted { submission: 0, execution: 0 });
+    }
+    let orders = node.pass(300 * MS, &[0, 1]);
+    assert_eq!(sent(&orders), moved.then_some(1 - first));
+    assert_eq!(orders.contains(&Order::Cancel { submission: 0, execution: 0 }), moved);
+}
+
 #[test]
 fn a_worker_whose_jobs_stay_silent_is_set_aside_though_it_answers_probes() {
     let mut node = Node::new(terms(Repeats::OneShot), 3);
