Cold budget: three quarters of the part as rate, one as depth, from its kind's slots

A node used at most half of its part at once, and a worker without a report pulled down the mean slots of its own kind.

Conclusion: kept; a window holds no more than this node's part.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -341,8 +341,8 @@
         repeat && (level <= 0.0 || level + held.job.slots <= depth)
     }
 
-    /// What a cold worker has been pushed with and the most that this may be. Half of this node's part flows
-    /// off, and half is the depth, since a window can hold both.
+    /// What a cold worker has been pushed with and the most that this may be. Three quarters of this node's
+    /// part flow off, and one is the depth, since a window can hold both.
     fn cold_budget(&self, desk: &Desk) -> (f64, f64) {
         let age = self.now.saturating_sub(desk.listing.started);
         if desk.listing.started == 0 || age >= self.terms.cold_for {
@@ -350,16 +350,17 @@
         }
         let like =
             self.desks.iter().flatten().filter(|d| d.listing.kind == desk.listing.kind && d.slots > 0.0);
-        let (slots, n) = like.fold((desk.slots, 1.0), |(sum, n), d| (sum + d.slots, n + 1.0));
+        let (slots, n) = like.fold((0.0, 0.0), |(sum, n), d| (sum + d.slots, n + 1.0));
         let took = |(a, p): (&AnswerTime, _)| if a.mean > 0.0 { a.mean } else { p };
         let agreed = self.terms.products.iter().map(|p| p.agreed as f64);
         let took: f64 = self.answers.iter().zip(agreed).map(took).sum::<f64>() / self.answers.len() as f64;
         let warmth = age as f64 / self.terms.cold_for as f64;
         let present = self.terms.cold_from + (1.0 - self.terms.cold_from) * warmth;
-        let part = self.terms.fall_multiple * present / f64::from(self.terms.nodes) / 2.0;
-        let rate = part * (slots / n).max(1.0) / took;
+        let part = self.terms.fall_multiple * present / f64::from(self.terms.nodes);
+        let budget = part * (slots / f64::max(n, 1.0)).max(1.0) / took;
+        let rate = 0.75 * budget;
         let paid = (self.now - desk.pushed_at) as f64 * rate;
-        ((desk.pushed - paid).max(0.0), rate * self.terms.fall_window as f64)
+        ((desk.pushed - paid).max(0.0), (budget - rate) * self.terms.fall_window as f64)
     }
 
     fn execute(&mut self, submission: Submission, choice: &Choice) {
