--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -170,7 +170,8 @@
         let choice = self.choose(submission);
         let room = self.reserve(usize::from(job.product), excess) * choice.ready as f64;
         let limit = self.limit.max(choice.ready as f64);
-        if (choice.members as f64) < room || self.in_flight + job.slots > limit {
+        let full = choice.members == 0 && self.in_flight + job.slots > limit;
+        if (choice.members as f64) < room || full {
             return self.finish(submission, excess);
         }
         self.execute_or_finish(submission, &choice);
@@ -472,7 +473,7 @@
         self.stretch += (took / self.answers[product].shortest - self.stretch) / 32.0;
         let most = self.desks.len() as f64 * THRESHOLD_START;
         let limit = self.limit.min(most);
-        let wanted = limit * (2.0 / self.stretch).clamp(0.5, 1.0) + limit.sqrt();
+        let wanted = limit * (1.5 / self.stretch).clamp(0.5, 1.0) + limit.sqrt();
         self.limit = limit + (wanted - limit) / 16.0;
     }
 
