Nodes no longer all send a cold worker their first job at once

Eight nodes heard of a start at once and each sent one job, since a job was allowed whenever nothing was owed; together that was eight times the budget.

The budget is now counted in work, and each node starts as if it had sent a random part of one job.

--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -116,6 +116,11 @@
 }
 
 impl Held {
+    /// The time that the job will hold its slots.
+    pub(crate) fn work(&self, answers: &[AnswerTime]) -> f64 {
+        self.job.slots * answers.get(usize::from(self.job.product)).map_or(0.0, |a| a.mean)
+    }
+
     pub(crate) fn take(&mut self, job: Job, now: Nanos) {
         let mut tried = std::mem::take(&mut self.tried);
         tried.clear();
@@ -143,6 +148,11 @@
 }
 
 impl AnswerTime {
+    /// Before any answer was seen.
+    pub(crate) fn expected(agreed: Nanos) -> Self {
+        Self { mean: agreed as f64, ..Self::default() }
+    }
+
     pub(crate) fn add(&mut self, took: f64) {
         self.seen = (self.seen + 1.0).min(128.0);
         self.mean += (took - self.mean) / self.seen;
@@ -152,6 +162,18 @@
     }
 }
 
+/// What an answer takes as a rule, over all products.
+pub(crate) fn usual(answers: &[AnswerTime]) -> f64 {
+    answers.iter().map(|a| a.mean).sum::<f64>() / answers.len().max(1) as f64
+}
+
+/// The slots that workers of a kind were seen to have, one at least.
+pub(crate) fn mean_slots(desks: &[Option<Desk>], kind: u16) -> f64 {
+    let like = desks.iter().flatten().filter(|d| d.listing.kind == kind && d.slots > 0.0);
+    let (slots, n) = like.fold((0.0, 0.0), |(sum, n), d| (sum + d.slots, n + 1.0));
+    (slots / f64::max(n, 1.0)).max(1.0)
+}
+
 /// A report's figure without its noise.
 pub(crate) fn whole(figure: f32) -> f64 {
     f64::from(figure).round()
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -10,7 +10,9 @@
 //! 5. fairness: what a tenant sends beyond its share gets only room that nobody else needs;
 //! 6. following the list, and refreshing old reports by probes as far as their price bears.
 
-use crate::books::{AnswerTime, Choice, Decaying, Desk, Draw, Held, Kind, Out, Tenant, at, median, whole};
+use crate::books::{
+    AnswerTime, Choice, Decaying, Desk, Draw, Held, Kind, Out, Tenant, at, mean_slots, median, usual, whole,
+};
 use crate::types::{
     Ending, Event, Group, Health, ListKind, Listing, Nanos, Order, Outcome, Repeats, Report, StandingOrders,
     Submission, Worker,
@@ -62,7 +64,7 @@
             kinds: Vec::new(),
             held: Vec::new(),
             tenants: vec![Tenant::default(); terms.quotas.len()],
-            answers: vec![AnswerTime::default(); terms.products.len()],
+            answers: terms.products.iter().map(|p| AnswerTime::expected(p.agreed)).collect(),
             stretch: 1.0,
             limit: f64::INFINITY,
             in_flight: 0.0,
@@ -120,7 +122,7 @@
                 if let Some(Some(desk)) = self.desks.get_mut(worker as usize) {
                     desk.probed = None;
                     match answered {
-                        Some(true) => come_closer(desk, self.now),
+                        Some(true) => self.come_closer(worker as usize),
                         Some(false) => desk.aside = desk.aside.max(1),
                         None => {}
                     }
@@ -142,6 +144,7 @@
         if kind != ListKind::Changes {
             self.desks.iter_mut().flatten().for_each(|d| d.listing.health = Health::Gone);
         }
+        let usual = usual(&self.answers);
         for &listing in entries {
             if at(&mut self.kinds, listing.kind.into()).is_none() {
                 let known = self.kinds.iter().flatten();
@@ -153,6 +156,7 @@
             if listing.started > desk.listing.started {
                 // What it reported belongs to a process that is no more.
                 (desk.reported, desk.died) = (None, false);
+                (desk.pushed, desk.pushed_at) = (self.chance.f64() * usual, self.now);
             }
             let started = listing.started.max(desk.listing.started);
             desk.listing = Listing { started, ..listing };
@@ -339,29 +343,23 @@
             }
         };
         let (level, depth) = self.cold_budget(desk);
-        repeat && (level <= 0.0 || level + held.job.slots <= depth)
+        repeat && (level <= 0.0 || level + held.work(&self.answers) <= depth)
     }
 
-    /// What a cold worker has been pushed with and the most that this may be. Three quarters of this node's
-    /// part flow off, and one is the depth, since a window can hold both.
+    /// The work that a cold worker has been pushed with and the most that this may be. Three quarters of this
+    /// node's part flow off, and one is the depth, since a window can hold both. A part may be less than one
+    /// job: each node starts as if it had sent a random part of one, lest all of them send their first at once.
     fn cold_budget(&self, desk: &Desk) -> (f64, f64) {
         let age = self.now.saturating_sub(desk.listing.started);
         if desk.listing.started == 0 || age >= self.terms.cold_for {
             return (0.0, f64::INFINITY);
         }
-        let like =
-            self.desks.iter().flatten().filter(|d| d.listing.kind == desk.listing.kind && d.slots > 0.0);
-        let (slots, n) = like.fold((0.0, 0.0), |(sum, n), d| (sum + d.slots, n + 1.0));
-        let took = |(a, p): (&AnswerTime, _)| if a.mean > 0.0 { a.mean } else { p };
-        let agreed = self.terms.products.iter().map(|p| p.agreed as f64);
-        let took: f64 = self.answers.iter().zip(agreed).map(took).sum::<f64>() / self.answers.len() as f64;
         let warmth = age as f64 / self.terms.cold_for as f64;
         let present = self.terms.cold_from + (1.0 - self.terms.cold_from) * warmth;
         let part = self.terms.fall_multiple * present / f64::from(self.terms.nodes);
-        let budget = part * (slots / f64::max(n, 1.0)).max(1.0) / took;
-        let rate = 0.75 * budget;
-        let paid = (self.now - desk.pushed_at) as f64 * rate;
-        ((desk.pushed - paid).max(0.0), (budget - rate) * self.terms.fall_window as f64)
+        let budget = part * mean_slots(&self.desks, desk.listing.kind);
+        let paid = (self.now - desk.pushed_at) as f64 * budget * 0.75;
+        ((desk.pushed - paid).max(0.0), budget * 0.25 * self.terms.fall_window as f64)
     }
 
     fn execute(&mut self, submission: Submission, choice: &Choice) {
@@ -370,9 +368,10 @@
         };
         let waits = self.terms.tells_start;
         let level = self.desks[worker as usize].as_ref().map_or(0.0, |d| self.cold_budget(d).0);
+        let work = self.held[submission as usize].work(&self.answers);
         let (now, held) = (self.now, &mut self.held[submission as usize]);
         let Some(desk) = &mut self.desks[worker as usize] else { return };
-        (desk.pushed, desk.pushed_at) = (level + held.job.slots, now);
+        (desk.pushed, desk.pushed_at) = (level + work, now);
         if desk.out.is_empty() {
             desk.heard = now;
         }
@@ -514,24 +513,36 @@
         for i in 0..self.desks.len() {
             let desk = self.desks[i].as_mut().filter(|d| d.listing.health != Health::Gone);
             let Some(desk) = desk else { continue };
-            if !desk.out.is_empty() && took > 0.0 && (self.now - desk.heard) as f64 > silence {
+            if !desk.out.is_empty() && (self.now - desk.heard) as f64 > silence {
                 // Probes may still be answered where jobs are not.
                 desk.heard = self.now;
                 set_aside(desk, false);
             }
             let old = desk.reported.is_none_or(|r| (self.now - r) as f64 > refresh);
             if !self.terms.may_probe {
-                come_closer(desk, self.now);
+                self.come_closer(i);
             } else if desk.probed.is_none() && (desk.aside > 0 || old) {
                 desk.probed = Some(self.now);
                 self.todo.push(Order::Probe { worker: i as Worker });
             }
-            for j in 0..desk.out.len() {
+            for j in 0..self.desks[i].as_ref().map_or(0, |d| d.out.len()) {
                 self.rescue(i, j);
             }
         }
     }
 
+    /// A probe was answered.
+    fn come_closer(&mut self, worker: usize) {
+        let first = self.chance.f64() * usual(&self.answers);
+        let Some(desk) = &mut self.desks[worker] else { return };
+        desk.aside = desk.aside.saturating_sub(1);
+        if desk.aside == 0 && std::mem::take(&mut desk.died) {
+            // The list tells of the new start late; until then this is the best that is known of it.
+            (desk.listing.started, desk.reported) = (self.now, None);
+            (desk.pushed, desk.pushed_at) = (first, self.now);
+        }
+    }
+
     /// A copy of what a silent worker holds, or has not started in time, where the product bears a repeat and
     /// another has room.
     fn rescue(&mut self, desk: usize, out: usize) {
@@ -563,11 +574,3 @@
     (desk.aside, desk.served) = (1 << desk.strikes, 0);
     desk.died |= died;
 }
-
-fn come_closer(desk: &mut Desk, now: Nanos) {
-    desk.aside = desk.aside.saturating_sub(1);
-    if desk.aside == 0 && std::mem::take(&mut desk.died) {
-        // The list tells of the new start late; until then this is the best that is known of it.
-        (desk.listing.started, desk.reported) = (now, None);
-    }
-}
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -220,6 +220,21 @@
     assert!(node.spread(100).iter().filter(|w| **w == 0).count() > 25);
 }
 
+#[test]
+fn many_nodes_do_not_all_send_a_cold_worker_their_first_job_at_once() {
+    // Each of 40 nodes may send less than one job in a window: 3 x 0.2 of four slots for a second are six
+    // jobs of 0.4 s for all of them together.
+    let first = |seed| {
+        let mut node =
+            Node::new(StandingOrders { seed, nodes: 40, may_probe: false, ..terms(Repeats::Harmless) }, 2);
+        node.list(ListKind::Changes, &[Listing { started: node.now, ..listing(0) }]);
+        node.now += 100 * MS;
+        (0..20).filter(|_| sent(&node.submit(0, 0, 0.0)) == Some(0)).count()
+    };
+    let sent: usize = (0..40).map(first).sum();
+    assert!(sent <= 6, "{sent} sent");
+}
+
 #[rstest]
 #[case::reported_full(report(0.0, 0.0, 4.0), false)]
 #[case::jobs_waiting(report(1.0, 2.0, 5.0), false)]
