--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -19,9 +19,9 @@
 };
 
 const THRESHOLD_START: f64 = 8.0;
-const THRESHOLD_FLOOR: f64 = 1.0;
+const THRESHOLD_FLOOR: f64 = 2.0;
 /// Served jobs in a row after which a kind's threshold regains a slot.
-const RUN: u32 = 16;
+const RUN: u32 = 4;
 /// The most that set-asides in a row may double the probes asked for.
 const MAX_STRIKES: u32 = 6;
 /// Points of the result that refreshing reports may cost.
@@ -438,7 +438,7 @@
                 if self.answers[product].seen > 0.0 {
                     desk.paced(now, self.terms.cold_for as f64, took / self.answers[product].mean);
                 }
-                if desk.served >= RUN / 2 {
+                if desk.served >= RUN * 2 {
                     (desk.served, desk.strikes) = (0, desk.strikes.saturating_sub(1));
                 }
                 kind.run += 1;
