An error of a harmless job sets its worker aside for one probe only

A worker that fails a third of its jobs still does the rest, an error there comes fast and another execution makes good for it, while set-asides that double take its slots from a fleet that needs them.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -217,7 +217,6 @@
     }
 
     /// The design: a random member of the set below threshold, else a random ready worker.
-    /// Also tells how many belong to the set and how many are ready.
     fn choose(&mut self, submission: Submission) -> Choice {
         let held = &self.held[submission as usize];
         let fit = self.desks.iter().flatten().filter(|d| self.fit(d));
@@ -431,6 +430,7 @@
         }
         self.in_flight = (self.in_flight - out.slots).max(0.0);
         let (product, took) = (usize::from(held.job.product), ending.took as f64);
+        let harmless = self.terms.products[product].repeats == Repeats::Harmless;
         let Some(kind) = &mut self.kinds[usize::from(desk.listing.kind)] else { return };
         match outcome {
             Outcome::Satisfied => {
@@ -452,7 +452,9 @@
                     (kind.run, kind.threshold) = (0, (kind.threshold - out.slots).max(THRESHOLD_FLOOR));
                 }
             }
-            // A fast-failing worker looks empty and would draw all the work.
+            // A fast-failing worker looks empty and would draw all the work; but where a repeat makes good for
+            // an error, to miss the part that it still does would cost more.
+            Outcome::Error if harmless => desk.aside = desk.aside.max(1),
             Outcome::Error => set_aside(desk, false),
             Outcome::Reset | Outcome::ConnectFailed => set_aside(desk, true),
             Outcome::TimedOut if desk.heard <= out.sent => set_aside(desk, false),
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -322,6 +322,25 @@
     assert!(node.spread(60).contains(&bad));
 }
 
+#[rstest]
+#[case::a_repeat_makes_good_for_it(Repeats::Harmless, true)]
+#[case::each_costs_a_submission(Repeats::OneShot, false)]
+fn errors_keep_a_worker_away_for_longer_where_they_cost_more(#[case] repeats: Repeats, #[case] back: bool) {
+    let mut node = Node::new(terms(repeats), 1);
+    for _ in 0..5 {
+        if sent(&node.submit(0, 0, 0.0)).is_some() {
+            node.ended(0, 0, Outcome::Error);
+        }
+        node.pass(1_000 * MS, &[0]);
+    }
+    node.submit(0, 0, 0.0);
+    node.ended(0, 0, Outcome::Error);
+    node.list(ListKind::Changes, &[listing(1), listing(2)]);
+    (1..3).for_each(|w| drop(node.probed(w, Some(true), report(4.0, 0.0, 0.0))));
+    node.pass(200 * MS, &[0, 1, 2]);
+    assert_eq!(node.spread(40).contains(&0), back);
+}
+
 #[test]
 fn a_worker_that_answers_no_probe_is_left_out_until_it_does() {
     let mut node = Node::new(terms(Repeats::Harmless), 3);
