--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -176,7 +176,7 @@
         let limit = self.limit.max(choice.ready as f64);
         let full = choice.members == 0 && self.in_flight + job.slots > limit;
         if (choice.members as f64) < room || full {
-            return self.finish(submission, excess);
+            return self.finish(submission, excess > 0.0);
         }
         self.execute_or_finish(submission, &choice);
     }
@@ -190,30 +190,28 @@
 
     /// The part of the ready workers that must have room before this is taken: room is kept for products that
     /// pay more, and for tenants inside their shares.
-    fn reserve(&self, product: usize, excess: bool) -> f64 {
-        if excess {
-            return 1.0 / 3.0;
-        }
+    fn reserve(&self, product: usize, excess: f64) -> f64 {
         let best = self.terms.products.iter().map(|p| p.payoff).fold(f64::MIN_POSITIVE, f64::max);
-        RESERVE * (1.0 - self.terms.products[product].payoff / best)
+        (excess / 3.0).max(RESERVE * (1.0 - self.terms.products[product].payoff / best))
     }
 
-    /// Whether a tenant is past its share here. This node's part of all traffic is not told: it is taken
+    /// How far a tenant sends past its share here, up to twice it. This node's part of all traffic is not told: it is taken
     /// from the median tenant, so that one that sends far too much does not widen its own share.
-    fn beyond_share(&mut self, tenant: usize) -> bool {
+    fn beyond_share(&mut self, tenant: usize) -> f64 {
         if tenant >= self.tenants.len() || self.terms.excess_payoff >= 1.0 {
-            return false;
+            return 0.0;
         }
         let (now, span) = (self.now, 2.0 * SECOND);
         self.tenants[tenant].sent.add(now, span, 1.0);
         let (quotas, sent) = (&self.terms.quotas, &self.tenants);
         let part = median(quotas, |t| sent[t].sent.read(now, span) / quotas[t].max(f64::MIN_POSITIVE));
         let part = part.max(span / SECOND / f64::from(self.terms.nodes));
-        let beyond = self.tenants[tenant].within.read(now, span) >= part * quotas[tenant];
-        if !beyond {
+        let share = part * quotas[tenant];
+        if self.tenants[tenant].within.read(now, span) < share {
             self.tenants[tenant].within.add(now, span, 1.0);
+            return 0.0;
         }
-        beyond
+        (self.tenants[tenant].sent.read(now, span) / share - 1.0).clamp(0.0, 1.0)
     }
 
     /// The design: a random member of the set below threshold, else a random ready worker.
