--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -518,7 +518,9 @@
                 desk.heard = self.now;
                 set_aside(desk, false);
             }
-            let old = desk.reported.is_none_or(|r| (self.now - r) as f64 > refresh);
+            // A hung worker is only found by asking: what holds jobs of ours is not left unasked for long.
+            let most = if desk.out.is_empty() { f64::MAX } else { 2.0 * self.terms.connect_timeout as f64 };
+            let old = desk.reported.is_none_or(|r| (self.now - r) as f64 > refresh.min(most));
             if !self.terms.may_probe {
                 self.come_closer(i);
             } else if desk.probed.is_none() && (desk.aside > 0 || old) {
