--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -6,8 +6,8 @@
 //! 1. executor health: set aside on failure or silence, back after answered probes;
 //! 2. overdue executions: a copy elsewhere where the product bears a repeat;
 //! 3. cold budget: this node's part of what all nodes together may send a worker that has just started;
-//! 4. in-flight limit: follows the shortest answer time over the present one;
-//! 5. fairness: what a tenant sends beyond its share gets only room that nobody else needs;
+//! 4. in-flight limit: follows the shortest answer time over the present one; no queue that answers late;
+//! 5. fairness: room is kept from what a tenant sends beyond its share, and from what pays less;
 //! 6. following the list, and refreshing old reports by probes as far as their price bears.
 
 use crate::books::{
@@ -28,7 +28,7 @@
 const PROBE_SPEND: f64 = 0.015;
 /// The part of the workers kept for the products that pay best.
 const RESERVE: f64 = 0.2;
-/// A worker that takes this many times the workers' mean for the same jobs is left out of the set.
+/// A worker that takes this many times the workers' mean for the same jobs is drawn after the others.
 const SLOW: f64 = 1.1;
 const SECOND: f64 = 1e9;
 
