--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -236,7 +236,7 @@
                 continue;
             }
             fits += 1;
-            if self.in_time(desk, held) {
+            if self.in_time(desk) {
                 others.offer(worker, &mut chance);
             }
             if self.below_threshold(desk, held, mean) {
@@ -290,19 +290,19 @@
         !self.terms.counts_memory || left >= job.memory || free.is_some_and(|f| f >= desk.slots)
     }
 
-    /// Whether the jobs reported to wait there leave this one its agreed time. Where work piles up faster
-    /// than it is done, queues would fill until every answer is late.
-    fn in_time(&self, desk: &Desk, held: &Held) -> bool {
-        let seen = self.answers.iter().filter(|a| a.seen > 0.0);
-        let each = seen.clone().map(|a| a.shortest).sum::<f64>() / seen.count().max(1) as f64;
+    /// Whether the jobs ahead there leave the agreed time. Where work piles up faster than it is done, queues
+    /// would fill until every answer is late; and if each product waited for as long as its own agreed time
+    /// bears, the most patient would fill them until the others get nothing.
+    fn in_time(&self, desk: &Desk) -> bool {
         let taken_at = desk.reported.map_or(0, |r| r.saturating_sub(self.lag()));
         let since = desk.out.iter().filter(|o| o.sent > taken_at).map(|o| o.slots).sum::<f64>();
-        let ahead =
-            desk.report.waiting.map_or(0.0, whole) + since - desk.report.free_slots.map_or(0.0, whole);
-        let wait = ahead * each / desk.slots.max(1.0);
-        let product = usize::from(held.job.product);
-        let (terms, usual) = (&self.terms.products[product], self.answers[product].shortest);
-        wait <= terms.agreed as f64 + (terms.stretch - 1.0).max(0.0) * usual
+        let (free, waiting) = (desk.report.free_slots, desk.report.waiting);
+        let ahead = waiting.map_or(0.0, whole) + since - free.map_or(0.0, whole);
+        let terms = self.answers.iter().zip(&self.terms.products);
+        let bears = terms.map(|(a, p)| p.agreed as f64 + (p.stretch - 1.0).max(0.0) * a.shortest);
+        let seen = self.answers.iter().filter(|a| a.seen > 0.0);
+        let each = seen.clone().map(|a| a.mean).sum::<f64>() / seen.count().max(1) as f64;
+        ahead * each / desk.slots.max(1.0) <= bears.fold(f64::INFINITY, f64::min)
     }
 
     fn lag(&self) -> Nanos {
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -52,7 +52,6 @@
 }
 
 impl Node {
-    /// Workers with four idle slots each.
     fn new(terms: StandingOrders, workers: Worker) -> Self {
         let mut node = Self { dispatcher: Dispatcher::new(terms), now: 5_000_000 * MS, next: 0 };
         let entries: Vec<_> = (0..workers).map(listing).collect();
@@ -86,7 +85,6 @@
         self.event(Event::Probed { worker, answered, report })
     }
 
-    /// Lets time pass in steps in which every probe sent to these workers is answered.
     fn pass(&mut self, span: Nanos, answering: &[Worker]) -> Vec<Order> {
         let (end, mut all) = (self.now + span, Vec::new());
         while self.now < end {
@@ -104,7 +102,6 @@
         all
     }
 
-    /// The workers that one submission after another goes to, each satisfied at once.
     fn spread(&mut self, n: usize) -> Vec<Worker> {
         let one = |node: &mut Self| {
             let worker = sent(&node.submit(0, 0, 0.0));
@@ -203,7 +200,6 @@
 fn a_cold_worker_is_not_pushed_over() {
     let mut node = Node::new(StandingOrders { may_probe: false, ..terms(Repeats::Harmless) }, 2);
     node.list(ListKind::Changes, &[Listing { started: node.now, ..listing(0) }]);
-    // 100 submissions in a second: 3 x 0.24 of four slots at a third of a second a job are 8.6, for two nodes.
     let mut cold = 0;
     for _ in 0..100 {
         cold += node.spread(1).iter().filter(|w| **w == 0).count();
@@ -218,8 +214,6 @@
 
 #[test]
 fn many_nodes_do_not_all_send_a_cold_worker_their_first_job_at_once() {
-    // Each of 40 nodes may send less than one job in a window: 3 x 0.2 of four slots for a second are six
-    // jobs of 0.4 s for all of them together.
     let first = |seed| {
         let mut node =
             Node::new(StandingOrders { seed, nodes: 40, may_probe: false, ..terms(Repeats::Harmless) }, 2);
@@ -379,14 +373,21 @@
     assert!(!node.spread(20).contains(&silent));
 }
 
-#[test]
-fn a_queue_that_outlasts_the_agreed_time_is_not_joined() {
-    let mut node = Node::new(terms(Repeats::Harmless), 1);
-    node.spread(1);
+#[rstest]
+#[case::impatient(0)]
+#[case::patient(1)]
+fn a_queue_that_outlasts_the_least_agreed_time_is_not_joined(#[case] product: u8) {
+    let mut terms = terms(Repeats::Harmless);
+    (terms.products[1].agreed, terms.products[1].payoff) = (9_000 * MS, 4.0);
+    let mut node = Node::new(terms, 1);
+    for p in [1, 0] {
+        node.submit(p, 0, 0.0);
+        node.ended(0, 0, Outcome::Satisfied);
+    }
     node.probed(0, Some(true), report(0.0, 4.0, 8.0));
-    assert_eq!(sent(&node.submit(0, 0, 0.0)), Some(0));
+    assert_eq!(sent(&node.submit(product, 0, 0.0)), Some(0));
     node.probed(0, Some(true), report(0.0, 9.0, 13.0));
-    assert!(dismissed(&node.submit(0, 0, 0.0)));
+    assert!(dismissed(&node.submit(product, 0, 0.0)));
 }
 
 #[rstest]
