--- /dev/null
+++ b/crates/node/src/config.rs
@@ -0,0 +1,119 @@
+//! The one place where the configuration is read, checked and given its defaults.
+
+use std::net::SocketAddr;
+
+use linestack_settings::Settings;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use thiserror::Error;
+
+use crate::net::discovery::List;
+
+#[derive(Debug, Error)]
+#[error("{key}: {why}")]
+pub struct Fault {
+    /// The variable or the key in the file that is at fault.
+    pub key: &'static str,
+    pub why: String,
+}
+
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub memory_mb: u64,
+    pub sockets: usize,
+    pub known: Option<List>,
+    pub settings: Settings,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    limits: Limits,
+    known: Option<Box<RawValue>>,
+    settings: Option<Box<RawValue>>,
+}
+
+impl Default for File {
+    fn default() -> Self {
+        let limits = Limits::default();
+        Self { name: None, listen: None, discovery: None, seed: None, limits, known: None, settings: None }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    memory_mb: u64,
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { memory_mb: 192, sockets: 1024 }
+    }
+}
+
+/// The fewest descriptors and the least memory that a node can work with.
+const LEAST_SOCKETS: usize = 64;
+const LEAST_MEMORY_MB: u64 = 32;
+
+/// Reads what the variables name; `variable` gives their values, `file` the text of a file.
+pub fn read(
+    variable: impl Fn(&str) -> Option<String>,
+    file: impl Fn(&str) -> std::io::Result<String>,
+) -> Result<Config, Fault> {
+    let fault = |key, why: String| Fault { key, why };
+    let path = variable("PROXY_CONFIG").ok_or(fault("PROXY_CONFIG", "not set".into()))?;
+    let text = file(&path).map_err(|e| fault("PROXY_CONFIG", format!("{path}: {e}")))?;
+    let file: File =
+        serde_json::from_str(&text).map_err(|e| fault("PROXY_CONFIG", format!("{path}: {e}")))?;
+    let either = |key, from_file: Option<String>| {
+        variable(key)
+            .or(from_file)
+            .filter(|v| !v.is_empty())
+            .ok_or(fault(key, "not set, nor in the file".into()))
+    };
+    let address = |key, from_file| {
+        let text: String = either(key, from_file)?;
+        text.parse::<SocketAddr>().map_err(|e| fault(key, format!("{text:?}: {e}, wanted IP:PORT")))
+    };
+    let seed = match file.seed {
+        None => return Err(fault("seed", "missing".into())),
+        Some(hex) => u64::from_str_radix(&hex, 16).map_err(|e| fault("seed", format!("{hex:?}: {e}")))?,
+    };
+    if file.limits.sockets < LEAST_SOCKETS {
+        return Err(fault("limits.sockets", format!("{} is under {LEAST_SOCKETS}", file.limits.sockets)));
+    }
+    if file.limits.memory_mb < LEAST_MEMORY_MB {
+        return Err(fault(
+            "limits.memory_mb",
+            format!("{} is under {LEAST_MEMORY_MB}", file.limits.memory_mb),
+        ));
+    }
+    let settings = file.settings.ok_or(fault("settings", "missing".into()))?;
+    let settings = linestack_settings::read(settings.get().as_bytes(), seed)
+        .map_err(|e| fault("settings", e.to_string()))?;
+    if settings.names.products.is_empty() {
+        return Err(fault("settings.products", "none is named".into()));
+    }
+    // An old list that can't be read is no reason not to start: the list is asked for again.
+    let known = file.known.and_then(|raw| List::read(raw.get().as_bytes()).ok());
+    Ok(Config {
+        name: either("PROXY_NAME", file.name)?,
+        listen: address("PROXY_LISTEN", file.listen)?,
+        discovery: address("PROXY_DISCOVERY", file.discovery)?,
+        seed,
+        memory_mb: file.limits.memory_mb,
+        sockets: file.limits.sockets,
+        known,
+        settings,
+    })
+}
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,88 @@
+//! Starts the node, and stops it when it is told to.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use linestack::config::{self, Config};
+use linestack::core::{Core, Input};
+use linestack::net::{Node, Parts, clients, clock::Clock, spawn};
+use linestack_dispatch::types::{ListKind, Repeats};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+/// A coroutine's stack.
+const STACK_WORDS: usize = 0x4000;
+/// Stacks that are kept for the next connection.
+const KEPT_STACKS: usize = 64;
+
+fn main() -> ExitCode {
+    // Lines are written by a thread of their own and dropped when nobody reads them: no coroutine waits.
+    let (writer, guard) = tracing_appender::non_blocking(std::io::stderr());
+    let level = std::env::var("PROXY_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::INFO);
+    tracing_subscriber::fmt().with_writer(writer).with_ansi(false).with_max_level(level).init();
+    let config = match config::read(|key| std::env::var(key).ok(), |path| std::fs::read_to_string(path)) {
+        Ok(config) => config,
+        Err(fault) => {
+            tracing::error!(%fault, "configuration");
+            return ExitCode::FAILURE;
+        }
+    };
+    // Taken over before anything is served, so that no signal finds them missing.
+    let mut signals = match Signals::new([SIGTERM, SIGINT]) {
+        Ok(signals) => signals,
+        Err(why) => {
+            tracing::error!(%why, "signals");
+            return ExitCode::FAILURE;
+        }
+    };
+    let config_ = may::config();
+    config_.set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(KEPT_STACKS);
+    config_.set_worker_pin(false);
+    let (done, finished) = std::sync::mpsc::channel();
+    let Config { name, listen, discovery, known, settings, sockets, memory_mb, .. } = config;
+    let parts = Parts {
+        clock: Clock::start(),
+        names: linestack_settings::Names {
+            products: settings.names.products.clone(),
+            tenants: settings.names.tenants.clone(),
+            figures: settings.names.figures.clone(),
+            ..Default::default()
+        },
+        layout: settings.layout,
+        stamped: settings
+            .orders
+            .products
+            .iter()
+            .map(|p| matches!(p.repeats, Repeats::Stamped { .. }))
+            .collect(),
+        discovery,
+        exit: Box::new(move || {
+            let _ = done.send(());
+        }),
+    };
+    let node = Node::new(Core::new(settings, sockets), parts);
+    // Told even if there is none: it is what makes the node ask for the list.
+    let (index, endpoints) = known.map_or((0, Vec::new()), |known| (known.index, known.endpoints));
+    node.index.store(index, std::sync::atomic::Ordering::Relaxed);
+    node.feed(Input::Listed { kind: ListKind::Cached, endpoints });
+    if let Err(why) = clients::accept(&node, listen) {
+        tracing::error!(%listen, %why, "listen");
+        return ExitCode::FAILURE;
+    }
+    let timed = Arc::clone(&node);
+    spawn(move || timed.keep_time());
+    tracing::info!(name, %listen, %discovery, sockets, memory_mb, "started");
+    if let Some(signal) = signals.forever().next() {
+        tracing::info!(signal, "stopping");
+        node.feed(Input::Stop);
+        // A second signal ends it at once, as users expect.
+        std::thread::spawn(move || {
+            signals.forever().next();
+            std::process::exit(1);
+        });
+        let _ = finished.recv();
+        tracing::info!("stopped");
+    }
+    drop(guard);
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/node/src/net/clients.rs
@@ -0,0 +1,334 @@
+//! Clients' connections: requests in, final answers out, one at a time on each.
+
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::ops::Range;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use may::coroutine;
+use may::io::WaitIo;
+use may::net::{TcpListener, TcpStream};
+
+use super::{Node, Post, spawn};
+use crate::core::{Answer, Client, Input, Intake, Phase, Shipment};
+use crate::http::{self, Body, Fault, Framing, Out, Request};
+
+const NANOS_PER_MS: u64 = 1_000_000;
+/// The longest that a client may say it waits: a day.
+const LONGEST_WAIT_MS: u64 = 86_400_000;
+/// How long to leave the listener alone when no descriptor or room is left.
+const BREATH: Duration = Duration::from_millis(5);
+
+pub(crate) enum Letter {
+    Answer { answer: Answer, last: bool },
+    CloseIfIdle,
+    Drop,
+}
+
+/// Takes in clients for as long as the program runs.
+pub fn accept(node: &Arc<Node>, listen: SocketAddr) -> io::Result<()> {
+    let listener = TcpListener::bind(listen)?;
+    let node = Arc::clone(node);
+    spawn(move || {
+        loop {
+            if node.crowded() {
+                coroutine::sleep(BREATH);
+                coroutine::yield_now();
+                continue;
+            }
+            match listener.accept() {
+                Ok((socket, _)) => {
+                    let (client, post) = node.enlist();
+                    node.feed(Input::ClientUp { client });
+                    let node = Arc::clone(&node);
+                    spawn(move || serve(&node, client, socket, &post));
+                }
+                // No descriptor left, or a client that was gone again: the others still wait.
+                Err(why) => {
+                    tracing::warn!(%why, "accept failed");
+                    coroutine::sleep(BREATH);
+                    coroutine::yield_now();
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+/// A request of which the head has come: the parsed head, its text, and what is known of the body's end.
+struct Incoming {
+    request: Request,
+    text: Bytes,
+    body: Body,
+}
+
+/// What a connection is doing.
+enum State {
+    Reading {
+        head: Option<Box<Incoming>>,
+        body: BytesMut,
+    },
+    /// The submission is with the reducer.
+    Waiting {
+        last: bool,
+    },
+    Answering {
+        out: Out,
+        last: bool,
+    },
+    /// Answered for good; what still comes is read and dropped, lest a reset overtake the answer.
+    Lingering,
+}
+
+impl State {
+    fn reading() -> Self {
+        Self::Reading { head: None, body: BytesMut::new() }
+    }
+}
+
+fn serve(node: &Arc<Node>, client: Client, mut socket: TcpStream, post: &Post<Letter>) {
+    post.wake(&socket);
+    let _ = socket.set_nodelay(true);
+    converse(node, client, &mut socket, post);
+    node.forget_client(client);
+    node.feed(Input::ClientGone { client });
+}
+
+/// Returns when the connection is to be closed.
+fn converse(node: &Arc<Node>, client: Client, socket: &mut TcpStream, post: &Post<Letter>) {
+    let mut input = BytesMut::new();
+    let mut state = State::reading();
+    let mut close = false;
+    loop {
+        while let Some(letter) = post.next() {
+            match letter {
+                Letter::Drop => return,
+                // A request may have come in meanwhile; it is answered first.
+                Letter::CloseIfIdle => close = true,
+                Letter::Answer { answer, last } => {
+                    let last = last || close || matches!(state, State::Waiting { last: true });
+                    state = State::Answering { out: answered(answer, last), last };
+                }
+            }
+        }
+        match read(socket, &mut input, matches!(state, State::Lingering)) {
+            // A client that closes has gone away.
+            Ok(Ended(true)) | Err(_) => return,
+            Ok(Ended(false)) => {}
+        }
+        loop {
+            match &mut state {
+                State::Reading { head, body } => {
+                    let begun = head.is_some() || !input.is_empty();
+                    if !begun {
+                        if close {
+                            return;
+                        }
+                        break;
+                    }
+                    match next(&mut input, head, body) {
+                        Ok(false) => {
+                            node.feed(Input::ClientPhase { client, phase: Phase::Reading });
+                            if let Some(incoming) = head
+                                && std::mem::take(&mut incoming.request.expects)
+                                && input.is_empty()
+                                && socket.inner_mut().write(b"HTTP/1.1 100 Continue\r\n\r\n").is_err()
+                            {
+                                return;
+                            }
+                            break;
+                        }
+                        Ok(true) => {
+                            let Some(incoming) = head.take() else { break };
+                            let Incoming { request, text, .. } = *incoming;
+                            let last = request.close;
+                            if &text[request.method.clone()] == b"GET" {
+                                let status = if &text[request.path.clone()] != b"/healthz" {
+                                    404
+                                } else if node.ready() {
+                                    200
+                                } else {
+                                    503
+                                };
+                                state = State::Answering { out: bare(status, last), last };
+                                continue;
+                            }
+                            match intake(node, &request, &text, body.split().freeze()) {
+                                Ok(intake) => {
+                                    state = State::Waiting { last };
+                                    node.feed(Input::Submitted { client, intake });
+                                    break;
+                                }
+                                Err(fault) => state = turned_down(node, client, fault),
+                            }
+                        }
+                        Err(fault) => state = turned_down(node, client, fault),
+                    }
+                }
+                State::Waiting { .. } => break,
+                State::Answering { out, last } => match out.write(socket.inner_mut()) {
+                    Ok(false) => break,
+                    Err(_) => return,
+                    Ok(true) if *last => {
+                        let _ = socket.shutdown(Shutdown::Write);
+                        node.feed(Input::ClientPhase { client, phase: Phase::Answering });
+                        input.clear();
+                        state = State::Lingering;
+                    }
+                    Ok(true) => {
+                        state = State::reading();
+                        node.feed(Input::ClientPhase { client, phase: Phase::Idle });
+                    }
+                },
+                State::Lingering => break,
+            }
+        }
+        socket.wait_io();
+    }
+}
+
+struct Ended(bool);
+
+/// Reads what there is, up to what may be kept; the rest waits in the socket.
+fn read(socket: &mut TcpStream, input: &mut BytesMut, drop: bool) -> io::Result<Ended> {
+    let mut piece = [0; 4096];
+    loop {
+        if drop {
+            input.clear();
+        }
+        if input.len() > http::HEAD + http::BODY {
+            return Ok(Ended(false));
+        }
+        match socket.inner_mut().read(&mut piece) {
+            Ok(0) => return Ok(Ended(true)),
+            Ok(n) => input.extend_from_slice(&piece[..n]),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(Ended(false)),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+/// True once a request is whole.
+fn next(input: &mut BytesMut, head: &mut Option<Box<Incoming>>, body: &mut BytesMut) -> Result<bool, Fault> {
+    if head.is_none() {
+        let Some(request) = http::request(input)? else { return Ok(false) };
+        let text = input.split_to(request.length).freeze();
+        let body = Body::new(request.framing.unwrap_or(Framing::Length(0)));
+        *head = Some(Box::new(Incoming { request, text, body }));
+    }
+    let Some(incoming) = head else { return Ok(false) };
+    let whole = incoming.body.take(input, body)?;
+    if body.len() > http::BODY {
+        return Err(Fault { status: 413, why: "body too large" });
+    }
+    Ok(whole)
+}
+
+/// What a request asks for, if it may be executed at all.
+fn intake(node: &Node, request: &Request, text: &Bytes, body: Bytes) -> Result<Intake, Fault> {
+    let bad = |why| Fault { status: 400, why };
+    if &text[request.method.clone()] != b"POST" {
+        return Err(Fault { status: 405, why: "POST only" });
+    }
+    let part = |range: &Option<Range<usize>>| range.clone().map(|r| text.slice(r)).filter(|t| !t.is_empty());
+    let place = |names: &[String], name: &Bytes| names.iter().position(|n| n.as_bytes() == &name[..]);
+    let id = part(&request.id).ok_or(bad("no Req-Id"))?;
+    let kind = part(&request.kind).ok_or(bad("no Req-Kind"))?;
+    let product = place(&node.names.products, &kind).ok_or(bad("unknown Req-Kind"))?;
+    let tenant = if node.names.tenants.is_empty() {
+        0
+    } else {
+        let owner = part(&request.owner).ok_or(bad("no Req-Owner"))?;
+        place(&node.names.tenants, &owner).ok_or(bad("unknown Req-Owner"))?
+    };
+    let stamp = part(&request.stamp);
+    // Without its mark nothing would drop a repeat of it.
+    if stamp.is_none() && node.stamped.get(product).copied().unwrap_or(false) {
+        return Err(bad("no Idempotency-Key"));
+    }
+    let deadline = part(&request.deadline).ok_or(bad("no Req-Deadline-Ms"))?;
+    let deadline = std::str::from_utf8(&deadline).ok().and_then(|d| d.parse::<u64>().ok());
+    let deadline = deadline.ok_or(bad("bad Req-Deadline-Ms"))?.min(LONGEST_WAIT_MS);
+    let extra = part(&request.extra);
+    let extra = extra.as_deref().and_then(|e| std::str::from_utf8(e).ok()).unwrap_or("");
+    let figure = |names: [&str; 2]| {
+        let found = names.iter().find_map(|n| http::text_figure(extra, n));
+        found.filter(|f| f.is_finite() && *f >= 0.0).map(f64::from)
+    };
+    let shipment = Shipment {
+        method: text.slice(request.method.clone()),
+        path: text.slice(request.path.clone()),
+        host: part(&request.host).unwrap_or_default(),
+        id,
+        stamp,
+        body,
+    };
+    Ok(Intake {
+        product: u8::try_from(product).map_err(|_| bad("unknown Req-Kind"))?,
+        tenant: u16::try_from(tenant).map_err(|_| bad("unknown Req-Owner"))?,
+        patience: deadline * NANOS_PER_MS,
+        slots: figure(["slots", "needs"]).filter(|s| *s > 0.0).unwrap_or(1.0),
+        memory: figure(["memory", "memNeeded"]).unwrap_or(0.0),
+        shipment: Arc::new(shipment),
+    })
+}
+
+fn turned_down(node: &Arc<Node>, client: Client, fault: Fault) -> State {
+    tracing::warn!(status = fault.status, why = fault.why, "request turned down");
+    node.feed(Input::ClientPhase { client, phase: Phase::Answering });
+    State::Answering { out: bare(fault.status, true), last: true }
+}
+
+const LAST: &[u8] = b"Connection: close\r\n";
+
+fn bare(status: u16, last: bool) -> Out {
+    let mut out = Out::default();
+    out.push(Bytes::from(format!("HTTP/1.1 {status} {}\r\nContent-Length: 0\r\n", reason(status))));
+    out.push(if last { LAST } else { b"" });
+    out.push(&b"\r\n"[..]);
+    out
+}
+
+fn answered(answer: Answer, last: bool) -> Out {
+    let mut out = Out::default();
+    let last = if last { LAST } else { b"" };
+    match answer {
+        Answer::Satisfied(result) => {
+            out.push(&b"HTTP/1.1 200 OK\r\n"[..]);
+            out.push(last);
+            out.push(Bytes::from(format!("Content-Length: {}\r\n\r\n", result.len())));
+            out.push(result);
+        }
+        Answer::Dismissed(come_back) => {
+            out.push(&b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"[..]);
+            out.push(last);
+            if let Some(wait) = come_back {
+                out.push(Bytes::from(format!("Retry-After: {:.3}\r\n", wait as f64 / 1e9)));
+            }
+            out.push(&b"\r\n"[..]);
+        }
+        Answer::Aborted => {
+            out.push(&b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n"[..]);
+            out.push(last);
+            out.push(&b"\r\n"[..]);
+        }
+    }
+    out
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        505 => "HTTP Version Not Supported",
+        _ => "Error",
+    }
+}
--- /dev/null
+++ b/crates/node/src/net/discovery.rs
@@ -0,0 +1,177 @@
+//! The list of executors: its form, and the watch on its changes.
+
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use linestack_dispatch::types::{Health, ListKind};
+use may::net::TcpStream;
+use serde::Deserialize;
+use thiserror::Error;
+
+use super::Node;
+use crate::core::{Endpoint, Input};
+use crate::http;
+
+const CONNECT: Duration = Duration::from_secs(1);
+/// While nothing changes an empty line comes every 2 s; a watch silent for longer than two and a half of
+/// them is dead, though its connection may look open.
+const SILENCE: Duration = Duration::from_secs(5);
+/// The longest line of a list.
+const LINE: usize = 4 << 20;
+
+#[derive(Debug, Error)]
+pub enum Fault {
+    #[error("no connection: {0}")]
+    Connect(io::Error),
+    #[error("the watch broke: {0}")]
+    Broke(io::Error),
+    #[error("the watch was silent for too long")]
+    Silent,
+    #[error("discovery answered {0}")]
+    Status(u16),
+    #[error("the answer is not understood: {0}")]
+    Head(&'static str),
+    #[error("a line is not a list: {0}")]
+    Line(#[from] serde_json::Error),
+    #[error("a line is longer than {LINE} bytes")]
+    Long,
+    #[error("the watch ended")]
+    Ended,
+}
+
+/// A list, or the entries of it that changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct List {
+    pub index: u64,
+    pub whole: bool,
+    pub endpoints: Vec<Endpoint>,
+}
+
+#[derive(Deserialize)]
+struct RawList {
+    #[serde(default)]
+    index: u64,
+    #[serde(default)]
+    snapshot: bool,
+    #[serde(default)]
+    endpoints: Vec<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+struct RawEndpoint {
+    name: String,
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default, rename = "type")]
+    kind: String,
+    #[serde(default)]
+    group: u64,
+    status: String,
+    #[serde(default)]
+    since_ms: f64,
+}
+
+impl List {
+    /// Reads a line. An entry that makes no sense is left out, the others count.
+    pub fn read(line: &[u8]) -> Result<Self, serde_json::Error> {
+        let raw: RawList = serde_json::from_slice(line)?;
+        let endpoints = raw.endpoints.into_iter().filter_map(|entry| {
+            let read = serde_json::from_value(entry).ok().and_then(endpoint);
+            if read.is_none() {
+                tracing::warn!("an entry of the list makes no sense and is left out");
+            }
+            read
+        });
+        Ok(Self { index: raw.index, whole: raw.snapshot, endpoints: endpoints.collect() })
+    }
+}
+
+fn endpoint(raw: RawEndpoint) -> Option<Endpoint> {
+    let health = match raw.status.as_str() {
+        "active" => Health::Ready,
+        "left" => Health::Gone,
+        // Of a status that is not known, nothing new may be hoped for.
+        _ => Health::Draining,
+    };
+    let address = match raw.address.parse::<SocketAddr>() {
+        Ok(address) => address,
+        // Where it was does not matter any more.
+        Err(_) if health == Health::Gone => SocketAddr::from(([0, 0, 0, 0], 0)),
+        Err(_) => return None,
+    };
+    let group = u16::try_from(raw.group).unwrap_or(u16::MAX);
+    let started = linestack_settings::nanos(raw.since_ms);
+    Some(Endpoint { name: raw.name, address, zone: raw.zone, kind: raw.kind, group, health, started })
+}
+
+impl From<List> for Input {
+    fn from(list: List) -> Self {
+        let kind = if list.whole { ListKind::Whole } else { ListKind::Changes };
+        Self::Listed { kind, endpoints: list.endpoints }
+    }
+}
+
+/// Watches until the watch ends, and tells the reducer what it hears.
+pub fn watch(node: &Arc<Node>) {
+    let Err(why) = follow(node);
+    tracing::warn!(%why, "watch ended");
+    node.watch_ended();
+}
+
+fn follow(node: &Arc<Node>) -> Result<std::convert::Infallible, Fault> {
+    let mut socket = TcpStream::connect_timeout(&node.discovery, CONNECT).map_err(Fault::Connect)?;
+    let broke = |e: io::Error| match e.kind() {
+        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => Fault::Silent,
+        _ => Fault::Broke(e),
+    };
+    socket.set_read_timeout(Some(SILENCE)).map_err(broke)?;
+    socket.set_write_timeout(Some(SILENCE)).map_err(broke)?;
+    let (after, host) = (node.index.load(Ordering::Relaxed), node.discovery);
+    let ask = format!("GET /v1/servers?watch=1&after={after} HTTP/1.1\r\nHost: {host}\r\n\r\n");
+    socket.write_all(ask.as_bytes()).map_err(broke)?;
+    let (mut input, mut lines) = (BytesMut::new(), BytesMut::new());
+    let mut body: Option<http::Body> = None;
+    loop {
+        let mut piece = [0; 4096];
+        let n = socket.read(&mut piece).map_err(broke)?;
+        if n == 0 {
+            return Err(Fault::Ended);
+        }
+        input.extend_from_slice(&piece[..n]);
+        if body.is_none() {
+            let Some(head) = http::response(&input).map_err(|f| Fault::Head(f.why))? else { continue };
+            if head.status != 200 {
+                return Err(Fault::Status(head.status));
+            }
+            let _ = input.split_to(head.length);
+            body = Some(http::Body::new(head.framing));
+        }
+        let Some(body) = &mut body else { continue };
+        let whole = body.take(&mut input, &mut lines).map_err(|f| Fault::Head(f.why))?;
+        while let Some(end) = lines.iter().position(|b| *b == b'\n') {
+            let line = lines.split_to(end + 1);
+            if !line.trim_ascii().is_empty() {
+                let list = List::read(&line)?;
+                node.index.store(list.index, Ordering::Relaxed);
+                tracing::info!(
+                    index = list.index,
+                    whole = list.whole,
+                    entries = list.endpoints.len(),
+                    "list"
+                );
+                node.feed(list.into());
+            }
+        }
+        if lines.len() > LINE {
+            return Err(Fault::Long);
+        }
+        if whole {
+            return Err(Fault::Ended);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/net/executors.rs
@@ -0,0 +1,335 @@
+//! Connections to executors: one coroutine each. It connects, sends what its post brings, and tells the
+//! reducer what came back, and how far it had got when the connection broke.
+
+use std::io::{self, Read};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use linestack_dispatch::types::{Nanos, Outcome, Report};
+use may::io::WaitIo;
+use may::net::TcpStream;
+use serde::Deserialize;
+
+use super::{Node, Post};
+use crate::core::{Broken, Input, Link, Shipment};
+use crate::http::{self, Body, Out, Response};
+
+/// The longest line or probe's answer; a result may be a body with every byte escaped.
+const LINE: usize = 8 * http::BODY;
+/// What may wait to be parsed.
+const UNREAD: usize = 64 * 1024;
+/// No descriptor was left in the process, or in the system.
+const NO_DESCRIPTOR: [i32; 2] = [24, 23];
+
+pub(crate) enum Letter {
+    Send { shipment: Arc<Shipment>, wait: Nanos },
+    Probe,
+    Close,
+}
+
+/// What is on the connection.
+struct Exchange {
+    /// The submission's id; none for a probe.
+    id: Option<Bytes>,
+    out: Out,
+    written: bool,
+    head: Option<Response>,
+    body: Option<Body>,
+    text: BytesMut,
+    /// The reducer has the outcome.
+    told: bool,
+}
+
+enum Step {
+    More,
+    /// The exchange is over, and the connection may be used again.
+    Free,
+    Close,
+}
+
+pub(crate) fn run(node: &Arc<Node>, link: Link, address: SocketAddr, limit: Nanos, post: &Post<Letter>) {
+    let down = |broken| {
+        node.forget_link(link);
+        node.feed(Input::LinkDown { link, broken });
+    };
+    let limit = Duration::from_nanos(limit.max(1));
+    let mut socket = match TcpStream::connect_timeout(&address, limit) {
+        Ok(socket) => socket,
+        Err(e) => {
+            let here = e.raw_os_error().is_some_and(|code| NO_DESCRIPTOR.contains(&code));
+            return down(Broken { here, ..Broken::default() });
+        }
+    };
+    post.wake(&socket);
+    let _ = socket.set_nodelay(true);
+    node.feed(Input::LinkUp { link });
+    let mut exchange = None;
+    if !converse(node, link, &mut socket, post, &mut exchange) {
+        // Closed before the reducer hears of it: it must not be picked again.
+        drop(socket);
+        let broken = exchange.map_or_else(Broken::default, |e: Exchange| Broken {
+            begun: e.out.written > 0,
+            written: e.written,
+            here: false,
+        });
+        down(broken);
+    }
+}
+
+/// True if the reducer had it closed, false if it broke or is of no further use.
+fn converse(
+    node: &Arc<Node>,
+    link: Link,
+    socket: &mut TcpStream,
+    post: &Post<Letter>,
+    exchange: &mut Option<Exchange>,
+) -> bool {
+    let mut input = BytesMut::new();
+    loop {
+        while let Some(letter) = post.next() {
+            let (id, out) = match letter {
+                Letter::Close => return true,
+                Letter::Send { shipment, wait } => (Some(shipment.id.clone()), request(&shipment, wait)),
+                Letter::Probe => (None, probe(node)),
+            };
+            let (head, body, text) = (None, None, BytesMut::new());
+            *exchange = Some(Exchange { id, out, written: false, head, body, text, told: false });
+        }
+        let ended = match read(socket, &mut input) {
+            Ok(ended) => ended,
+            Err(_) => return false,
+        };
+        let Some(current) = exchange else {
+            // Nothing was asked, so nothing should come; an end means that it stood idle for too long.
+            if ended || !input.is_empty() {
+                return false;
+            }
+            socket.wait_io();
+            continue;
+        };
+        // Closed while it was idle: not a byte may follow, or the reducer could not send it elsewhere.
+        if ended && current.out.written == 0 {
+            return false;
+        }
+        if !current.written && !ended {
+            match current.out.write(socket.inner_mut()) {
+                Ok(done) => current.written = done,
+                Err(_) => return false,
+            }
+        }
+        match current.take(node, link, &mut input, ended) {
+            Step::More if ended => return false,
+            Step::More => {
+                socket.wait_io();
+            }
+            Step::Free if !ended && current.written && input.is_empty() => {
+                *exchange = None;
+                node.feed(Input::Freed { link });
+            }
+            Step::Free | Step::Close => return false,
+        }
+    }
+}
+
+/// Reads what there is. True at the end of the connection.
+fn read(socket: &mut TcpStream, input: &mut BytesMut) -> io::Result<bool> {
+    let mut piece = [0; 4096];
+    loop {
+        if input.len() > UNREAD {
+            return Ok(false);
+        }
+        match socket.inner_mut().read(&mut piece) {
+            Ok(0) => return Ok(true),
+            Ok(n) => input.extend_from_slice(&piece[..n]),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+impl Exchange {
+    /// Goes through what has come. What is not understood ends the connection; the reducer then counts
+    /// the execution as one that may have run.
+    fn take(&mut self, node: &Arc<Node>, link: Link, input: &mut BytesMut, ended: bool) -> Step {
+        if self.head.is_none() {
+            loop {
+                match http::response(input) {
+                    Ok(Some(head)) if head.status / 100 == 1 => drop(input.split_to(head.length)),
+                    Ok(Some(head)) => {
+                        let _ = input.split_to(head.length);
+                        self.body = Some(Body::new(head.framing));
+                        self.head = Some(head);
+                        break;
+                    }
+                    Ok(None) => return Step::More,
+                    Err(_) => return Step::Close,
+                }
+            }
+        }
+        let (Some(head), Some(body)) = (&self.head, &mut self.body) else { return Step::Close };
+        let Ok(whole) = body.take(input, &mut self.text) else { return Step::Close };
+        let whole = whole || (ended && body.ends_with_connection());
+        let close = head.close;
+        let fine = if self.id.is_none() {
+            self.probed(node, link, whole)
+        } else if self.head.as_ref().is_some_and(|h| h.status == 200) {
+            self.lines(node, link, whole)
+        } else {
+            self.turned_away(node, link);
+            self.text.clear();
+            true
+        };
+        match (fine, whole) {
+            (false, _) => Step::Close,
+            (true, false) => Step::More,
+            // Without a last line it may have run, and the connection is given up.
+            (true, true) if close || !self.told => Step::Close,
+            (true, true) => Step::Free,
+        }
+    }
+
+    fn tell(
+        &mut self,
+        node: &Arc<Node>,
+        link: Link,
+        outcome: Outcome,
+        result: Bytes,
+        report: Option<Report>,
+    ) {
+        if !std::mem::replace(&mut self.told, true) {
+            node.feed(Input::Ended { link, outcome, result, report });
+        }
+    }
+
+    /// An answer that ended the execution by its head.
+    fn turned_away(&mut self, node: &Arc<Node>, link: Link) {
+        let Some(head) = &self.head else { return };
+        let report = head.load.as_deref().and_then(|text| text_report(node, text));
+        let outcome = match head.status {
+            503 | 504 if head.declined => Outcome::Full,
+            _ => Outcome::Error,
+        };
+        self.tell(node, link, outcome, Bytes::new(), report);
+    }
+
+    fn probed(&mut self, node: &Arc<Node>, link: Link, whole: bool) -> bool {
+        let Some(head) = self.head.as_ref().filter(|_| whole) else { return self.text.len() <= LINE };
+        if !std::mem::replace(&mut self.told, true) {
+            let answered = match head.status {
+                200 => Some(true),
+                // Turned away for there being too many probes: it says nothing of the executor.
+                429 | 503 if head.declined => None,
+                _ => Some(false),
+            };
+            let body = std::str::from_utf8(&self.text).unwrap_or("");
+            let report = match serde_json::from_str::<serde_json::Value>(body) {
+                Ok(load) => json_report(node, load.get("load").unwrap_or(&load)),
+                Err(_) => text_report(node, body),
+            };
+            let report = report.or_else(|| head.load.as_deref().and_then(|text| text_report(node, text)));
+            node.feed(Input::Probed { link, answered, report });
+        }
+        true
+    }
+
+    /// Goes through the whole lines. False if one is not understood.
+    fn lines(&mut self, node: &Arc<Node>, link: Link, whole: bool) -> bool {
+        loop {
+            let line = match self.text.iter().position(|b| *b == b'\n') {
+                Some(end) => self.text.split_to(end + 1),
+                None if whole && !self.text.is_empty() => self.text.split(),
+                None => return self.text.len() <= LINE,
+            };
+            if line.trim_ascii().is_empty() || self.told {
+                continue;
+            }
+            let Ok(line) = serde_json::from_slice::<Line>(&line) else { return false };
+            if Some(line.id.as_bytes()) != self.id.as_deref() {
+                return false;
+            }
+            let outcome = match &*line.state {
+                "done" => Outcome::Satisfied,
+                "failed" => Outcome::Error,
+                "returned" => Outcome::Full,
+                "lost" => Outcome::Reset,
+                _ => {
+                    node.feed(Input::Noted { link });
+                    continue;
+                }
+            };
+            let Some(result) = line.result.or_else(|| (outcome != Outcome::Satisfied).then(String::new))
+            else {
+                return false;
+            };
+            let head = self.head.as_ref().and_then(|h| h.load.as_deref());
+            let report = line.load.as_ref().and_then(|load| json_report(node, load));
+            let report = report.or_else(|| head.and_then(|text| text_report(node, text)));
+            self.tell(node, link, outcome, Bytes::from(result), report);
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct Line {
+    id: String,
+    state: String,
+    #[serde(default)]
+    result: Option<String>,
+    #[serde(default)]
+    load: Option<serde_json::Value>,
+}
+
+/// The name that a figure has in reports on sockets, where it differs from that in the settings.
+fn plain(name: &str) -> &str {
+    match name {
+        "outstanding" => "inflight",
+        "backlog" => "queue",
+        "utilization" => "util",
+        other => other,
+    }
+}
+
+fn text_report(node: &Node, text: &str) -> Option<Report> {
+    node.layout.report(|place| {
+        let name = node.names.figures.get(place)?;
+        http::text_figure(text, name).or_else(|| http::text_figure(text, plain(name)))
+    })
+}
+
+fn json_report(node: &Node, load: &serde_json::Value) -> Option<Report> {
+    node.layout.report(|place| {
+        let name = node.names.figures.get(place)?;
+        let figure = load.get(name).or_else(|| load.get(plain(name)))?;
+        figure.as_f64().map(|f| f as f32)
+    })
+}
+
+fn request(shipment: &Shipment, wait: Nanos) -> Out {
+    let mut out = Out::default();
+    let mut push = |piece: &Bytes| out.push(piece.clone());
+    push(&shipment.method);
+    push(&Bytes::from_static(b" "));
+    push(&shipment.path);
+    push(&Bytes::from_static(b" HTTP/1.1\r\nHost: "));
+    push(&shipment.host);
+    push(&Bytes::from_static(b"\r\nReq-Id: "));
+    push(&shipment.id);
+    if let Some(stamp) = &shipment.stamp {
+        push(&Bytes::from_static(b"\r\nIdempotency-Key: "));
+        push(stamp);
+    }
+    let (wait, length) = ((wait / 1_000_000).max(1), shipment.body.len());
+    push(&Bytes::from(format!("\r\nReq-Deadline-Ms: {wait}\r\nContent-Length: {length}\r\n\r\n")));
+    push(&shipment.body);
+    out
+}
+
+fn probe(node: &Node) -> Out {
+    let path = if node.names.figures.is_empty() { "/healthz" } else { "/load" };
+    let mut out = Out::default();
+    out.push(Bytes::from(format!("GET {path} HTTP/1.1\r\nHost: executor\r\n\r\n")));
+    out
+}
--- /dev/null
+++ b/crates/node/src/net/mod.rs
@@ -0,0 +1,237 @@
+//! Sockets and clocks: they feed the reducer and carry out its effects. Every connection has a coroutine
+//! of its own, which waits for its socket and for its post.
+
+pub mod clients;
+pub mod clock;
+pub mod discovery;
+pub mod executors;
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use linestack_dispatch::types::ListKind;
+use linestack_settings::{Names, ReportLayout};
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::TcpStream;
+
+use crate::core::{Client, Core, Effect, Input, Link};
+use clock::{Alarm, Clock};
+
+/// Starts a coroutine.
+#[allow(unsafe_code)]
+pub fn spawn(work: impl FnOnce() + Send + 'static) {
+    // SAFETY: may asks that no thread-local is held over a point where the coroutine may move to another
+    // thread, and that the stack suffices. Nothing here holds one, and `STACK_WORDS` in the program's start
+    // is several times what was measured.
+    drop(unsafe { may::coroutine::spawn(work) });
+}
+
+/// Locks a mutex whose holders keep it consistent between statements.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Letters to a connection's coroutine.
+pub(crate) struct Post<T> {
+    letters: Mutex<VecDeque<T>>,
+    waker: Mutex<Option<WaitIoWaker>>,
+}
+
+impl<T> Default for Post<T> {
+    fn default() -> Self {
+        Self { letters: Mutex::new(VecDeque::new()), waker: Mutex::new(None) }
+    }
+}
+
+impl<T> Post<T> {
+    fn send(&self, letter: T) {
+        lock(&self.letters).push_back(letter);
+        if let Some(waker) = &*lock(&self.waker) {
+            waker.wakeup();
+        }
+    }
+
+    pub(crate) fn next(&self) -> Option<T> {
+        lock(&self.letters).pop_front()
+    }
+
+    /// From now on letters wake whoever waits for this socket.
+    pub(crate) fn wake(&self, socket: &TcpStream) {
+        *lock(&self.waker) = Some(socket.waker());
+    }
+}
+
+struct Inner {
+    core: Core,
+    effects: Vec<Effect>,
+    links: HashMap<Link, Arc<Post<executors::Letter>>>,
+    clients: HashMap<Client, Arc<Post<clients::Letter>>>,
+    next_client: Client,
+}
+
+pub struct Node {
+    inner: Mutex<Inner>,
+    pub clock: Clock,
+    alarm: Alarm,
+    pub names: Names,
+    pub layout: ReportLayout,
+    /// Whether stamped products' marks are asked for, by product.
+    pub stamped: Vec<bool>,
+    pub discovery: SocketAddr,
+    pub index: AtomicU64,
+    watching: AtomicBool,
+    exit: Mutex<Option<Box<dyn FnOnce() + Send>>>,
+}
+
+/// What a node is made of beside the reducer.
+pub struct Parts {
+    pub clock: Clock,
+    pub names: Names,
+    pub layout: ReportLayout,
+    pub stamped: Vec<bool>,
+    pub discovery: SocketAddr,
+    /// Called when the node has stopped and answered what it had taken.
+    pub exit: Box<dyn FnOnce() + Send>,
+}
+
+impl Node {
+    #[must_use]
+    pub fn new(core: Core, parts: Parts) -> Arc<Self> {
+        let Parts { clock, names, layout, stamped, discovery, exit } = parts;
+        let (effects, links, clients) = (Vec::new(), HashMap::new(), HashMap::new());
+        Arc::new(Self {
+            inner: Mutex::new(Inner { core, effects, links, clients, next_client: 0 }),
+            clock,
+            alarm: Alarm::default(),
+            names,
+            layout,
+            stamped,
+            discovery,
+            index: AtomicU64::new(0),
+            watching: AtomicBool::new(false),
+            exit: Mutex::new(Some(exit)),
+        })
+    }
+
+    /// Hands the reducer an input and carries out what it asks for. Nothing in here waits: the lock is
+    /// never held while a coroutine gives way.
+    pub fn feed(self: &Arc<Self>, input: Input) {
+        let mut inner = lock(&self.inner);
+        let inner = &mut *inner;
+        let mut effects = std::mem::take(&mut inner.effects);
+        inner.core.take(self.clock.now(), input, &mut effects);
+        for effect in effects.drain(..) {
+            self.carry_out(inner, effect);
+        }
+        inner.effects = effects;
+        self.alarm.set(inner.core.next_due());
+    }
+
+    pub fn ready(&self) -> bool {
+        lock(&self.inner).core.ready()
+    }
+
+    pub(crate) fn crowded(&self) -> bool {
+        lock(&self.inner).core.crowded()
+    }
+
+    /// The watch ended, or could not be had; it may be asked for again.
+    pub(crate) fn watch_ended(self: &Arc<Self>) {
+        self.watching.store(false, Ordering::Release);
+        self.feed(Input::Listed { kind: ListKind::Failed, endpoints: Vec::new() });
+    }
+
+    fn enlist(&self) -> (Client, Arc<Post<clients::Letter>>) {
+        let mut inner = lock(&self.inner);
+        let client = inner.next_client;
+        inner.next_client += 1;
+        let post = Arc::default();
+        inner.clients.insert(client, Arc::clone(&post));
+        (client, post)
+    }
+
+    fn forget_client(&self, client: Client) {
+        lock(&self.inner).clients.remove(&client);
+    }
+
+    fn forget_link(&self, link: Link) {
+        lock(&self.inner).links.remove(&link);
+    }
+
+    fn carry_out(self: &Arc<Self>, inner: &mut Inner, effect: Effect) {
+        let client = |client: Client, letter: clients::Letter| {
+            if let Some(post) = inner.clients.get(&client) {
+                post.send(letter);
+            }
+        };
+        let link = |link: Link, letter: executors::Letter| {
+            if let Some(post) = inner.links.get(&link) {
+                post.send(letter);
+            }
+        };
+        match effect {
+            Effect::Answer { client: to, answer, last } => {
+                client(to, clients::Letter::Answer { answer, last })
+            }
+            Effect::CloseClient { client: to } => client(to, clients::Letter::CloseIfIdle),
+            Effect::DropClient { client: to } => client(to, clients::Letter::Drop),
+            Effect::Send { link: to, shipment, wait } => link(to, executors::Letter::Send { shipment, wait }),
+            Effect::Probe { link: to } => link(to, executors::Letter::Probe),
+            Effect::CloseLink { link: to } => {
+                link(to, executors::Letter::Close);
+                inner.links.remove(&to);
+            }
+            Effect::Open { link, address, limit } => {
+                let post = Arc::<Post<_>>::default();
+                inner.links.insert(link, Arc::clone(&post));
+                let node = Arc::clone(self);
+                spawn(move || executors::run(&node, link, address, limit, &post));
+            }
+            Effect::Watch => {
+                if !self.watching.swap(true, Ordering::AcqRel) {
+                    let node = Arc::clone(self);
+                    spawn(move || discovery::watch(&node));
+                }
+            }
+            Effect::Report(stats) => {
+                tracing::info!(
+                    taken = stats.taken,
+                    satisfied = stats.satisfied,
+                    dismissed = stats.dismissed,
+                    aborted = stats.aborted,
+                    left = stats.left,
+                    executions = stats.executions,
+                    resets = stats.resets,
+                    connect_failed = stats.connect_failed,
+                    timed_out = stats.timed_out,
+                    not_sent = stats.not_sent,
+                    probes = stats.probes,
+                    probes_failed = stats.probes_failed,
+                    links_opened = stats.links_opened,
+                    lists = stats.lists,
+                    list_failures = stats.list_failures,
+                    broken = stats.broken,
+                    clients = stats.clients,
+                    links = stats.links,
+                    open = stats.open,
+                    "counts"
+                );
+            }
+            Effect::Exit => {
+                if let Some(exit) = lock(&self.exit).take() {
+                    exit();
+                }
+            }
+        }
+    }
+
+    /// Rings the reducer's timers, for ever.
+    pub fn keep_time(self: &Arc<Self>) {
+        loop {
+            self.alarm.wait(&self.clock);
+            self.feed(Input::Tick);
+        }
+    }
+}
--- a/crates/simwire/src/start.rs
+++ b/crates/settings/src/lib.rs
@@ -1,15 +1,26 @@
-//! The start text: JSON with the wire's names, read into the standing orders.
+//! The settings: JSON with the simulator wire's names, read into the standing orders. The simulator sends
+//! them at the start of an instance; a node on sockets finds the same object in its configuration.
 
-use linestack_dispatch::types::{Group, Nanos, Product, Repeats, StandingOrders};
+use linestack_dispatch::types::{Group, Nanos, Product, Repeats, Report, StandingOrders};
 use serde::Deserialize;
 
-use crate::nanos;
-
-/// What an instance is started with.
+/// What a node is started with.
 #[derive(Debug)]
-pub struct Start {
+pub struct Settings {
     pub orders: StandingOrders,
     pub layout: ReportLayout,
+    pub names: Names,
+}
+
+/// What the settings name; everywhere else the place in these lists stands for the name.
+#[derive(Debug, Default)]
+pub struct Names {
+    pub products: Vec<String>,
+    pub tenants: Vec<String>,
+    pub kinds: Vec<String>,
+    pub zones: Vec<String>,
+    /// The figures of a load report.
+    pub figures: Vec<String>,
 }
 
 /// Where in a load report each figure stands.
@@ -21,6 +32,21 @@
     pub in_hand: Option<usize>,
 }
 
+impl ReportLayout {
+    /// The report that these figures make, if one came. What makes no sense is left out.
+    #[must_use]
+    pub fn report(&self, figure: impl Fn(usize) -> Option<f32>) -> Option<Report> {
+        let get = |place: Option<usize>| figure(place?).filter(|f| f.is_finite() && *f >= 0.0);
+        let report = Report {
+            free_slots: get(self.free_slots),
+            free_memory: get(self.free_memory),
+            waiting: get(self.waiting),
+            in_hand: get(self.in_hand),
+        };
+        (report != Report::default()).then_some(report)
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Info {
@@ -31,10 +57,12 @@
     excess_payoff: f64,
     family_info: FamilyInfo,
     invariants: Invariants,
+    kinds: Vec<String>,
     limits: Limits,
     products: Vec<Class>,
     report: Reports,
     tenants: Vec<Tenant>,
+    zones: Vec<String>,
 }
 
 impl Default for Info {
@@ -47,10 +75,12 @@
             excess_payoff: 1.0,
             family_info: FamilyInfo::default(),
             invariants: Invariants::default(),
+            kinds: Vec::new(),
             limits: Limits::default(),
             products: Vec::new(),
             report: Reports::default(),
             tenants: Vec::new(),
+            zones: Vec::new(),
         }
     }
 }
@@ -137,6 +167,7 @@
     effect: String,
     late_payoff: f64,
     memory_span_ms: f64,
+    name: String,
     payoff: f64,
 }
 
@@ -150,6 +181,7 @@
             effect: "side_effect".into(),
             late_payoff: 0.0,
             memory_span_ms: 0.0,
+            name: String::new(),
             payoff: 1.0,
         }
     }
@@ -164,10 +196,18 @@
 #[derive(Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Tenant {
+    name: String,
     quota_per_s: f64,
 }
 
-pub(crate) fn read(text: &[u8], seed: u64) -> Result<(StandingOrders, ReportLayout), serde_json::Error> {
+/// Nanoseconds of a span in milliseconds; what is negative or not a number gives 0.
+#[must_use]
+pub fn nanos(millis: f64) -> Nanos {
+    (millis * 1e6).round() as Nanos
+}
+
+/// Reads the settings object. `seed` is the source of this node's chance.
+pub fn read(text: &[u8], seed: u64) -> Result<Settings, serde_json::Error> {
     let info: Info = serde_json::from_slice(text)?;
     let family = &info.family_info;
     let product = |(i, class): (usize, &Class)| Product {
@@ -229,5 +269,12 @@
         tells_start: family.tells_start,
         counts_memory: family.memory_unit.as_ref().is_some_and(|unit| !unit.is_empty()),
     };
-    Ok((orders, layout))
+    let names = Names {
+        products: info.products.into_iter().map(|p| p.name).collect(),
+        tenants: info.tenants.into_iter().map(|t| t.name).collect(),
+        kinds: info.kinds,
+        zones: info.zones,
+        figures: info.report.fields,
+    };
+    Ok(Settings { orders, layout, names })
 }
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -4,7 +4,8 @@
 
 use linestack_dispatch::decide::Dispatcher;
 use linestack_dispatch::types::{Ending, Event, Listing, Nanos, Order};
-use linestack_simwire::{Incoming, Outgoing, Reply, ReportLayout, Start};
+use linestack_settings::{ReportLayout, Settings};
+use linestack_simwire::{Incoming, Outgoing, Reply};
 
 pub struct Instance {
     node: u16,
@@ -19,7 +20,7 @@
 }
 
 impl Instance {
-    pub fn new(node: u16, start: Start) -> Self {
+    pub fn new(node: u16, start: Settings) -> Self {
         Self {
             node,
             dispatcher: Dispatcher::new(start.orders),
@@ -118,13 +119,13 @@
                     outcome,
                     closed,
                     took,
-                    report: self.layout.report(figures),
+                    report: self.layout.report(|place| figures.get(place)),
                 })
             }
             Incoming::Probed { executor, answered, figures } => Event::Probed {
                 worker: *self.workers.get(&executor)?,
                 answered,
-                report: self.layout.report(figures),
+                report: self.layout.report(|place| figures.get(place)),
             },
             Incoming::Rang { token } => Event::Rang { token },
         })
--- a/crates/simwire/src/lib.rs
+++ b/crates/simwire/src/lib.rs
@@ -2,15 +2,12 @@
 //!
 //! Ids stay as the wire gives them here; the host maps them to linestack's small indices.
 
-mod start;
-
 use std::io::{self, Read, Write};
 
-use linestack_dispatch::types::{Health, Job, ListKind, Nanos, Outcome, Report};
+use linestack_dispatch::types::{Health, Job, ListKind, Nanos, Outcome};
+use linestack_settings::{Settings, nanos};
 use thiserror::Error;
 
-pub use start::{ReportLayout, Start};
-
 const HEADER: usize = 20;
 const EVENT: usize = 56;
 const ACTION: usize = 24;
@@ -54,7 +51,7 @@
 
 #[derive(Debug)]
 pub enum Incoming {
-    Begin(Box<Start>),
+    Begin(Box<Settings>),
     Killed,
     Listed {
         kind: ListKind,
@@ -218,8 +215,8 @@
             }
             7 => {
                 let text = self.tail(record, f.u32(11), u64::from(f.u32(15)))?;
-                let start =
-                    Start::read(text, f.u64(3)).map_err(|why| Fault::Start { batch: self.number, why })?;
+                let start = linestack_settings::read(text, f.u64(3));
+                let start = start.map_err(|why| Fault::Start { batch: self.number, why })?;
                 Incoming::Begin(Box::new(start))
             }
             8 => {
@@ -352,20 +349,10 @@
     }
 }
 
-impl ReportLayout {
-    /// The report that these figures make, if one came.
+impl Figures {
     #[must_use]
-    pub fn report(&self, figures: Figures) -> Option<Report> {
-        let get = |place: Option<usize>| {
-            place.filter(|p| *p < usize::from(figures.count)).and_then(|p| positive(*figures.values.get(p)?))
-        };
-        let report = Report {
-            free_slots: get(self.free_slots),
-            free_memory: get(self.free_memory),
-            waiting: get(self.waiting),
-            in_hand: get(self.in_hand),
-        };
-        (report != Report::default()).then_some(report)
+    pub fn get(&self, place: usize) -> Option<f32> {
+        self.values.get(place).filter(|_| place < usize::from(self.count)).copied()
     }
 }
 
@@ -387,18 +374,6 @@
     (figure.is_finite() && figure >= 0.0).then_some(figure)
 }
 
-pub(crate) fn nanos(millis: f64) -> Nanos {
-    // A cast of what is negative or not a number gives 0.
-    (millis * 1e6).round() as Nanos
-}
-
 fn millis(nanos: Nanos) -> f64 {
     nanos as f64 / 1e6
 }
-
-impl Start {
-    fn read(text: &[u8], seed: u64) -> Result<Self, serde_json::Error> {
-        let (orders, layout) = start::read(text, seed)?;
-        Ok(Self { orders, layout })
-    }
-}
--- a/crates/simwire/tests/frames.rs
+++ b/crates/simwire/tests/frames.rs
@@ -46,7 +46,7 @@
     let text =
         r#"{"report":{"fields":["x0","backlog","outstanding"]},"familyInfo":{"reportX0":"free slots"}}"#;
     let Incoming::Begin(start) = decoded(&begin(text)).unwrap().1 else { panic!() };
-    let report = start.layout.report(figures).unwrap();
+    let report = start.layout.report(|place| figures.get(place)).unwrap();
     assert_eq!((report.free_slots, report.waiting, report.in_hand), (Some(2.0), None, None));
 }
 
