Short waits have an end: the clock wakes coroutines from a thread of its own

Checked: a probe of may's park_timeout alone: 900 us never returns, 1 ms and more do; may keeps the wait as whole milliseconds and takes 0 for no limit. Its timer can also fire before the coroutine is stored, and that wake is lost too. Ruled out: the core's limits (set as they should be), the answer path. At fault: Alarm::wait in clock.rs. Now a thread wakes sleepers by unpark, which may cannot lose; accept sleeps there too. Also: a socket not read to its end is read on, a watch is given up after 4.5 s.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -271,7 +271,7 @@
     worker: Worker,
     stage: Stage,
     load: Option<Load>,
-    /// It has carried an exchange before, so it may have been closed at the other end since.
+    /// It has stood idle, so it may have been closed at the other end since.
     used: bool,
     since: Nanos,
     limit: Limit,
@@ -772,7 +772,7 @@
         if place.health == Health::Gone {
             return self.close_link(link);
         }
-        (line.stage, line.load, line.since) = (Stage::Idle, None, self.now);
+        (line.stage, line.load, line.used, line.since) = (Stage::Idle, None, true, self.now);
         place.idle.push(link);
         self.limit_link(link, self.now + self.idle);
     }
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -1,13 +1,12 @@
 //! Clients' connections: requests in, final answers out, one at a time on each.
 
-use std::io::{self, Read, Write};
+use std::io::{self, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr};
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use may::coroutine;
 use may::io::WaitIo;
 use may::net::{TcpListener, TcpStream};
 
@@ -34,8 +33,7 @@
     spawn(move || {
         loop {
             if node.crowded() {
-                coroutine::sleep(BREATH);
-                coroutine::yield_now();
+                node.alarm.sleep(BREATH);
                 continue;
             }
             match listener.accept() {
@@ -48,8 +46,7 @@
                 // No descriptor left, or a client that was gone again: the others still wait.
                 Err(why) => {
                     tracing::warn!(%why, "accept failed");
-                    coroutine::sleep(BREATH);
-                    coroutine::yield_now();
+                    node.alarm.sleep(BREATH);
                 }
             }
         }
@@ -113,11 +110,12 @@
                 }
             }
         }
-        match read(socket, &mut input, matches!(state, State::Lingering)) {
+        let more = match read(socket, &mut input, matches!(state, State::Lingering)) {
             // A client that closes has gone away.
-            Ok(Ended(true)) | Err(_) => return,
-            Ok(Ended(false)) => {}
-        }
+            Ok(Read::Ended) | Err(_) => return,
+            Ok(Read::Some) => true,
+            Ok(Read::All) => false,
+        };
         loop {
             match &mut state {
                 State::Reading { head, body } => {
@@ -185,26 +183,37 @@
                 State::Lingering => break,
             }
         }
-        socket.wait_io();
+        // What was left in the socket makes no event; it is read once there is room for it.
+        if !more || input.len() > KEPT {
+            socket.wait_io();
+        }
     }
 }
 
-struct Ended(bool);
+/// What may be read ahead.
+const KEPT: usize = http::HEAD + http::BODY;
+
+enum Read {
+    /// Nothing is left in the socket.
+    All,
+    Some,
+    Ended,
+}
 
 /// Reads what there is, up to what may be kept; the rest waits in the socket.
-fn read(socket: &mut TcpStream, input: &mut BytesMut, drop: bool) -> io::Result<Ended> {
+fn read(socket: &mut TcpStream, input: &mut BytesMut, drop: bool) -> io::Result<Read> {
     let mut piece = [0; 4096];
     loop {
         if drop {
             input.clear();
         }
-        if input.len() > http::HEAD + http::BODY {
-            return Ok(Ended(false));
+        if input.len() > KEPT {
+            return Ok(Read::Some);
         }
         match socket.inner_mut().read(&mut piece) {
-            Ok(0) => return Ok(Ended(true)),
+            Ok(0) => return Ok(Read::Ended),
             Ok(n) => input.extend_from_slice(&piece[..n]),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(Ended(false)),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(Read::All),
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             Err(e) => return Err(e),
         }
--- a/crates/node/src/net/clock.rs
+++ b/crates/node/src/net/clock.rs
@@ -1,12 +1,16 @@
 //! One clock, and the alarm that wakes the reducer when something is due.
 
-use std::sync::OnceLock;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+use std::sync::atomic::{self, AtomicU64};
+use std::sync::{Arc, Condvar, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use linestack_dispatch::types::Nanos;
 use may::coroutine::{self, Coroutine};
 
+use super::lock;
+
 /// Goes on evenly from the system's time at the start, so that an executor's start, told in Unix time,
 /// is a time on it. What happens to the system's clock later does not touch it.
 #[derive(Clone, Copy, Debug)]
@@ -28,39 +32,117 @@
     }
 }
 
-/// The longest sleep, and the step in which sleeps are counted: may keeps a list for each length.
-const LONGEST: Duration = Duration::from_secs(1);
-const STEP: Nanos = 250_000;
+/// Wakes coroutines at their times, from a thread of its own. may's own timers won't do: it counts a wait
+/// of under a millisecond as one without an end, and one that runs out while the coroutine is still being
+/// put to sleep is lost. Both ways nothing would ever be given up again.
+struct Waker {
+    waiting: Mutex<BinaryHeap<Reverse<Wake>>>,
+    sooner: Condvar,
+}
+
+struct Wake {
+    at: Nanos,
+    sleeper: Coroutine,
+}
+
+impl PartialEq for Wake {
+    fn eq(&self, other: &Self) -> bool {
+        self.at == other.at
+    }
+}
+
+impl Eq for Wake {}
+
+impl PartialOrd for Wake {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Wake {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.at.cmp(&other.at)
+    }
+}
+
+impl Waker {
+    fn start(clock: Clock) -> Arc<Self> {
+        let waker = Arc::new(Self { waiting: Mutex::default(), sooner: Condvar::new() });
+        let thread = Arc::clone(&waker);
+        std::thread::spawn(move || thread.run(clock));
+        waker
+    }
+
+    fn run(&self, clock: Clock) {
+        let mut waiting = lock(&self.waiting);
+        loop {
+            let now = clock.now();
+            while waiting.peek().is_some_and(|Reverse(wake)| wake.at <= now) {
+                if let Some(Reverse(wake)) = waiting.pop() {
+                    wake.sleeper.unpark();
+                }
+            }
+            let wait = waiting.peek().map_or(LONGEST, |Reverse(wake)| Duration::from_nanos(wake.at - now));
+            let woken = self.sooner.wait_timeout(waiting, wait.min(LONGEST));
+            waiting = woken.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn wake(&self, at: Nanos, sleeper: Coroutine) {
+        let mut waiting = lock(&self.waiting);
+        let sooner = waiting.peek().is_none_or(|Reverse(wake)| at < wake.at);
+        waiting.push(Reverse(Wake { at, sleeper }));
+        if sooner {
+            self.sooner.notify_one();
+        }
+    }
+}
+
+const LONGEST: Duration = Duration::from_secs(60);
 
-#[derive(Default)]
+/// Rings when the reducer has something due.
 pub struct Alarm {
+    clock: Clock,
     due: AtomicU64,
     sleeper: OnceLock<Coroutine>,
+    waker: Arc<Waker>,
 }
 
 impl Alarm {
+    #[must_use]
+    pub fn start(clock: Clock) -> Self {
+        Self { clock, due: AtomicU64::new(0), sleeper: OnceLock::new(), waker: Waker::start(clock) }
+    }
+
     /// Something is due then, and nothing earlier.
     pub fn set(&self, due: Nanos) {
-        let before = self.due.swap(due, Ordering::AcqRel);
+        let before = self.due.swap(due, atomic::Ordering::AcqRel);
         if due < before
             && let Some(sleeper) = self.sleeper.get()
         {
-            sleeper.unpark();
+            self.waker.wake(due, sleeper.clone());
         }
     }
 
-    /// Waits until it is due. Only one coroutine may wait.
-    pub fn wait(&self, clock: &Clock) {
-        self.sleeper.get_or_init(coroutine::current);
+    /// Waits until something is due. Only one coroutine may wait here.
+    pub fn wait(&self) {
+        let sleeper = self.sleeper.get_or_init(coroutine::current);
         loop {
-            let left = self.due.load(Ordering::Acquire).saturating_sub(clock.now());
-            if left == 0 {
+            let due = self.due.load(atomic::Ordering::Acquire);
+            if due <= self.clock.now() {
                 return;
             }
-            let left = Duration::from_nanos(left.div_ceil(STEP).saturating_mul(STEP));
-            coroutine::park_timeout(left.min(LONGEST));
-            // A time-out resumes the coroutine on may's timer thread; this brings it back to the worker.
-            coroutine::yield_now();
+            self.waker.wake(due, sleeper.clone());
+            coroutine::park();
+        }
+    }
+
+    /// Lets the calling coroutine sleep.
+    pub fn sleep(&self, span: Duration) {
+        let until = self.clock.now() + span.as_nanos() as Nanos;
+        self.waker.wake(until, coroutine::current());
+        while self.clock.now() < until {
+            coroutine::park();
         }
     }
 }
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -17,9 +17,9 @@
 use crate::http;
 
 const CONNECT: Duration = Duration::from_secs(1);
-/// While nothing changes an empty line comes every 2 s; a watch silent for longer than two and a half of
-/// them is dead, though its connection may look open.
-const SILENCE: Duration = Duration::from_secs(5);
+/// While nothing changes an empty line comes every 2 s. A watch silent for two of them and a little is dead,
+/// though its connection may look open; and what discovery has to tell counts as told after 6 s.
+const SILENCE: Duration = Duration::from_millis(4500);
 /// The longest line of a list.
 const LINE: usize = 4 << 20;
 
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -16,10 +16,10 @@
 use crate::core::{Broken, Input, Link, Shipment};
 use crate::http::{self, Body, Out, Response};
 
-/// The longest line or probe's answer; a result may be a body with every byte escaped.
-const LINE: usize = 8 * http::BODY;
+/// The longest line or probe's answer.
+const LINE: usize = 2 * http::BODY;
 /// What may wait to be parsed.
-const UNREAD: usize = 64 * 1024;
+const UNREAD: usize = 16 * 1024;
 /// No descriptor was left in the process, or in the system.
 const NO_DESCRIPTOR: [i32; 2] = [24, 23];
 
@@ -101,6 +101,7 @@
             Ok(ended) => ended,
             Err(_) => return false,
         };
+        let full = input.len() > UNREAD;
         let Some(current) = exchange else {
             // Nothing was asked, so nothing should come; an end means that it stood idle for too long.
             if ended || !input.is_empty() {
@@ -121,6 +122,8 @@
         }
         match current.take(node, link, &mut input, ended) {
             Step::More if ended => return false,
+            // What was left in the socket makes no event.
+            Step::More if full => {}
             Step::More => {
                 socket.wait_io();
             }
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -74,7 +74,7 @@
 pub struct Node {
     inner: Mutex<Inner>,
     pub clock: Clock,
-    alarm: Alarm,
+    pub(crate) alarm: Alarm,
     pub names: Names,
     pub layout: ReportLayout,
     /// Whether stamped products' marks are asked for, by product.
@@ -104,7 +104,7 @@
         Arc::new(Self {
             inner: Mutex::new(Inner { core, effects, links, clients, next_client: 0 }),
             clock,
-            alarm: Alarm::default(),
+            alarm: Alarm::start(clock),
             names,
             layout,
             stamped,
@@ -230,7 +230,7 @@
     /// Rings the reducer's timers, for ever.
     pub fn keep_time(self: &Arc<Self>) {
         loop {
-            self.alarm.wait(&self.clock);
+            self.alarm.wait();
             self.feed(Input::Tick);
         }
     }
