Reports nested deeply no longer overflow a coroutine's stack; wakes are asked once

Seen: a done line whose load was nested 122 levels deep was never read: the executor's coroutine overflowed its stack (may ends the coroutine), and the submission was aborted at its cut-off. At fault: load and the list's entries were read as trees (Line, RawList). They stay text now, and figures are read one by one. Also: the alarm asks for one wake at a time; the log's queue is bounded at 4,096 lines.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -9,15 +9,19 @@
 use linestack_dispatch::types::{ListKind, Repeats};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use tracing_appender::non_blocking::NonBlockingBuilder;
 
 /// A coroutine's stack.
 const STACK_WORDS: usize = 0x4000;
 /// Stacks that are kept for the next connection.
 const KEPT_STACKS: usize = 64;
+/// Log lines that wait to be written, at most.
+const LOG_LINES: usize = 4096;
 
 fn main() -> ExitCode {
     // Lines are written by a thread of their own and dropped when nobody reads them: no coroutine waits.
-    let (writer, guard) = tracing_appender::non_blocking(std::io::stderr());
+    let writer = NonBlockingBuilder::default().buffered_lines_limit(LOG_LINES).lossy(true);
+    let (writer, guard) = writer.finish(std::io::stderr());
     let level = std::env::var("PROXY_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::INFO);
     tracing_subscriber::fmt().with_writer(writer).with_ansi(false).with_max_level(level).init();
     let config = match config::read(|key| std::env::var(key).ok(), |path| std::fs::read_to_string(path)) {
--- a/crates/node/src/net/clock.rs
+++ b/crates/node/src/net/clock.rs
@@ -2,7 +2,6 @@
 
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
-use std::sync::atomic::{self, AtomicU64};
 use std::sync::{Arc, Condvar, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -103,40 +102,59 @@
 /// Rings when the reducer has something due.
 pub struct Alarm {
     clock: Clock,
-    due: AtomicU64,
+    set: Mutex<Set>,
     sleeper: OnceLock<Coroutine>,
     waker: Arc<Waker>,
 }
 
+struct Set {
+    due: Nanos,
+    /// The earliest time for which a wake has been asked and has not come.
+    asked: Nanos,
+}
+
 impl Alarm {
     #[must_use]
     pub fn start(clock: Clock) -> Self {
-        Self { clock, due: AtomicU64::new(0), sleeper: OnceLock::new(), waker: Waker::start(clock) }
+        let set = Mutex::new(Set { due: 0, asked: Nanos::MAX });
+        Self { clock, set, sleeper: OnceLock::new(), waker: Waker::start(clock) }
     }
 
     /// Something is due then, and nothing earlier.
     pub fn set(&self, due: Nanos) {
-        let before = self.due.swap(due, atomic::Ordering::AcqRel);
-        if due < before
+        let mut set = lock(&self.set);
+        set.due = due;
+        self.ask(&mut set);
+    }
+
+    fn ask(&self, set: &mut Set) {
+        if set.due < set.asked
             && let Some(sleeper) = self.sleeper.get()
         {
-            self.waker.wake(due, sleeper.clone());
+            set.asked = set.due;
+            self.waker.wake(set.due, sleeper.clone());
         }
     }
 
     /// Waits until something is due. Only one coroutine may wait here.
     pub fn wait(&self) {
-        let sleeper = self.sleeper.get_or_init(coroutine::current);
-        loop {
-            let due = self.due.load(atomic::Ordering::Acquire);
-            if due <= self.clock.now() {
-                return;
-            }
-            self.waker.wake(due, sleeper.clone());
+        self.sleeper.get_or_init(coroutine::current);
+        while !self.is_due() {
             coroutine::park();
         }
     }
 
+    fn is_due(&self) -> bool {
+        let (mut set, now) = (lock(&self.set), self.clock.now());
+        if set.asked <= now {
+            set.asked = Nanos::MAX;
+        }
+        if set.due > now {
+            self.ask(&mut set);
+        }
+        set.due <= now
+    }
+
     /// Lets the calling coroutine sleep.
     pub fn sleep(&self, span: Duration) {
         let until = self.clock.now() + span.as_nanos() as Nanos;
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -10,6 +10,7 @@
 use linestack_dispatch::types::{Health, ListKind};
 use may::net::TcpStream;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use thiserror::Error;
 
 use super::{Node, object};
@@ -51,12 +52,15 @@
     pub endpoints: Vec<Endpoint>,
 }
 
+/// Its entries stay text here: what is nested a hundred levels deep and read as a tree would fill a
+/// coroutine's stack.
 #[derive(Deserialize)]
-struct RawList {
+struct RawList<'a> {
     index: u64,
     #[serde(default)]
     snapshot: bool,
-    endpoints: Vec<serde_json::Value>,
+    #[serde(borrow)]
+    endpoints: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -79,7 +83,7 @@
     pub fn read(line: &[u8]) -> Result<Self, serde_json::Error> {
         let raw: RawList = object(line)?;
         let endpoints = raw.endpoints.into_iter().filter_map(|entry| {
-            let read = serde_json::from_value(entry).ok().and_then(endpoint);
+            let read = object(entry.get().as_bytes()).ok().and_then(endpoint);
             if read.is_none() {
                 tracing::warn!("an entry of the list makes no sense and is left out");
             }
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -1,6 +1,8 @@
 //! Connections to executors: one coroutine each. It connects, sends what its post brings, and tells the
 //! reducer what came back, and how far it had got when the connection broke.
 
+use std::borrow::Cow;
+use std::collections::BTreeMap;
 use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,6 +13,7 @@
 use may::io::WaitIo;
 use may::net::TcpStream;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use super::{Node, Post, object};
 use crate::core::{Broken, Input, Link, Shipment};
@@ -228,10 +231,7 @@
                 _ => Some(false),
             };
             let body = std::str::from_utf8(&self.text).unwrap_or("");
-            let report = match serde_json::from_str::<serde_json::Value>(body) {
-                Ok(load) => json_report(node, load.get("load").unwrap_or(&load)),
-                Err(_) => text_report(node, body),
-            };
+            let report = json_report(node, body).or_else(|| text_report(node, body));
             let report = report.or_else(|| head.load.as_deref().and_then(|text| text_report(node, text)));
             node.feed(Input::Probed { link, answered, report });
         }
@@ -268,7 +268,7 @@
                 return false;
             };
             let head = self.head.as_ref().and_then(|h| h.load.as_deref());
-            let report = line.load.as_ref().and_then(|load| json_report(node, load));
+            let report = line.load.and_then(|load| json_report(node, load.get()));
             let report = report.or_else(|| head.and_then(|text| text_report(node, text)));
             self.tell(node, link, outcome, Bytes::from(result), report);
         }
@@ -276,13 +276,15 @@
 }
 
 #[derive(Deserialize)]
-struct Line {
-    id: String,
-    state: String,
+struct Line<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+    #[serde(borrow)]
+    state: Cow<'a, str>,
     #[serde(default)]
     result: Option<String>,
-    #[serde(default)]
-    load: Option<serde_json::Value>,
+    #[serde(borrow, default)]
+    load: Option<&'a RawValue>,
 }
 
 /// The name that a figure has in reports on sockets, where it differs from that in the settings.
@@ -302,11 +304,14 @@
     })
 }
 
-fn json_report(node: &Node, load: &serde_json::Value) -> Option<Report> {
+/// The figures stay text until they are asked for: read as a tree, what is nested a hundred levels deep
+/// would fill the stack.
+fn json_report(node: &Node, load: &str) -> Option<Report> {
+    let load: BTreeMap<Cow<'_, str>, &RawValue> = object(load.as_bytes()).ok()?;
     node.layout.report(|place| {
         let name = node.names.figures.get(place)?;
-        let figure = load.get(name).or_else(|| load.get(plain(name)))?;
-        figure.as_f64().map(|f| f as f32)
+        let figure = load.get(name.as_str()).or_else(|| load.get(plain(name)))?;
+        figure.get().parse().ok()
     })
 }
 
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -15,7 +15,7 @@
 use linestack_settings::{Names, ReportLayout};
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
-use serde::de::DeserializeOwned;
+use serde::Deserialize;
 
 use crate::core::{Client, Core, Effect, Input, Link};
 use clock::{Alarm, Clock};
@@ -35,7 +35,7 @@
 }
 
 /// Reads a JSON object. An array would do for its fields in their order, and is not what anybody means.
-pub(crate) fn object<T: DeserializeOwned>(text: &[u8]) -> Result<T, serde_json::Error> {
+pub(crate) fn object<'a, T: Deserialize<'a>>(text: &'a [u8]) -> Result<T, serde_json::Error> {
     if text.trim_ascii_start().first() != Some(&b'{') {
         return Err(serde::de::Error::custom("not an object"));
     }
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -193,6 +193,17 @@
     assert_eq!(jobs.try_iter().count(), 1);
 }
 
+// Read as a tree, it would overflow the coroutine's stack.
+#[test]
+fn a_deeply_nested_report_does_no_harm() {
+    let (open, shut) = ("{\"a\":[".repeat(60), "]}".repeat(60));
+    let load = format!("{{\"x0\":{open}{shut}}}");
+    let line = format!("{{\"id\":\"ID\",\"state\":\"done\",\"result\":\"r\",\"load\":{load}}}\n");
+    let (address, _jobs) = executor(Some(line));
+    let (head, body) = ask(&mut Node::start(&[address]).client(), &job(1, "pay", "")).unwrap();
+    assert!(head.starts_with("HTTP/1.1 200") && body == "r", "{head}");
+}
+
 #[test]
 fn a_job_handed_back_by_the_only_executor_is_dismissed() {
     let (address, _jobs) = executor(Some("{\"id\":\"ID\",\"state\":\"returned\"}\n".into()));
