A second node at the same address does not start, where it would have shared clients

Seen in may's source: its listener shares its port (SO_REUSEPORT), so a second node, or an old one still stopping, would be dealt a part of the new one's clients. A socket that does not share is bound first and finds out. Test: the second node exits with 1. Also: executions are called that in the reducer.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -240,14 +240,14 @@
     client: Option<Client>,
     cut_off: Nanos,
     shipment: Arc<Shipment>,
-    attempts: Vec<Attempt>,
+    executions: Vec<Sent>,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Attempt {
+struct Sent {
     worker: Worker,
-    sent: Nanos,
-    deadline: Nanos,
+    at: Nanos,
+    until: Nanos,
     link: Option<Link>,
 }
 
@@ -472,8 +472,8 @@
             Order::Subscribe => self.effects.push(Effect::Watch),
             Order::Forget { submission } => {
                 let taken = self.taken.get_mut(submission as usize).and_then(Option::take);
-                let over =
-                    taken.is_some_and(|t| t.client.is_none() && t.attempts.iter().all(|a| a.link.is_none()));
+                let over = taken
+                    .is_some_and(|t| t.client.is_none() && t.executions.iter().all(|a| a.link.is_none()));
                 must!(self, over, "forgotten while something was owed or out");
                 self.free.push(submission);
             }
@@ -570,7 +570,7 @@
         let cut_off = self.now + intake.patience;
         let (number, shipment) = (self.stats.taken, intake.shipment);
         self.taken[submission as usize] =
-            Some(Taken { number, client: Some(client), cut_off, shipment, attempts: Vec::new() });
+            Some(Taken { number, client: Some(client), cut_off, shipment, executions: Vec::new() });
         self.arm(cut_off, Timer::CutOff(submission, number));
         let Intake { product, tenant, slots, memory, .. } = intake;
         let job = Job { product, tenant, cut_off, slots, memory };
@@ -607,9 +607,9 @@
             must!(self, false, "an execution of what is not held");
             return;
         };
-        let execution = taken.attempts.len() as Execution;
-        let deadline = self.now + timeout;
-        taken.attempts.push(Attempt { worker, sent: self.now, deadline, link: None });
+        let execution = taken.executions.len() as Execution;
+        let until = self.now + timeout;
+        taken.executions.push(Sent { worker, at: self.now, until, link: None });
         self.stats.executions += 1;
         let load = Load::Execution(submission, execution);
         match self.pooled(worker) {
@@ -618,13 +618,13 @@
         }
     }
 
-    fn attempt(&mut self, submission: Submission, execution: Execution) -> Option<&mut Attempt> {
+    fn sent(&mut self, submission: Submission, execution: Execution) -> Option<&mut Sent> {
         let taken = self.taken.get_mut(submission as usize)?.as_mut()?;
-        taken.attempts.get_mut(usize::from(execution))
+        taken.executions.get_mut(usize::from(execution))
     }
 
     fn cancel(&mut self, submission: Submission, execution: Execution) {
-        let Some(link) = self.attempt(submission, execution).and_then(|a| a.link) else { return };
+        let Some(link) = self.sent(submission, execution).and_then(|a| a.link) else { return };
         let Some(line) = self.links.get_mut(&link) else { return };
         if line.stage == Stage::Opening {
             // Nothing was sent; the connection is as good for the next.
@@ -646,9 +646,9 @@
         report: Option<Report>,
     ) {
         let now = self.now;
-        let Some(attempt) = self.attempt(submission, execution) else { return };
-        attempt.link = None;
-        let (worker, took) = (attempt.worker, now - attempt.sent);
+        let Some(sent) = self.sent(submission, execution) else { return };
+        sent.link = None;
+        let (worker, took) = (sent.worker, now - sent.at);
         match outcome {
             Outcome::Reset => self.stats.resets += 1,
             Outcome::ConnectFailed => self.stats.connect_failed += 1,
@@ -690,9 +690,9 @@
         let mut limit = self.connect_timeout;
         if let Load::Execution(submission, execution) = load {
             let now = self.now;
-            if let Some(attempt) = self.attempt(submission, execution) {
-                attempt.link = Some(link);
-                limit = limit.min(attempt.deadline.saturating_sub(now));
+            if let Some(sent) = self.sent(submission, execution) {
+                sent.link = Some(link);
+                limit = limit.min(sent.until.saturating_sub(now));
             }
         }
         self.stats.links_opened += 1;
@@ -721,7 +721,7 @@
         let now = self.now;
         match load {
             Load::Execution(submission, execution) => {
-                ready && self.attempt(submission, execution).is_some_and(|a| a.deadline > now)
+                ready && self.sent(submission, execution).is_some_and(|a| a.until > now)
             }
             Load::Probe => true,
         }
@@ -746,13 +746,13 @@
                 now + self.connect_timeout / 2
             }
             Load::Execution(submission, execution) => {
-                let Some(attempt) = self.attempt(submission, execution) else { return };
-                attempt.link = Some(link);
-                let deadline = attempt.deadline;
+                let Some(sent) = self.sent(submission, execution) else { return };
+                sent.link = Some(link);
+                let until = sent.until;
                 let shipment = self.taken[submission as usize].as_ref().map(|t| t.shipment.clone());
                 let shipment = shipment.unwrap_or_default();
-                self.effects.push(Effect::Send { link, shipment, wait: deadline - now });
-                deadline
+                self.effects.push(Effect::Send { link, shipment, wait: until - now });
+                until
             }
         };
         if let Some(line) = self.links.get_mut(&link) {
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -9,6 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use may::io::WaitIo;
 use may::net::{TcpListener, TcpStream};
+use socket2::{Domain, Socket, Type};
 
 use super::{Node, Post, spawn};
 use crate::core::{Answer, Client, Input, Intake, Phase, Shipment};
@@ -29,6 +30,12 @@
 /// Takes in clients for as long as the program runs.
 /// Returns the address that it listens on.
 pub fn accept(node: &Arc<Node>, listen: SocketAddr) -> io::Result<SocketAddr> {
+    // may shares its ports, so a second node at the same address would take a part of the first one's
+    // clients and nobody would be told. A socket that does not share finds out.
+    let alone = Socket::new(Domain::for_address(listen), Type::STREAM, None)?;
+    alone.set_reuse_address(true)?;
+    alone.bind(&listen.into())?;
+    drop(alone);
     let listener = TcpListener::bind(listen)?;
     let address = listener.local_addr()?;
     let node = Arc::clone(node);
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -4,7 +4,9 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
@@ -72,8 +74,7 @@
 }
 
 impl Node {
-    /// A node that knows these executors and finds no discovery.
-    fn start(executors: &[SocketAddr]) -> Self {
+    fn configuration(executors: &[SocketAddr]) -> String {
         let known = executors.iter().enumerate().map(|(i, address)| {
             format!(
                 r#"{{"name":"w{i}","address":"{address}","zone":"here","type":"small","status":"active"}}"#
@@ -81,17 +82,25 @@
         });
         let known: Vec<_> = known.collect();
         let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let text = format!(
+        format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{nobody}","seed":"1","settings":{},
             "known":{{"index":1,"snapshot":true,"endpoints":[{}]}}}}"#,
             common::SETTINGS,
             known.join(",")
-        );
-        static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
-        let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let name = format!("linestack-{}-{number}.json", std::process::id());
-        let path = std::env::temp_dir().join(name);
+        )
+    }
+
+    fn file(text: &str) -> PathBuf {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("linestack-{}-{number}.json", std::process::id()));
         std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    /// A node that knows these executors and finds no discovery.
+    fn start(executors: &[SocketAddr]) -> Self {
+        let path = Self::file(&Self::configuration(executors));
         let mut command = Command::new(env!("CARGO_BIN_EXE_linestack"));
         command.env("PROXY_CONFIG", &path).env_remove("PROXY_LISTEN").stderr(Stdio::piped());
         let mut process = command.spawn().unwrap();
@@ -226,6 +235,18 @@
     assert_eq!(node.process.wait().unwrap().code(), Some(0));
 }
 
+#[test]
+fn a_second_node_at_the_same_address_does_not_start() {
+    let (address, _jobs) = executor(None);
+    let first = Node::start(&[address]);
+    let text = Node::configuration(&[address])
+        .replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{}\"", first.address));
+    let path = Node::file(&text);
+    let output = Command::new(env!("CARGO_BIN_EXE_linestack")).env("PROXY_CONFIG", &path).output().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(output.status.code(), Some(1));
+}
+
 #[test]
 fn a_configuration_at_fault_ends_the_start() {
     let mut command = Command::new(env!("CARGO_BIN_EXE_linestack"));
