A stopping node stays 0.7 s for what crosses its closing; watches that end are tested

The reducer could ask for the end as soon as its last client was gone, 0.45 s after SIGTERM; a request sent once more because its connection was closed then met nobody. Also: broken invariants leave the reducer as an effect, for it logs nothing itself.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -24,8 +24,10 @@
 const CLIENT_PATIENCE: Nanos = 5 * SECOND;
 /// A client that asks for nothing for so long has been forgotten by whatever was between.
 const CLIENT_IDLE: Nanos = 300 * SECOND;
-/// After SIGTERM new connections go on coming for up to 0.4 s.
+/// After SIGTERM new connections go on coming for up to 0.4 s. What crosses the closing of an idle one is
+/// sent once more, so the node stays a little longer than that.
 const STOP_GRACE: Nanos = SECOND * 9 / 20;
+const STAY: Nanos = SECOND / 4;
 const REPORT_EVERY: Nanos = 10 * SECOND;
 /// Where changes are pushed: how soon a watch that ended is opened again, at the earliest.
 const WATCH_AGAIN: Nanos = SECOND / 2;
@@ -174,6 +176,8 @@
         link: Link,
     },
     Watch,
+    /// Something that must hold did not; it has been counted.
+    Fault(&'static str),
     Report(Stats),
     Exit,
 }
@@ -211,6 +215,7 @@
     CutOff(Submission, u64),
     Watch,
     Refuse,
+    Leave,
     Report,
 }
 
@@ -310,6 +315,7 @@
     listed: bool,
     stopping: bool,
     refusing: bool,
+    leaving: bool,
 }
 
 /// What must hold: asserted in debug builds, counted in release builds.
@@ -318,7 +324,7 @@
         if !$holds {
             debug_assert!(false, $what);
             $core.stats.broken += 1;
-            tracing::error!(what = $what, "invariant broken");
+            $core.effects.push(Effect::Fault($what));
         }
     };
 }
@@ -357,6 +363,7 @@
             listed: false,
             stopping: false,
             refusing: false,
+            leaving: false,
         };
         core.arm(0, Timer::Report);
         if !core.asks {
@@ -430,7 +437,7 @@
             }
         }
         self.settle();
-        if self.refusing && self.clients.is_empty() {
+        if self.leaving && self.clients.is_empty() {
             self.effects.push(Effect::Exit);
         }
         effects.append(&mut self.effects);
@@ -901,8 +908,10 @@
                 }
             }
             Timer::Watch => self.effects.push(Effect::Watch),
+            Timer::Leave => self.leaving = true,
             Timer::Refuse => {
                 self.refusing = true;
+                self.arm(self.now + STAY, Timer::Leave);
                 let idle =
                     self.clients.iter().filter(|(_, g)| g.phase == Phase::Idle && g.submission.is_none());
                 let mut idle: Vec<Client> = idle.map(|(c, _)| *c).collect();
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -161,25 +161,12 @@
                         }
                         Ok(true) => {
                             let Some(incoming) = head.take() else { break };
-                            let Incoming { request, text, .. } = *incoming;
-                            let last = request.close;
-                            if &text[request.method.clone()] == b"GET" {
-                                let status = if &text[request.path.clone()] != b"/healthz" {
-                                    404
-                                } else if node.ready() {
-                                    200
-                                } else {
-                                    503
-                                };
-                                state = State::Answering { out: bare(status, last), last };
-                                continue;
-                            }
-                            match intake(node, &request, &text, body.split().freeze()) {
-                                Ok(intake) => {
+                            match requested(node, *incoming, body.split().freeze()) {
+                                Ok(Asked::Execution(intake, last)) => {
                                     state = State::Waiting { last };
                                     node.feed(Input::Submitted { client, intake });
-                                    break;
                                 }
+                                Ok(Asked::Health(out, last)) => state = State::Answering { out, last },
                                 Err(fault) => state = turned_down(node, client, fault),
                             }
                         }
@@ -257,12 +244,25 @@
     Ok(whole)
 }
 
+enum Asked {
+    Execution(Intake, bool),
+    Health(Out, bool),
+}
+
+fn requested(node: &Node, incoming: Incoming, body: Bytes) -> Result<Asked, Fault> {
+    let Incoming { request, text, .. } = incoming;
+    let last = request.close;
+    match (&text[request.method.clone()], &text[request.path.clone()]) {
+        (b"GET", b"/healthz") => Ok(Asked::Health(bare(if node.ready() { 200 } else { 503 }, last), last)),
+        (b"GET", _) => Ok(Asked::Health(bare(404, last), last)),
+        (b"POST", _) => Ok(Asked::Execution(intake(node, &request, &text, body)?, last)),
+        _ => Err(Fault { status: 405, why: "POST only" }),
+    }
+}
+
 /// What a request asks for, if it may be executed at all.
 fn intake(node: &Node, request: &Request, text: &Bytes, body: Bytes) -> Result<Intake, Fault> {
     let bad = |why| Fault { status: 400, why };
-    if &text[request.method.clone()] != b"POST" {
-        return Err(Fault { status: 405, why: "POST only" });
-    }
     let part = |range: &Option<Range<usize>>| range.clone().map(|r| text.slice(r)).filter(|t| !t.is_empty());
     let place = |names: &[String], name: &Bytes| names.iter().position(|n| n.as_bytes() == &name[..]);
     let id = part(&request.id).ok_or(bad("no Req-Id"))?;
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -204,6 +204,7 @@
                     spawn(move || discovery::watch(&node));
                 }
             }
+            Effect::Fault(what) => tracing::error!(what, "invariant broken"),
             Effect::Report(stats) => {
                 tracing::info!(
                     taken = stats.taken,
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -312,6 +312,8 @@
     assert!(node.effects.iter().any(|e| matches!(e, Effect::Answer { last: true, .. })));
     assert!(!node.effects.iter().any(|e| matches!(e, Effect::Exit)));
     node.feed(Input::ClientGone { client: busy });
+    assert!(!node.effects.iter().any(|e| matches!(e, Effect::Exit)));
+    node.pass(250 * MS);
     assert!(node.effects.iter().any(|e| matches!(e, Effect::Exit)));
 }
 
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -74,16 +74,17 @@
 }
 
 impl Node {
-    fn configuration(executors: &[SocketAddr]) -> String {
+    fn configuration(executors: &[SocketAddr], discovery: Option<SocketAddr>) -> String {
         let known = executors.iter().enumerate().map(|(i, address)| {
             format!(
                 r#"{{"name":"w{i}","address":"{address}","zone":"here","type":"small","status":"active"}}"#
             )
         });
         let known: Vec<_> = known.collect();
-        let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let nobody = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let discovery = discovery.unwrap_or_else(nobody);
         format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{nobody}","seed":"1","settings":{},
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1","settings":{},
             "known":{{"index":1,"snapshot":true,"endpoints":[{}]}}}}"#,
             common::SETTINGS,
             known.join(",")
@@ -100,7 +101,11 @@
 
     /// A node that knows these executors and finds no discovery.
     fn start(executors: &[SocketAddr]) -> Self {
-        let path = Self::file(&Self::configuration(executors));
+        Self::start_with(&Self::configuration(executors, None))
+    }
+
+    fn start_with(text: &str) -> Self {
+        let path = Self::file(text);
         let mut command = Command::new(env!("CARGO_BIN_EXE_linestack"));
         command.env("PROXY_CONFIG", &path).env_remove("PROXY_LISTEN").stderr(Stdio::piped());
         let mut process = command.spawn().unwrap();
@@ -134,6 +139,8 @@
 const DONE: &str = "{\"id\":\"ID\",\"from\":\"w0\",\"state\":\"running\",\"share\":0.5}\n\
                     {\"id\":\"ID\",\"from\":\"w0\",\"state\":\"done\",\"result\":\"r \\u0041 ID\"}\n";
 
+const LISTED: &str = "{\"index\":41,\"snapshot\":true,\"endpoints\":[NEW]}\n";
+
 #[test]
 fn a_job_goes_through_unchanged_and_its_result_comes_back() {
     let (address, jobs) = executor(Some(DONE.into()));
@@ -235,11 +242,52 @@
     assert_eq!(node.process.wait().unwrap().code(), Some(0));
 }
 
+// Whatever ends a watch, the next one asks for what came after the last list that was understood.
+#[rstest]
+#[case::ends(chunked(&LISTED.replace("NEW", "")), "after=41")]
+#[case::breaks_in_a_line("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40\r\n{\"index\":".into(), "after=1")]
+#[case::no_list(chunked("[41,true,[]]\n"), "after=1")]
+#[case::bad_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n".into(), "after=1")]
+#[case::fails("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".into(), "after=1")]
+#[case::garbage("\u{1}\u{2}\r\n\r\n".into(), "after=1")]
+fn a_watch_that_ends_is_asked_for_again(#[case] first: String, #[case] after: &str) {
+    let (address, _jobs) = executor(Some(DONE.into()));
+    let entry =
+        format!(r#"{{"name":"w0","address":"{address}","zone":"here","type":"small","status":"active"}}"#);
+    let second = chunked(&LISTED.replace("NEW", &entry)).replace("0\r\n\r\n", "");
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let text = Node::configuration(&[], Some(listener.local_addr().unwrap()));
+    let (asked, asks) = channel();
+    std::thread::spawn(move || {
+        let mut open = Vec::new();
+        for (socket, reply) in listener.incoming().zip([first, second]) {
+            let mut socket = BufReader::new(socket.unwrap());
+            let _ = asked.send(message(&mut socket).unwrap().0);
+            socket.get_mut().write_all(reply.as_bytes()).unwrap();
+            // The first is closed, the second stays open.
+            open = vec![socket];
+        }
+        std::thread::park();
+        drop(open);
+    });
+    let node = Node::start_with(&text);
+    assert!(asks.recv().unwrap().starts_with("GET /v1/servers?watch=1&after=1 HTTP/1.1\r\n"));
+    assert!(asks.recv().unwrap().contains(&format!("{after} HTTP/1.1")));
+    let mut client = node.client();
+    let ready = |head: String| head.starts_with("HTTP/1.1 200");
+    while !ready(ask(&mut client, "GET /healthz HTTP/1.1\r\n\r\n").unwrap().0) {
+        std::thread::yield_now();
+    }
+    while !ready(ask(&mut client, &job(1, "look", "")).unwrap().0) {
+        std::thread::yield_now();
+    }
+}
+
 #[test]
 fn a_second_node_at_the_same_address_does_not_start() {
     let (address, _jobs) = executor(None);
     let first = Node::start(&[address]);
-    let text = Node::configuration(&[address])
+    let text = Node::configuration(&[address], None)
         .replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{}\"", first.address));
     let path = Node::file(&text);
     let output = Command::new(env!("CARGO_BIN_EXE_linestack")).env("PROXY_CONFIG", &path).output().unwrap();
