--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use thiserror::Error;
+use tracing::Level;
 
 use crate::net::discovery::List;
 
@@ -13,7 +14,7 @@
 #[error("{key}: {why}")]
 pub struct Fault {
     /// The variable or the key in the file that is at fault.
-    pub key: &'static str,
+    pub key: String,
     pub why: String,
 }
 
@@ -65,23 +66,34 @@
 const LEAST_SOCKETS: usize = 32;
 const LEAST_MEMORY_MB: u64 = 32;
 
+/// How much is logged. It is read first, so that the rest can be logged.
+pub fn level(variable: impl Fn(&str) -> Option<String>) -> Result<Level, Fault> {
+    const KEY: &str = "PROXY_LOG";
+    let Some(text) = variable(KEY) else { return Ok(Level::INFO) };
+    text.parse().map_err(|_| Fault { key: KEY.to_owned(), why: format!("{text:?} is not a level") })
+}
+
 /// Reads what the variables name; `variable` gives their values, `file` the text of a file.
 pub fn read(
     variable: impl Fn(&str) -> Option<String>,
     file: impl Fn(&str) -> std::io::Result<String>,
 ) -> Result<Config, Fault> {
-    let fault = |key, why: String| Fault { key, why };
+    let fault = |key: &str, why: String| Fault { key: key.to_owned(), why };
     let path = variable("PROXY_CONFIG").ok_or(fault("PROXY_CONFIG", "not set".into()))?;
     let text = file(&path).map_err(|e| fault("PROXY_CONFIG", format!("{path}: {e}")))?;
-    let file: File =
-        serde_json::from_str(&text).map_err(|e| fault("PROXY_CONFIG", format!("{path}: {e}")))?;
-    let either = |key, from_file: Option<String>| {
+    let read = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(&text));
+    let file: File = read.map_err(|e| match e.path().to_string().as_str() {
+        // No JSON at all.
+        "." | "?" => fault("PROXY_CONFIG", format!("{path}: {}", e.inner())),
+        key => fault(key, e.inner().to_string()),
+    })?;
+    let either = |key: &str, from_file: Option<String>| {
         variable(key)
             .or(from_file)
             .filter(|v| !v.is_empty())
             .ok_or(fault(key, "not set, nor in the file".into()))
     };
-    let address = |key, from_file| {
+    let address = |key: &str, from_file| {
         let text: String = either(key, from_file)?;
         text.parse::<SocketAddr>().map_err(|e| fault(key, format!("{text:?}: {e}, wanted IP:PORT")))
     };
@@ -100,7 +112,7 @@
     }
     let settings = file.settings.ok_or(fault("settings", "missing".into()))?;
     let settings = linestack_settings::read(settings.get().as_bytes(), seed)
-        .map_err(|e| fault("settings", e.to_string()))?;
+        .map_err(|e| fault(format!("settings.{}", e.path()).trim_end_matches('.'), e.inner().to_string()))?;
     if settings.names.products.is_empty() {
         return Err(fault("settings.products", "none is named".into()));
     }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -23,10 +23,12 @@
     // Lines are written by a thread of their own and dropped when nobody reads them: no coroutine waits.
     let writer = NonBlockingBuilder::default().buffered_lines_limit(LOG_LINES).lossy(true);
     let (writer, guard) = writer.finish(std::io::stderr());
-    let level = std::env::var("PROXY_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::INFO);
-    tracing_subscriber::fmt().with_writer(writer).with_ansi(false).with_max_level(level).init();
+    let variable = |key: &str| std::env::var(key).ok();
+    let level = config::level(variable);
+    let most = *level.as_ref().unwrap_or(&tracing::Level::INFO);
+    tracing_subscriber::fmt().with_writer(writer).with_ansi(false).with_max_level(most).init();
     std::panic::set_hook(Box::new(|panic| tracing::error!(%panic, "panicked")));
-    let config = match config::read(|key| std::env::var(key).ok(), |path| std::fs::read_to_string(path)) {
+    let config = match level.and_then(|_| config::read(variable, |path| std::fs::read_to_string(path))) {
         Ok(config) => config,
         Err(fault) => {
             tracing::error!(%fault, "configuration");
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -31,6 +31,16 @@
     config::read(variable, file)
 }
 
+#[rstest]
+#[case(None, Some("INFO"))]
+#[case(Some("debug"), Some("DEBUG"))]
+#[case(Some("loud"), None)]
+fn the_log_s_level_is_read(#[case] set: Option<&str>, #[case] level: Option<&str>) {
+    let found = config::level(|key| set.filter(|_| key == "PROXY_LOG").map(str::to_owned));
+    assert_eq!(found.as_ref().ok().map(ToString::to_string).as_deref(), level);
+    assert!(found.err().is_none_or(|fault| fault.key == "PROXY_LOG"));
+}
+
 #[test]
 fn a_whole_configuration_is_read_and_variables_go_first() {
     let config = read(Some("there"), Some("127.0.0.1:9"), &file(("n0", "n0"))).unwrap();
@@ -61,7 +71,10 @@
 #[case::few_sockets(Some("there"), None, ("1024", "8"), "limits.sockets")]
 #[case::little_memory(Some("there"), None, ("192", "1"), "limits.memory_mb")]
 #[case::no_settings(Some("there"), None, ("\"settings\"", "\"other\""), "settings")]
-#[case::bad_settings(Some("there"), None, ("\"balancers\": 2", "\"balancers\": \"two\""), "settings")]
+#[case::bad_limit(Some("there"), None, ("1024", "\"many\""), "limits.sockets")]
+#[case::bad_settings(Some("there"), None, ("\"balancers\": 2", "\"balancers\": \"two\""), "settings.balancers")]
+#[case::settings_no_object(Some("there"), None, ("\"settings\":", "\"settings\":7,\"other\":"), "settings")]
+#[case::bad_product(Some("there"), None, ("\"payoff\": 1.0", "\"payoff\": \"1\""), "settings.products[0].payoff")]
 #[case::no_products(Some("there"), None, ("\"products\"", "\"other\""), "settings.products")]
 fn the_key_at_fault_is_named(
     #[case] path: Option<&str>,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -206,9 +206,12 @@
     (millis * 1e6).round() as Nanos
 }
 
+/// Where in the settings something makes no sense, and why.
+pub type Fault = serde_path_to_error::Error<serde_json::Error>;
+
 /// Reads the settings object. `seed` is the source of this node's chance.
-pub fn read(text: &[u8], seed: u64) -> Result<Settings, serde_json::Error> {
-    let info: Info = serde_json::from_slice(text)?;
+pub fn read(text: &[u8], seed: u64) -> Result<Settings, Fault> {
+    let info: Info = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(text))?;
     let family = &info.family_info;
     let product = |(i, class): (usize, &Class)| Product {
         repeats: match class.effect.as_str() {
--- a/crates/simwire/src/lib.rs
+++ b/crates/simwire/src/lib.rs
@@ -24,7 +24,7 @@
     #[error("batch {batch}: record {record} points outside the tail ({offset} + {length} of {tail} bytes)")]
     Tail { batch: u32, record: u32, offset: u32, length: u64, tail: usize },
     #[error("batch {batch}: the start text is not usable: {why}")]
-    Start { batch: u32, why: serde_json::Error },
+    Start { batch: u32, why: linestack_settings::Fault },
     #[error("batch {batch}: record {record} has the unknown {what} {value}")]
     Value { batch: u32, record: u32, what: &'static str, value: u8 },
     #[error("after batch {after}: {why}")]
