--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,7 +1,9 @@
 //! Starts the node, and stops it when it is told to.
 
+use std::io::ErrorKind;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use linestack::config::{self, Config};
 use linestack::core::{Core, Input};
@@ -16,6 +18,9 @@
 const STACK_WORDS: usize = 0x2000;
 /// Stacks that are kept for the next connection.
 const KEPT_STACKS: usize = 64;
+/// How long to wait for an address that is taken: 2 s in all.
+const LISTEN_TRIES: u32 = 40;
+const LISTEN_AGAIN: Duration = Duration::from_millis(50);
 /// Log lines that wait to be written, at most.
 const LOG_LINES: usize = 4096;
 
@@ -73,11 +78,18 @@
     let (index, endpoints) = known.map_or((0, Vec::new()), |known| (known.index, known.endpoints));
     node.index.store(index, std::sync::atomic::Ordering::Relaxed);
     node.feed(Input::Listed { kind: ListKind::Cached, endpoints });
-    let listen = match clients::accept(&node, listen) {
-        Ok(address) => address,
-        Err(why) => {
-            tracing::error!(%listen, %why, "listen");
-            return ExitCode::FAILURE;
+    let mut tries = 0..LISTEN_TRIES;
+    let listen = loop {
+        match clients::accept(&node, listen) {
+            Ok(address) => break address,
+            // The one before it may not be quite gone.
+            Err(why) if tries.next().is_some() && why.kind() == ErrorKind::AddrInUse => {
+                std::thread::sleep(LISTEN_AGAIN);
+            }
+            Err(why) => {
+                tracing::error!(%listen, %why, "listen");
+                return ExitCode::FAILURE;
+            }
         }
     };
     let timed = Arc::clone(&node);
