--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -48,19 +48,15 @@
             return ExitCode::FAILURE;
         }
     };
-    let config_ = may::config();
-    config_.set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(KEPT_STACKS);
-    config_.set_worker_pin(false);
+    let scheduler = may::config();
+    scheduler.set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(KEPT_STACKS);
+    // Nodes on one machine would all be pinned to its first core.
+    scheduler.set_worker_pin(false);
     let (done, finished) = std::sync::mpsc::channel();
     let Config { name, listen, discovery, known, settings, sockets, memory_mb, .. } = config;
     let parts = Parts {
         clock: Clock::start(),
-        names: linestack_settings::Names {
-            products: settings.names.products.clone(),
-            tenants: settings.names.tenants.clone(),
-            figures: settings.names.figures.clone(),
-            ..Default::default()
-        },
+        names: settings.names.clone(),
         layout: settings.layout,
         stamped: settings
             .orders
@@ -98,10 +94,11 @@
     if let Some(signal) = signals.forever().next() {
         tracing::info!(signal, "stopping");
         node.feed(Input::Stop);
-        // A second signal ends it at once, as users expect.
+        // A second Ctrl-C ends it at once, as users expect; SIGTERM may come twice, to it and to its group.
         std::thread::spawn(move || {
-            signals.forever().next();
-            std::process::exit(1);
+            if signals.forever().any(|signal| signal == SIGINT) {
+                std::process::exit(1);
+            }
         });
         let _ = finished.recv();
         tracing::info!("stopped");
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -235,7 +235,10 @@
     client.get_mut().write_all(job(1, "pay", "").as_bytes()).unwrap();
     jobs.recv().unwrap();
     let pid = node.process.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    // It may come twice, to the node and to its group.
+    for _ in 0..2 {
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
     let mut other = node.client();
     let health = |client: &mut _| ask(client, "GET /healthz HTTP/1.1\r\n\r\n").unwrap().0;
     while !health(&mut other).starts_with("HTTP/1.1 503") {}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,7 +13,7 @@
 }
 
 /// What the settings name; everywhere else the place in these lists stands for the name.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Names {
     pub products: Vec<String>,
     pub tenants: Vec<String>,
