A peer that never stops sending no longer keeps the others waiting

Seen in review: reading went on until a socket was empty, and connections with more to read went round without a pause, while may looks at its sockets only when no coroutine can run. At fault: read and converse in clients.rs, converse in executors.rs. A turn of one whole message, then a millisecond's pause.

--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -11,7 +11,7 @@
 use may::net::{TcpListener, TcpStream};
 use socket2::{Domain, Socket, Type};
 
-use super::{Node, Post, spawn};
+use super::{Node, Post, TURN, spawn};
 use crate::core::{Answer, Client, Input, Intake, Phase, Shipment};
 use crate::http::{self, Body, Fault, Framing, Out, Request};
 
@@ -191,8 +191,11 @@
                 State::Lingering => break,
             }
         }
-        // What was left in the socket makes no event; it is read once there is room for it.
-        if !more || input.len() > KEPT {
+        // What was left in the socket makes no event; it is read once there is room for it, and not before
+        // the others had their turn.
+        if more && input.len() <= KEPT {
+            node.alarm.sleep(TURN);
+        } else {
             socket.wait_io();
         }
     }
@@ -211,16 +214,21 @@
 /// Reads what there is, up to what may be kept; the rest waits in the socket.
 fn read(socket: &mut TcpStream, input: &mut BytesMut, drop: bool) -> io::Result<Read> {
     let mut piece = [0; 4096];
+    let mut taken = 0;
     loop {
         if drop {
             input.clear();
         }
-        if input.len() > KEPT {
+        // One that never stops sending must not keep the others from being read.
+        if input.len() > KEPT || taken > KEPT {
             return Ok(Read::Some);
         }
         match socket.inner_mut().read(&mut piece) {
             Ok(0) => return Ok(Read::Ended),
-            Ok(n) => input.extend_from_slice(&piece[..n]),
+            Ok(n) => {
+                taken += n;
+                input.extend_from_slice(&piece[..n]);
+            }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(Read::All),
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             Err(e) => return Err(e),
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -15,14 +15,14 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use super::{Node, Post, object};
+use super::{Node, Post, TURN, object};
 use crate::core::{Broken, Input, Link, Shipment};
 use crate::http::{self, Body, Out, Response};
 
 /// The longest line or probe's answer.
 const LINE: usize = 2 * http::BODY;
-/// What may wait to be parsed.
-const UNREAD: usize = 16 * 1024;
+/// What may wait to be parsed: a whole answer.
+const UNREAD: usize = http::HEAD + http::BODY;
 /// No descriptor was left in the process, or in the system.
 const NO_DESCRIPTOR: [i32; 2] = [24, 23];
 
@@ -139,8 +139,8 @@
         }
         match current.take(node, link, &mut input, ended) {
             Step::More if ended => return false,
-            // What was left in the socket makes no event.
-            Step::More if full => {}
+            // What was left in the socket makes no event; the others have their turn first.
+            Step::More if full => node.alarm.sleep(TURN),
             Step::More => {
                 socket.wait_io();
             }
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use linestack_dispatch::types::ListKind;
 use linestack_settings::{Names, ReportLayout};
@@ -20,6 +21,10 @@
 use crate::core::{Client, Core, Effect, Input, Link};
 use clock::{Alarm, Clock};
 
+/// A pause for a connection that brings more than one message's worth at once. Giving way would not do: may
+/// looks at its sockets only when no coroutine can run.
+pub(crate) const TURN: Duration = Duration::from_millis(1);
+
 /// Starts a coroutine.
 #[allow(unsafe_code)]
 pub fn spawn(work: impl FnOnce() + Send + 'static) {
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -220,6 +220,25 @@
     assert!(head.starts_with("HTTP/1.1 200") && body == "r", "{head}");
 }
 
+#[test]
+fn clients_that_never_stop_sending_keep_nobody_waiting() {
+    let (address, _jobs) = executor(Some(DONE.into()));
+    let node = Node::start(&[address]);
+    for _ in 0..4 {
+        let mut flood = node.client();
+        ask(&mut flood, "nonsense\r\n\r\n").unwrap();
+        // Ends when the node has had enough of it.
+        std::thread::spawn(move || while flood.get_mut().write_all(&[b'x'; 1 << 16]).is_ok() {});
+    }
+    let start = Instant::now();
+    for id in 0..100 {
+        let (head, _) = ask(&mut node.client(), &job(id, "look", "")).unwrap();
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    }
+    // It was 3.5 s and more while a flood was read to its end, and is 0.05 s now.
+    assert!(start.elapsed() < Duration::from_secs(2));
+}
+
 #[test]
 fn a_job_handed_back_by_the_only_executor_is_dismissed() {
     let (address, _jobs) = executor(Some("{\"id\":\"ID\",\"state\":\"returned\"}\n".into()));
