Thresholds and the in-flight limit follow the slots that workers were seen to have

A kind's threshold started at eight slots and never rose past that, so that a node left large workers idle and dismissed at its in-flight limit of eight a worker. The start is now what the kind's workers have shown, eight at least; the limit is a part of the room that the ready workers have by that measure.

--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -216,6 +216,9 @@
     }
 }
 
+/// The slots at which a threshold starts before anything was seen.
+pub(crate) const MODEST: f64 = 8.0;
+
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Kind {
     pub(crate) threshold: f64,
@@ -223,6 +226,15 @@
     /// Slots that its workers were seen to have, and how many workers were seen.
     pub(crate) slots: f64,
     pub(crate) seen: f64,
+    /// The most that one of them was seen to have.
+    pub(crate) most: f64,
+}
+
+impl Kind {
+    /// Where its threshold starts, and what it never passes.
+    pub(crate) fn start(&self) -> f64 {
+        self.most.max(MODEST)
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -282,6 +294,15 @@
         self.kind(desk).map_or(1.0, |k| (k.slots / k.seen.max(1.0)).max(1.0))
     }
 
+    /// The slots that all ready workers together would be filled to, as far as their kinds are known.
+    pub(crate) fn room(&self) -> f64 {
+        let known = self.kinds.iter().flatten();
+        let (sum, seen) = known.fold((0.0, 0.0), |(sum, seen), k| {
+            (sum + (k.slots / k.seen.max(1.0)).max(MODEST) * k.seen, seen + k.seen)
+        });
+        self.ready.len() as f64 * if seen > 0.0 { sum / seen } else { MODEST }
+    }
+
     /// The next ready worker in turn whose report is so old, noted as probed.
     pub(crate) fn next_older(&mut self, now: Nanos, old: f64) -> Option<Worker> {
         for _ in 0..self.ready.len() {
@@ -303,7 +324,7 @@
     }
 
     pub(crate) fn meet(&mut self, kind: u16, threshold: f64) {
-        at(&mut self.kinds, kind.into()).get_or_insert(Kind { threshold, run: 0, slots: 0.0, seen: 0.0 });
+        at(&mut self.kinds, kind.into()).get_or_insert(Kind { threshold, run: 0, slots: 0.0, seen: 0.0, most: 0.0 });
     }
 
     /// The executions of a submission that have not ended, among the workers that it was sent to.
@@ -353,6 +374,10 @@
         let age = desk.take_report(report, now);
         let (place, after) = (usize::from(desk.listing.kind), desk.slots);
         if let Some(Some(kind)) = self.kinds.get_mut(place) {
+            // A start that was not known before: what was lost since by full answers stays lost.
+            let start = kind.start();
+            kind.most = kind.most.max(after);
+            kind.threshold += kind.start() - start;
             kind.slots += after - before;
             kind.seen += f64::from(u8::from(before == 0.0 && after > 0.0));
         }
@@ -453,6 +478,7 @@
     /// Choices of a worker, which are more than the arrivals.
     pub(crate) draws: Rate,
     pub(crate) in_flight: f64,
+    /// How much of the ready workers' room this node may fill.
     pub(crate) limit: f64,
     /// Answer times as multiples of their products' shortest.
     pub(crate) stretch: f64,
@@ -490,7 +516,7 @@
     fn default() -> Self {
         let (arrivals, draws) = (Rate::default(), Rate::default());
         let (lag, probes) = ((0, 0), (0.0, 0));
-        let (in_flight, limit, stretch, memory_per_slot) = (0.0, f64::INFINITY, 1.0, 1.0);
+        let (in_flight, limit, stretch, memory_per_slot) = (0.0, 1.0, 1.0, 1.0);
         Self { arrivals, draws, in_flight, limit, stretch, memory_per_slot, lag, probes }
     }
 }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -11,14 +11,13 @@
 //! 6. following the list, refreshing reports by probes as far as their price bears, idle connections let go.
 
 use crate::books::{
-    AnswerTime, Choice, Desk, Draw, Fleet, Flow, Held, Out, Tenant, at, longest, median, usual, whole,
+    AnswerTime, Choice, Desk, Draw, Fleet, Flow, Held, MODEST, Out, Tenant, at, longest, median, usual, whole,
 };
 use crate::types::{
     Ending, Event, Group, Health, ListKind, Listing, Nanos, Order, Outcome, Repeats, StandingOrders,
     Submission, Worker,
 };
 
-const THRESHOLD_START: f64 = 8.0;
 const THRESHOLD_FLOOR: f64 = 2.0;
 /// Served jobs in a row after which a kind's threshold regains a slot.
 const RUN: u32 = 4;
@@ -135,7 +134,7 @@
         if matches!(kind, ListKind::Whole | ListKind::Cached) {
             self.fleet.all_gone();
         }
-        let threshold = self.fleet.mean_threshold().unwrap_or(THRESHOLD_START);
+        let threshold = self.fleet.mean_threshold().unwrap_or(MODEST);
         for &listing in entries {
             self.fleet.meet(listing.kind, threshold);
             if self.fleet.follow(listing) {
@@ -157,7 +156,7 @@
         let best = self.terms.products.iter().map(|p| p.payoff).fold(f64::MIN_POSITIVE, f64::max);
         let behind = 1.0 - self.terms.products[usize::from(job.product)].payoff / best;
         let room = (excess / 3.0).max(RESERVE * behind);
-        let limit = self.flow.limit.max(self.fleet.ready.len() as f64);
+        let limit = (self.flow.limit * self.fleet.room()).max(self.fleet.ready.len() as f64);
         let full = choice.members == 0 && self.flow.in_flight + job.slots > limit;
         if choice.room < room || full {
             return self.finish(submission, excess > 0.0);
@@ -410,7 +409,8 @@
                 }
                 kind.run += 1;
                 if kind.run >= RUN {
-                    (kind.run, kind.threshold) = (0, (kind.threshold + 1.0).min(THRESHOLD_START));
+                    // Never past its start: what its workers have, for fewer would leave large ones idle.
+                    (kind.run, kind.threshold) = (0, (kind.threshold + 1.0).min(kind.start()));
                 }
             }
             Outcome::Full => {
@@ -441,9 +441,10 @@
             // The limit follows the shortest answer time over the present one.
             self.answers[product].add(took);
             self.flow.stretch += (took / self.answers[product].shortest - self.flow.stretch) / 32.0;
-            let limit = self.flow.limit.min(self.fleet.ready.len() as f64 * THRESHOLD_START);
+            let most = self.fleet.room();
+            let limit = self.flow.limit.min(1.0) * most;
             let wanted = limit * (1.5 / self.flow.stretch).clamp(0.5, 1.0) + limit.sqrt();
-            self.flow.limit = limit + (wanted - limit) / 16.0;
+            self.flow.limit = (limit + (wanted - limit) / 16.0) / most.max(1.0);
         }
     }
 
