The reducer in a package of its own; executors that left are forgotten in bounded memory

The reducer stood in the node's package, so that nothing without sockets could use it, and every executor that was ever listed was remembered for good. crates/core holds it now, split by concern, with the decisions behind a trait.

--- /dev/null
+++ b/crates/core/src/guests.rs
@@ -0,0 +1,127 @@
+//! Clients' connections and what they hand in.
+
+use super::*;
+
+impl Core {
+    pub(crate) fn client_up(&mut self, client: Client) {
+        let (since, newcomer) = (self.now, Some(self.now));
+        let guest = Guest {
+            submission: None,
+            phase: Phase::Idle,
+            since,
+            newcomer,
+            put_out: false,
+            limit: Limit::NONE,
+        };
+        self.clients.insert(client, guest);
+        self.client_phase(client, Phase::Idle);
+        if self.clients.len() > self.most_clients * 3 / 4 {
+            self.make_room(client);
+        }
+    }
+
+    /// Before no room is left one goes: first what was answered for good, then a newcomer that has asked for
+    /// nothing yet, and only then what a client that asked before keeps for its next request. A flood of
+    /// connections puts out its own.
+    pub(crate) fn make_room(&mut self, but: Client) {
+        let guests = self.clients.iter().filter(|(c, g)| **c != but && g.submission.is_none() && !g.put_out);
+        let ranked = guests.filter_map(|(c, g)| {
+            let rank = match (g.phase, g.newcomer) {
+                (Phase::Leaving, _) => 0,
+                (Phase::Answering, _) => return None,
+                (_, Some(_)) => 1,
+                (Phase::Idle, None) => 2,
+                (Phase::Reading, None) => return None,
+            };
+            Some((rank, g.newcomer.unwrap_or(g.since), *c))
+        });
+        let Some((_, _, client)) = ranked.min() else { return };
+        let Some(guest) = self.clients.get_mut(&client) else { return };
+        guest.put_out = true;
+        self.stats.put_out += 1;
+        self.effects.push(match guest.phase {
+            // What has come in meanwhile is looked at first.
+            Phase::Idle => Effect::CloseClient { client },
+            _ => Effect::DropClient { client },
+        });
+    }
+
+    pub(crate) fn client_phase(&mut self, client: Client, phase: Phase) {
+        let Some(guest) = self.clients.get_mut(&client) else { return };
+        if phase == Phase::Reading && guest.phase == Phase::Reading {
+            // A byte now and then buys no time.
+            return;
+        }
+        (guest.phase, guest.since) = (phase, self.now);
+        let until = match (phase, guest.newcomer) {
+            (Phase::Idle | Phase::Reading, Some(since)) => since + HANDING_IN,
+            (Phase::Idle, None) => self.now + CLIENT_IDLE,
+            (Phase::Reading | Phase::Leaving, _) => self.now + HANDING_IN,
+            (Phase::Answering, _) => self.now + CLIENT_PATIENCE,
+        };
+        self.limit_client(client, until);
+        if self.refusing && phase == Phase::Idle {
+            self.effects.push(Effect::CloseClient { client });
+        }
+    }
+
+    pub(crate) fn client_gone(&mut self, client: Client) {
+        let Some(guest) = self.clients.remove(&client) else { return };
+        if let Some(submission) = guest.submission {
+            self.stats.left += 1;
+            self.release(submission);
+            self.pending.push_back(Event::Left { submission });
+        }
+    }
+
+    pub(crate) fn submitted(&mut self, client: Client, intake: Intake) {
+        let Some(guest) = self.clients.get_mut(&client) else { return };
+        must!(self, guest.submission.is_none(), "two submissions at once on a connection");
+        // It would be a second copy of what its holder has out, and an executor that is asked twice for one
+        // id looks as if it failed.
+        if !self.ids.insert(intake.shipment.id.clone()) {
+            self.stats.turned_down += 1;
+            self.client_phase(client, Phase::Answering);
+            return self.effects.push(Effect::Answer { client, answer: Answer::Repeated, last: true });
+        }
+        let submission = self.free.pop().unwrap_or(self.taken.len() as Submission);
+        if submission as usize == self.taken.len() {
+            self.taken.push(None);
+        }
+        (guest.submission, guest.phase, guest.newcomer) = (Some(submission), Phase::Reading, None);
+        guest.limit.until = Nanos::MAX;
+        self.stats.taken += 1;
+        let cut_off = (self.now + intake.patience.min(self.longest_wait)).min(self.last_call);
+        let (number, shipment) = (self.stats.taken, intake.shipment);
+        self.taken[submission as usize] =
+            Some(Taken { number, client: Some(client), cut_off, shipment, executions: Vec::new() });
+        self.arm(cut_off, Timer::CutOff(submission, number));
+        let Intake { product, tenant, slots, memory, .. } = intake;
+        let job = Job { product, tenant, cut_off, slots, memory };
+        self.pending.push_back(Event::Submitted { submission, job });
+    }
+
+    /// The client is no longer owed an answer.
+    pub(crate) fn release(&mut self, submission: Submission) -> Option<Client> {
+        let client = self.taken.get_mut(submission as usize)?.as_mut()?.client.take();
+        if let Some(guest) = client.and_then(|c| self.clients.get_mut(&c)) {
+            guest.submission = None;
+        }
+        client
+    }
+
+    pub(crate) fn answer(&mut self, submission: Submission, answer: Answer) {
+        let Some(client) = self.release(submission) else {
+            must!(self, false, "a second final answer");
+            return;
+        };
+        match answer {
+            Answer::Satisfied(_) => self.stats.satisfied += 1,
+            Answer::Dismissed(_) => self.stats.dismissed += 1,
+            Answer::Aborted => self.stats.aborted += 1,
+            Answer::Repeated => {}
+        }
+        self.client_phase(client, Phase::Answering);
+        self.effects.push(Effect::Answer { client, answer, last: self.refusing });
+    }
+}
--- /dev/null
+++ b/crates/core/src/io.rs
@@ -0,0 +1,202 @@
+//! What the reducer is told and what it asks for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use linestack_dispatch::types::{Health, ListKind, Nanos, Outcome, Report};
+
+/// A client's connection, numbered by the node and never again.
+pub type Client = u64;
+/// A connection to an executor, numbered likewise.
+pub type Link = u64;
+
+/// A line of the list of executors, as discovery words it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Endpoint {
+    pub name: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub kind: String,
+    pub group: u16,
+    pub health: Health,
+    /// Its last start on the node's clock, 0 for long ago.
+    pub started: Nanos,
+}
+
+/// What goes on unchanged to the executor.
+#[derive(Debug, Default)]
+pub struct Shipment {
+    pub method: Bytes,
+    pub path: Bytes,
+    pub host: Bytes,
+    pub id: Bytes,
+    pub stamp: Option<Bytes>,
+    pub body: Bytes,
+}
+
+/// A submission as the door took it in.
+#[derive(Debug)]
+pub struct Intake {
+    pub product: u8,
+    pub tenant: u16,
+    /// How long the client waits.
+    pub patience: Nanos,
+    pub slots: f64,
+    pub memory: f64,
+    pub shipment: Arc<Shipment>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Idle,
+    Reading,
+    Answering,
+    /// Answered for good; the rest of what it sends is dropped.
+    Leaving,
+}
+
+/// What a connection to an executor had done when it broke.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Broken {
+    /// A byte of the request was written.
+    pub begun: bool,
+    /// Its last byte was written.
+    pub written: bool,
+    /// Something of an answer had come.
+    pub answered: bool,
+    /// This machine, not the other, is at fault: no descriptor was left.
+    pub here: bool,
+}
+
+#[derive(Debug)]
+pub enum Input {
+    Listed {
+        kind: ListKind,
+        endpoints: Vec<Endpoint>,
+    },
+    ClientUp {
+        client: Client,
+    },
+    ClientPhase {
+        client: Client,
+        phase: Phase,
+    },
+    ClientGone {
+        client: Client,
+    },
+    /// What the client asked for makes no sense; it is told so and then let go.
+    TurnedDown {
+        client: Client,
+    },
+    Submitted {
+        client: Client,
+        intake: Intake,
+    },
+    LinkUp {
+        link: Link,
+    },
+    LinkDown {
+        link: Link,
+        broken: Broken,
+    },
+    Noted {
+        link: Link,
+    },
+    Ended {
+        link: Link,
+        outcome: Outcome,
+        result: Bytes,
+        report: Option<Report>,
+    },
+    Probed {
+        link: Link,
+        answered: Option<bool>,
+        report: Option<Report>,
+    },
+    /// The exchange is over to its last byte; the connection can carry another.
+    Freed {
+        link: Link,
+    },
+    Tick,
+    Stop,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Satisfied(Bytes),
+    Dismissed(Option<Nanos>),
+    Aborted,
+    /// Not taken: its id is another's that is still open here.
+    Repeated,
+}
+
+#[derive(Debug)]
+pub enum Effect {
+    Answer {
+        client: Client,
+        answer: Answer,
+        last: bool,
+    },
+    /// Close it unless a request is coming in on it.
+    CloseClient {
+        client: Client,
+    },
+    /// Close it whatever it does.
+    DropClient {
+        client: Client,
+    },
+    Open {
+        link: Link,
+        address: SocketAddr,
+        limit: Nanos,
+    },
+    Send {
+        link: Link,
+        shipment: Arc<Shipment>,
+        wait: Nanos,
+    },
+    Probe {
+        link: Link,
+    },
+    CloseLink {
+        link: Link,
+    },
+    Watch,
+    /// Something that must hold did not; it has been counted.
+    Fault(&'static str),
+    Report(Stats),
+    Exit,
+}
+
+/// Counted since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    pub taken: u64,
+    pub satisfied: u64,
+    pub dismissed: u64,
+    pub aborted: u64,
+    pub left: u64,
+    /// Requests that were not taken, and connections closed to make room.
+    pub turned_down: u64,
+    pub put_out: u64,
+    pub executions: u64,
+    pub resets: u64,
+    /// Kept connections that were found closed when something was to be sent.
+    pub stale: u64,
+    pub connect_failed: u64,
+    pub timed_out: u64,
+    pub not_sent: u64,
+    pub probes: u64,
+    pub probes_failed: u64,
+    pub links_opened: u64,
+    pub lists: u64,
+    pub list_failures: u64,
+    /// Times that something which must hold did not.
+    pub broken: u64,
+    pub clients: usize,
+    pub links: usize,
+    /// Executors' indices in use or kept for those that left lately.
+    pub workers: usize,
+    pub open: usize,
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,411 @@
+//! The reducer: all that the node knows beside the decisions. It takes one input at a time, asks the
+//! dispatcher, and returns the effects that sockets and clocks are to carry out. It does no I/O itself.
+
+/// What must hold: asserted in debug builds, counted in release builds.
+macro_rules! must {
+    ($core:expr, $holds:expr, $what:literal) => {
+        if !$holds {
+            debug_assert!(false, $what);
+            $core.stats.broken += 1;
+            $core.effects.push(Effect::Fault($what));
+        }
+    };
+}
+
+mod executions;
+mod guests;
+mod io;
+mod limits;
+mod links;
+mod list;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use linestack_dispatch::decide::Dispatcher;
+use linestack_dispatch::types::{
+    Decide, Ending, Event, Execution, Health, Job, ListKind, Listing, Nanos, Order, Outcome, Report,
+    Submission, Worker,
+};
+use linestack_settings::Settings;
+
+pub use io::*;
+
+const SECOND: Nanos = 1_000_000_000;
+const DAY: Nanos = 86_400 * SECOND;
+/// A client may take this long to take its answer, and to hand in a request: a newcomer from when it
+/// connected, silent or not, lest those that never ask take the place of those that do.
+const CLIENT_PATIENCE: Nanos = 5 * SECOND;
+const HANDING_IN: Nanos = SECOND * 5 / 2;
+/// A client that asks for nothing for so long has been forgotten by whatever was between.
+const CLIENT_IDLE: Nanos = 300 * SECOND;
+/// After SIGTERM new connections go on coming for up to 0.4 s, and clients go on using those that they have.
+/// What crosses the closing of an idle one is sent once more, so the node stays a little longer than that.
+const STOP_GRACE: Nanos = SECOND * 9 / 20;
+const STAY: Nanos = SECOND / 4;
+/// The node is not killed sooner than the longest cut-off after this, and that counts as so long at most. An
+/// answer must be out some time before.
+const KILLED_AFTER: Nanos = SECOND * 7 / 10;
+const KILLED_AT_MOST: Nanos = 3 * SECOND;
+const KILL_MARGIN: Nanos = SECOND / 5;
+/// For how long a connection stands idle at least, and by what part and what step a good one raises the time
+/// at which jobs may find it.
+const IDLE_AT_LEAST: Nanos = SECOND / 4;
+const KEPT_REGAINS: Nanos = 32;
+const KEPT_STEP: Nanos = SECOND / 1000;
+const REPORT_EVERY: Nanos = 10 * SECOND;
+/// Where changes are pushed: how soon a watch that ended is opened again, at the earliest.
+const WATCH_AGAIN: Nanos = SECOND / 2;
+/// Bytes that a connection takes: of its stack, what is touched, and the first of its buffers.
+const CONNECTION: usize = 20 * 1024;
+/// A client may say that it waits this many times as long as the longest cut-off; more is remembered in vain.
+const LONGER: Nanos = 4;
+/// Names that a list may bring beyond those of the settings.
+const MOST_NAMES: usize = 1024;
+/// Executors that have left and are kept beside as many as are there.
+const KEPT_LEFT: usize = 64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Ring(u64),
+    Link(Link),
+    Client(Client),
+    CutOff(Submission, u64),
+    Watch,
+    Refuse,
+    Leave,
+    Report,
+}
+
+/// A time limit that is moved often and seldom reached: one timer stands for all its moves.
+#[derive(Clone, Copy, Debug)]
+struct Limit {
+    until: Nanos,
+    armed: Nanos,
+}
+
+impl Limit {
+    const NONE: Self = Self { until: Nanos::MAX, armed: Nanos::MAX };
+}
+
+#[derive(Debug)]
+struct Guest {
+    submission: Option<Submission>,
+    phase: Phase,
+    since: Nanos,
+    /// When it connected, until it has handed in something that was taken.
+    newcomer: Option<Nanos>,
+    put_out: bool,
+    limit: Limit,
+}
+
+#[derive(Debug)]
+struct Taken {
+    /// Told apart from those that had this index before.
+    number: u64,
+    client: Option<Client>,
+    cut_off: Nanos,
+    shipment: Arc<Shipment>,
+    executions: Vec<Sent>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    worker: Worker,
+    at: Nanos,
+    until: Nanos,
+    link: Option<Link>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Load {
+    Execution(Submission, Execution),
+    Probe,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Opening,
+    Busy,
+    /// The outcome is known, the last bytes are not in.
+    Finishing,
+    Idle,
+}
+
+#[derive(Debug)]
+struct Line {
+    worker: Worker,
+    stage: Stage,
+    load: Option<Load>,
+    /// For how long it had stood idle before what it carries now: it may have been closed at the other end.
+    idled: Option<Nanos>,
+    since: Nanos,
+    limit: Limit,
+}
+
+#[derive(Debug)]
+struct Place {
+    name: Arc<str>,
+    address: SocketAddr,
+    health: Health,
+    idle: Vec<Link>,
+    /// Connections to it, and executions there of submissions that are still known: while there are any, its
+    /// index can mean no other.
+    lines: usize,
+    known: usize,
+    /// It waits in `left`.
+    left: bool,
+}
+
+pub struct Core {
+    dispatcher: Box<dyn Decide + Send>,
+    connect_timeout: Nanos,
+    idle: Nanos,
+    /// How long a connection may have been idle and still get a job, as far as was seen.
+    kept: Nanos,
+    asks: bool,
+    longest_wait: Nanos,
+    /// How long it may go on after it was told to stop.
+    last_span: Nanos,
+    /// When all that is taken from now on must be answered.
+    last_call: Nanos,
+    most_clients: usize,
+    most_links: usize,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    chance: fastrand::Rng,
+    now: Nanos,
+    workers: Vec<Place>,
+    names: HashMap<Arc<str>, Worker>,
+    /// Those that are gone, the first first, and the indices that mean nobody.
+    left: VecDeque<Worker>,
+    vacant: Vec<Worker>,
+    /// How many are not gone.
+    present: usize,
+    taken: Vec<Option<Taken>>,
+    /// Those taken, by their ids.
+    ids: HashSet<Bytes>,
+    free: Vec<Submission>,
+    clients: HashMap<Client, Guest>,
+    links: HashMap<Link, Line>,
+    next_link: Link,
+    timers: BinaryHeap<Reverse<(Nanos, u64, Timer)>>,
+    next_timer: u64,
+    pending: VecDeque<Event<'static>>,
+    effects: Vec<Effect>,
+    stats: Stats,
+    listed: bool,
+    stopping: bool,
+    refusing: bool,
+    leaving: bool,
+}
+
+impl Core {
+    /// `sockets` is the limit on descriptors, `memory` that on bytes.
+    #[must_use]
+    pub fn new(settings: Settings, sockets: usize, memory: usize) -> Self {
+        let dispatcher = Box::new(Dispatcher::new(settings.orders.clone()));
+        Self::with(dispatcher, settings, sockets, memory)
+    }
+
+    /// With decisions of another's making: for comparison, and for tests.
+    #[must_use]
+    pub fn with(
+        dispatcher: Box<dyn Decide + Send>,
+        settings: Settings,
+        sockets: usize,
+        memory: usize,
+    ) -> Self {
+        let (orders, names) = (settings.orders, settings.names);
+        // Where they name none, it may be any.
+        let longest = Some(settings.longest_cut_off).filter(|l| *l > 0).unwrap_or(KILLED_AT_MOST);
+        let last_span = longest.min(KILLED_AT_MOST) + KILLED_AFTER - KILL_MARGIN;
+        // The rest is for the listener, the watch, the signals, and what is just being closed.
+        let spare = sockets.saturating_sub(16);
+        // An eighth of the memory for what each client's connection takes, as much for executors'.
+        let most = memory / 8 / CONNECTION;
+        let mut core = Self {
+            connect_timeout: orders.connect_timeout,
+            // The executor closes it after this, and what is written to it from then on is lost.
+            idle: if orders.idle > 0 { orders.idle / 2 } else { SECOND },
+            kept: if orders.idle > 0 { orders.idle / 2 } else { SECOND },
+            asks: orders.ask_within.is_some(),
+            last_span,
+            longest_wait: if settings.longest_cut_off > 0 { settings.longest_cut_off * LONGER } else { DAY },
+            last_call: Nanos::MAX,
+            most_clients: most.min(spare / 2),
+            most_links: most.min(spare * 3 / 8),
+            zones: names.zones,
+            kinds: names.kinds,
+            chance: fastrand::Rng::with_seed(orders.seed),
+            dispatcher,
+            now: 0,
+            workers: Vec::new(),
+            names: HashMap::new(),
+            left: VecDeque::new(),
+            vacant: Vec::new(),
+            present: 0,
+            taken: Vec::new(),
+            ids: HashSet::new(),
+            free: Vec::new(),
+            clients: HashMap::new(),
+            links: HashMap::new(),
+            next_link: 0,
+            timers: BinaryHeap::new(),
+            next_timer: 0,
+            pending: VecDeque::new(),
+            effects: Vec::new(),
+            stats: Stats::default(),
+            listed: false,
+            stopping: false,
+            refusing: false,
+            leaving: false,
+        };
+        core.arm(0, Timer::Report);
+        if !core.asks {
+            core.arm(0, Timer::Watch);
+        }
+        core
+    }
+
+    /// Whether clients should come.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.listed && !self.stopping
+    }
+
+    /// Whether no further client can be let in.
+    #[must_use]
+    pub fn crowded(&self) -> bool {
+        self.clients.len() >= self.most_clients
+    }
+
+    #[must_use]
+    pub fn next_due(&self) -> Nanos {
+        self.timers.peek().map_or(Nanos::MAX, |Reverse((at, ..))| *at)
+    }
+
+    #[must_use]
+    pub fn stats(&self) -> Stats {
+        let (clients, links, workers) = (self.clients.len(), self.links.len(), self.workers.len());
+        Stats { clients, links, workers, open: self.taken.iter().flatten().count(), ..self.stats }
+    }
+
+    /// Takes one input and adds to `effects` what is to be done, in order.
+    pub fn take(&mut self, now: Nanos, input: Input, effects: &mut Vec<Effect>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Listed { kind, endpoints } => self.listed(kind, endpoints),
+            Input::ClientUp { client } => self.client_up(client),
+            Input::ClientPhase { client, phase } => self.client_phase(client, phase),
+            Input::ClientGone { client } => self.client_gone(client),
+            Input::TurnedDown { client } => {
+                self.stats.turned_down += 1;
+                self.client_phase(client, Phase::Answering);
+            }
+            Input::Submitted { client, intake } => self.submitted(client, intake),
+            Input::LinkUp { link } => self.link_up(link),
+            Input::LinkDown { link, broken } => self.link_down(link, broken),
+            Input::Noted { link } => {
+                if let Some(Load::Execution(submission, execution)) =
+                    self.links.get(&link).and_then(|l| l.load)
+                {
+                    self.pending.push_back(Event::Noted { submission, execution });
+                }
+            }
+            Input::Ended { link, outcome, result, report } => {
+                if let Some(Load::Execution(submission, execution)) = self.unload(link) {
+                    self.ended(submission, execution, outcome, Some(result), report);
+                }
+            }
+            Input::Probed { link, answered, report } => {
+                let worker = self.links.get(&link).map(|l| l.worker);
+                if let (Some(worker), Some(Load::Probe)) = (worker, self.unload(link)) {
+                    self.probed(worker, answered, report);
+                }
+            }
+            Input::Freed { link } => {
+                if self.links.get(&link).is_some_and(|l| l.stage == Stage::Finishing) {
+                    self.rest(link);
+                }
+            }
+            Input::Tick => self.tick(),
+            Input::Stop => {
+                if !std::mem::replace(&mut self.stopping, true) {
+                    // Its clients have nobody else until they are told to go, and where nodes restart in turn
+                    // the one before may not be back. It serves them for half of the time that it has; what it
+                    // takes from now on must be done in all of it, for a kill would lose it.
+                    self.last_call = self.now + self.last_span;
+                    self.arm(self.now + STOP_GRACE.max(self.last_span / 2), Timer::Refuse);
+                }
+            }
+        }
+        self.settle();
+        if self.leaving && self.clients.is_empty() {
+            self.effects.push(Effect::Exit);
+        }
+        effects.append(&mut self.effects);
+    }
+
+    /// Hands the dispatcher what has happened, until nothing more follows from it.
+    /// Where the worker with this index can be reached, if it means one.
+    #[must_use]
+    pub fn address(&self, worker: Worker) -> Option<SocketAddr> {
+        let place = self.workers.get(worker as usize)?;
+        self.names.contains_key(&place.name).then_some(place.address)
+    }
+
+    pub(crate) fn settle(&mut self) {
+        while let Some(event) = self.pending.pop_front() {
+            self.decide(event);
+        }
+    }
+
+    pub(crate) fn decide(&mut self, event: Event<'_>) {
+        let orders = self.dispatcher.decide(self.now, event).to_vec();
+        for order in orders {
+            self.carry_out(order);
+        }
+    }
+
+    pub(crate) fn carry_out(&mut self, order: Order) {
+        match order {
+            Order::Execute { submission, worker, timeout } => self.execute(submission, worker, timeout),
+            Order::Cancel { submission, execution } => self.cancel(submission, execution),
+            Order::Dismiss { submission, come_back } => {
+                self.answer(submission, Answer::Dismissed(come_back));
+            }
+            Order::Abort { submission } => self.answer(submission, Answer::Aborted),
+            Order::Probe { worker } => {
+                self.stats.probes += 1;
+                match self.pooled(worker, Load::Probe) {
+                    Some(link) => self.hand(link, Load::Probe),
+                    None => self.open(worker, Load::Probe),
+                }
+            }
+            Order::Release { worker } => {
+                let idle = self.workers.get_mut(worker as usize).map(|w| std::mem::take(&mut w.idle));
+                idle.into_iter().flatten().for_each(|link| self.close_link(link));
+            }
+            Order::Subscribe => self.effects.push(Effect::Watch),
+            Order::Forget { submission } => {
+                let taken = self.taken.get_mut(submission as usize).and_then(Option::take);
+                if let Some(taken) = &taken {
+                    self.ids.remove(&taken.shipment.id);
+                }
+                let over = taken
+                    .as_ref()
+                    .is_some_and(|t| t.client.is_none() && t.executions.iter().all(|a| a.link.is_none()));
+                must!(self, over, "forgotten while something was owed or out");
+                for sent in taken.iter().flat_map(|t| &t.executions) {
+                    self.workers[sent.worker as usize].known -= 1;
+                }
+                self.free.push(submission);
+            }
+            Order::Ring { at, token } => self.arm(at, Timer::Ring(token)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/limits.rs
@@ -0,0 +1,114 @@
+//! Time limits.
+
+use super::*;
+
+impl Core {
+    pub(crate) fn arm(&mut self, at: Nanos, timer: Timer) {
+        self.next_timer += 1;
+        self.timers.push(Reverse((at, self.next_timer, timer)));
+    }
+
+    pub(crate) fn limit_link(&mut self, link: Link, until: Nanos) {
+        let Some(line) = self.links.get_mut(&link) else { return };
+        line.limit.until = until;
+        if until < line.limit.armed {
+            line.limit.armed = until;
+            self.arm(until, Timer::Link(link));
+        }
+    }
+
+    pub(crate) fn limit_client(&mut self, client: Client, until: Nanos) {
+        let Some(guest) = self.clients.get_mut(&client) else { return };
+        guest.limit.until = until;
+        if until < guest.limit.armed {
+            guest.limit.armed = until;
+            self.arm(until, Timer::Client(client));
+        }
+    }
+
+    pub(crate) fn tick(&mut self) {
+        while let Some(Reverse((at, _, timer))) = self.timers.peek().copied() {
+            if at > self.now {
+                break;
+            }
+            self.timers.pop();
+            self.ring(at, timer);
+            self.settle();
+        }
+    }
+
+    pub(crate) fn ring(&mut self, at: Nanos, timer: Timer) {
+        match timer {
+            Timer::Ring(token) => self.pending.push_back(Event::Rang { token }),
+            Timer::Link(link) => {
+                let Some(line) = self.links.get_mut(&link).filter(|l| l.limit.armed == at) else { return };
+                line.limit.armed = Nanos::MAX;
+                let until = line.limit.until;
+                if until > self.now {
+                    self.limit_link(link, until);
+                } else {
+                    self.overdue(link);
+                }
+            }
+            Timer::Client(client) => {
+                let Some(guest) = self.clients.get_mut(&client).filter(|g| g.limit.armed == at) else {
+                    return;
+                };
+                guest.limit.armed = Nanos::MAX;
+                let (until, phase) = (guest.limit.until, guest.phase);
+                if until == Nanos::MAX {
+                } else if until > self.now {
+                    self.limit_client(client, until);
+                } else if phase == Phase::Idle {
+                    self.effects.push(Effect::CloseClient { client });
+                } else {
+                    self.effects.push(Effect::DropClient { client });
+                }
+            }
+            Timer::CutOff(submission, number) => {
+                let taken = self.taken.get(submission as usize).and_then(Option::as_ref);
+                if taken.is_some_and(|t| t.number == number && t.client.is_some() && t.cut_off <= self.now) {
+                    must!(self, false, "a submission unanswered at its cut-off");
+                    self.answer(submission, Answer::Aborted);
+                    self.pending.push_back(Event::Left { submission });
+                }
+            }
+            Timer::Watch => self.effects.push(Effect::Watch),
+            Timer::Leave => self.leaving = true,
+            Timer::Refuse => {
+                self.refusing = true;
+                self.arm(self.now + STAY, Timer::Leave);
+                let idle =
+                    self.clients.iter().filter(|(_, g)| g.phase == Phase::Idle && g.submission.is_none());
+                let mut idle: Vec<Client> = idle.map(|(c, _)| *c).collect();
+                idle.sort_unstable();
+                self.effects.extend(idle.into_iter().map(|client| Effect::CloseClient { client }));
+            }
+            Timer::Report => {
+                self.effects.push(Effect::Report(self.stats()));
+                self.arm(self.now.max(at) + REPORT_EVERY, Timer::Report);
+            }
+        }
+    }
+
+    /// A connection has used up its time.
+    pub(crate) fn overdue(&mut self, link: Link) {
+        let Some(line) = self.links.get(&link) else { return };
+        let (worker, stage, load) = (line.worker, line.stage, line.load);
+        self.close_link(link);
+        match load {
+            None => {}
+            Some(Load::Probe) => self.probed(worker, Some(false), None),
+            Some(Load::Execution(submission, execution)) => {
+                let outcome = match stage {
+                    Stage::Opening if self.stands(worker, Load::Execution(submission, execution)) => {
+                        Outcome::ConnectFailed
+                    }
+                    Stage::Opening => Outcome::NotSent,
+                    _ => Outcome::TimedOut,
+                };
+                self.ended(submission, execution, outcome, None, None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/links.rs
@@ -0,0 +1,200 @@
+//! Connections to executors, kept and opened.
+
+use super::*;
+
+impl Core {
+    /// An idle connection, the last used first. A job gets none that has been idle for so long that others
+    /// were closed at the other end by then: what is written to one of those may have run, for all that is
+    /// known here. For a probe any will do, since it can be asked again; and it tells how long they last.
+    pub(crate) fn pooled(&mut self, worker: Worker, load: Load) -> Option<Link> {
+        let idle = &mut self.workers.get_mut(worker as usize)?.idle;
+        let link = *idle.last()?;
+        let idled = self.now - self.links.get(&link)?.since;
+        if load != Load::Probe && idled > self.kept {
+            return None;
+        }
+        idle.pop();
+        Some(link)
+    }
+
+    /// An idle connection proved good, or was found closed, after so long.
+    pub(crate) fn idled(&mut self, idled: Nanos, good: bool) {
+        if !good {
+            self.kept = self.kept.min(idled / 2);
+        } else if idled >= self.kept / 2 {
+            // Slowly, for a job lost costs far more than a connection made anew.
+            self.kept = (self.kept + self.kept / KEPT_REGAINS + KEPT_STEP).min(self.idle);
+        }
+    }
+
+    pub(crate) fn open(&mut self, worker: Worker, load: Load) {
+        if self.links.len() >= self.most_links {
+            let idle = self.links.iter().filter(|(_, l)| l.stage == Stage::Idle);
+            match idle.min_by_key(|(link, l)| (l.since, **link)).map(|(link, _)| *link) {
+                Some(link) => self.close_link(link),
+                None => return self.unsent(worker, load),
+            }
+        }
+        let link = self.next_link;
+        self.next_link += 1;
+        let mut limit = self.connect_timeout;
+        if let Load::Execution(submission, execution) = load {
+            let now = self.now;
+            if let Some(sent) = self.sent(submission, execution) {
+                sent.link = Some(link);
+                limit = limit.min(sent.until.saturating_sub(now));
+            }
+        }
+        self.stats.links_opened += 1;
+        let (stage, since) = (Stage::Opening, self.now);
+        let line = Line { worker, stage, load: Some(load), idled: None, since, limit: Limit::NONE };
+        self.links.insert(link, line);
+        self.workers[worker as usize].lines += 1;
+        self.limit_link(link, self.now + limit);
+        let address = self.workers[worker as usize].address;
+        self.effects.push(Effect::Open { link, address, limit });
+    }
+
+    /// What was not sent, and could not be, for a reason that is not the worker's.
+    pub(crate) fn unsent(&mut self, worker: Worker, load: Load) {
+        match load {
+            Load::Execution(submission, execution) => {
+                self.ended(submission, execution, Outcome::NotSent, None, None);
+            }
+            Load::Probe => self.probed(worker, None, None),
+        }
+    }
+
+    /// Whether an order that has waited for a connection may still be sent. A drain may have been heard of
+    /// in between, and what is sent after the grace breaks the rule however long ago it was decided.
+    pub(crate) fn stands(&mut self, worker: Worker, load: Load) -> bool {
+        let ready = self.workers[worker as usize].health == Health::Ready;
+        let now = self.now;
+        match load {
+            Load::Execution(submission, execution) => {
+                ready && self.sent(submission, execution).is_some_and(|a| a.until > now)
+            }
+            Load::Probe => true,
+        }
+    }
+
+    /// Sends the order over a connection that is up and carries nothing.
+    pub(crate) fn hand(&mut self, link: Link, load: Load) {
+        let Some(line) = self.links.get_mut(&link) else {
+            must!(self, false, "an idle connection that is not known");
+            return;
+        };
+        must!(self, line.load.is_none() && line.stage != Stage::Busy, "two orders on one connection");
+        let worker = line.worker;
+        if !self.stands(worker, load) {
+            self.rest(link);
+            return self.unsent(worker, load);
+        }
+        let now = self.now;
+        let until = match load {
+            Load::Probe => {
+                self.effects.push(Effect::Probe { link });
+                now + self.connect_timeout / 2
+            }
+            Load::Execution(submission, execution) => {
+                let Some(sent) = self.sent(submission, execution) else { return };
+                sent.link = Some(link);
+                let until = sent.until;
+                let shipment = self.taken[submission as usize].as_ref().map(|t| t.shipment.clone());
+                let shipment = shipment.unwrap_or_default();
+                self.effects.push(Effect::Send { link, shipment, wait: until - now });
+                until
+            }
+        };
+        if let Some(line) = self.links.get_mut(&link) {
+            line.idled = (line.stage == Stage::Idle).then_some(now - line.since);
+            (line.stage, line.load) = (Stage::Busy, Some(load));
+        }
+        self.limit_link(link, until);
+    }
+
+    /// The outcome of what the connection carries is known.
+    pub(crate) fn unload(&mut self, link: Link) -> Option<Load> {
+        let line = self.links.get_mut(&link)?;
+        let load = line.load.take();
+        let idled = line.idled.take();
+        line.stage = Stage::Finishing;
+        if let Some(idled) = idled {
+            self.idled(idled, true);
+        }
+        self.limit_link(link, self.now + self.connect_timeout);
+        load
+    }
+
+    /// A connection that is up has nothing to carry.
+    pub(crate) fn rest(&mut self, link: Link) {
+        let Some(line) = self.links.get_mut(&link) else { return };
+        let place = &mut self.workers[line.worker as usize];
+        if place.health == Health::Gone {
+            return self.close_link(link);
+        }
+        (line.stage, line.load, line.since) = (Stage::Idle, None, self.now);
+        place.idle.push(link);
+        // Twice what jobs may find it at: a probe then shows whether they could.
+        let limit = self.idle.min(IDLE_AT_LEAST.max(2 * self.kept));
+        self.limit_link(link, self.now + limit);
+    }
+
+    pub(crate) fn link_up(&mut self, link: Link) {
+        let Some(line) = self.links.get_mut(&link) else { return };
+        match line.load.take() {
+            Some(load) => self.hand(link, load),
+            None => self.rest(link),
+        }
+    }
+
+    pub(crate) fn link_down(&mut self, link: Link, broken: Broken) {
+        let Some(line) = self.forget_link(link) else { return };
+        let Some(load) = line.load else {
+            if line.stage == Stage::Idle && self.workers[line.worker as usize].health == Health::Ready {
+                self.idled(self.now - line.since, false);
+            }
+            return;
+        };
+        let opening = line.stage == Stage::Opening;
+        if broken.here || (opening && !self.stands(line.worker, load)) {
+            return self.unsent(line.worker, load);
+        }
+        // Closed at the other end while it was idle, which says nothing of the worker. Before the last byte
+        // was written, and for a probe at any time, a new one does as well.
+        if let Some(idled) = line.idled.filter(|_| !broken.answered) {
+            self.idled(idled, false);
+            self.stats.stale += 1;
+            return match (load, broken.written) {
+                (Load::Execution(submission, execution), true) => {
+                    self.ended(submission, execution, Outcome::Stale, None, None);
+                }
+                _ if self.stands(line.worker, load) => self.open(line.worker, load),
+                _ => self.unsent(line.worker, load),
+            };
+        }
+        match load {
+            Load::Probe => self.probed(line.worker, Some(false), None),
+            Load::Execution(submission, execution) => {
+                // After the last byte nobody can tell whether it ran.
+                let outcome = if broken.written { Outcome::Reset } else { Outcome::ConnectFailed };
+                self.ended(submission, execution, outcome, None, None);
+            }
+        }
+    }
+
+    pub(crate) fn forget_link(&mut self, link: Link) -> Option<Line> {
+        let line = self.links.remove(&link)?;
+        self.workers[line.worker as usize].lines -= 1;
+        if line.stage == Stage::Idle {
+            self.workers[line.worker as usize].idle.retain(|l| *l != link);
+        }
+        Some(line)
+    }
+
+    pub(crate) fn close_link(&mut self, link: Link) {
+        if self.forget_link(link).is_some() {
+            self.effects.push(Effect::CloseLink { link });
+        }
+    }
+}
--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -265,7 +265,7 @@
     }
 }
 
-/// Every worker that was ever listed.
+/// Every worker that was listed and not retired.
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
     pub(crate) desks: Vec<Desk>,
@@ -324,7 +324,13 @@
     }
 
     pub(crate) fn meet(&mut self, kind: u16, threshold: f64) {
-        at(&mut self.kinds, kind.into()).get_or_insert(Kind { threshold, run: 0, slots: 0.0, seen: 0.0, most: 0.0 });
+        at(&mut self.kinds, kind.into()).get_or_insert(Kind {
+            threshold,
+            run: 0,
+            slots: 0.0,
+            seen: 0.0,
+            most: 0.0,
+        });
     }
 
     /// The executions of a submission that have not ended, among the workers that it was sent to.
@@ -351,6 +357,15 @@
         listing.started > before
     }
 
+    /// Forgets a worker that is gone; what holds a job of ours or answers a probe still is kept.
+    pub(crate) fn retire(&mut self, worker: Worker) {
+        let Some(desk) = self.desks.get_mut(worker as usize) else { return };
+        if desk.listing.health == Health::Gone && desk.out.is_empty() && desk.probed.is_none() {
+            *desk = Desk::default();
+            self.watched.retain(|w| *w != worker);
+        }
+    }
+
     pub(crate) fn watch(&mut self, worker: Worker) -> &mut Desk {
         let desk = &mut self.desks[worker as usize];
         if !std::mem::replace(&mut desk.watched, true) {
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -117,6 +117,7 @@
                     self.flow.proved(self.fleet.report(worker, report, self.now), self.now);
                 }
             }
+            Event::Retired { worker } => self.fleet.retire(worker),
             Event::Rang { .. } => {} // The pulse was seen to above; a stale timer calls for nothing.
         }
         &self.todo
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,3 +5,9 @@
 mod books;
 pub mod decide;
 pub mod types;
+
+impl types::Decide for decide::Dispatcher {
+    fn decide(&mut self, now: types::Nanos, event: types::Event<'_>) -> &[types::Order] {
+        Self::decide(self, now, event)
+    }
+}
--- a/crates/dispatch/src/types.rs
+++ b/crates/dispatch/src/types.rs
@@ -2,7 +2,7 @@
 //!
 //! Times are nanoseconds on the caller's clock, which only goes forward. Submissions and workers are
 //! small indices that the caller hands out; a submission keeps its index until its last execution
-//! has ended, and a worker keeps its own for good.
+//! has ended, and a worker keeps its own until it is retired.
 
 pub type Nanos = u64;
 pub type Submission = u32;
@@ -207,6 +207,11 @@
     Rang {
         token: u64,
     },
+    /// The worker is gone, and no submission that is still known was ever sent to it: its index will mean
+    /// another one.
+    Retired {
+        worker: Worker,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -247,3 +252,8 @@
         token: u64,
     },
 }
+
+/// Who decides: what happened goes in, in the order in which it happened; what is to be done comes out.
+pub trait Decide {
+    fn decide(&mut self, now: Nanos, event: Event<'_>) -> &[Order];
+}
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -551,3 +551,29 @@
     };
     assert_eq!(run(), run());
 }
+
+// One node fills workers of any size, as far as their reports show room, and does not dismiss before.
+#[rstest]
+fn workers_are_filled_to_the_slots_that_they_have(#[values(2, 8, 64, 512)] slots: u32) {
+    let mut node = Node::new(StandingOrders { nodes: 1, ..terms(Repeats::Harmless) }, 4);
+    (0..4).for_each(|w| drop(node.probed(w, Some(true), report(slots as f32, 0.0, 0.0))));
+    let mut held = [0; 4];
+    for _ in 0..4 * slots {
+        let worker = sent(&node.submit(0, 0, 0.0)).expect("no dismissal while a worker has room");
+        held[worker as usize] += 1;
+    }
+    assert_eq!(held, [slots; 4]);
+}
+
+// An index means another machine from then on, of which nothing is known.
+#[test]
+fn a_retired_index_starts_anew() {
+    let mut node = Node::new(terms(Repeats::Harmless), 2);
+    let worker = sent(&node.submit(0, 0, 0.0)).unwrap();
+    node.ended(worker, 0, Outcome::ConnectFailed);
+    node.list(ListKind::Changes, &[Listing { health: Health::Gone, ..listing(worker) }]);
+    node.event(Event::Retired { worker });
+    node.list(ListKind::Changes, &[listing(worker)]);
+    // Not set aside any longer, and its first job is the feeler.
+    assert!(node.spread(40).contains(&worker));
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,5 @@
 //! A linestack node on sockets: the decisions of `linestack_dispatch` behind HTTP/1.1.
 
 pub mod config;
-pub mod core;
 pub mod http;
 pub mod net;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use linestack::config::{self, Config};
-use linestack::core::{Core, Input};
 use linestack::net::{Node, Parts, clients, clock::Clock, spawn};
+use linestack_core::{Core, Input};
 use linestack_dispatch::types::{ListKind, Repeats};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -12,8 +12,8 @@
 use socket2::{Domain, Socket, Type};
 
 use super::{Node, Post, TURN, spawn};
-use crate::core::{Answer, Client, Input, Intake, Phase, Shipment};
 use crate::http::{self, Body, Fault, Framing, Out, Request};
+use linestack_core::{Answer, Client, Input, Intake, Phase, Shipment};
 
 const NANOS_PER_MS: u64 = 1_000_000;
 /// The longest that a client may say it waits, whatever the settings name.
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -13,8 +13,8 @@
 use thiserror::Error;
 
 use super::{Node, lock, object};
-use crate::core::{Endpoint, Input};
 use crate::http;
+use linestack_core::{Endpoint, Input};
 
 const CONNECT: Duration = Duration::from_millis(500);
 /// While nothing changes an empty line comes every 2 s, and a call waits in turn for as long as 3 s. What is
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -16,8 +16,8 @@
 use serde_json::value::RawValue;
 
 use super::{Node, Post, TURN, object};
-use crate::core::{Broken, Input, Link, Shipment};
 use crate::http::{self, Body, Out, Response};
+use linestack_core::{Broken, Input, Link, Shipment};
 
 /// The longest line or probe's answer.
 const LINE: usize = 2 * http::BODY;
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -18,8 +18,8 @@
 use may::net::TcpStream;
 use serde::Deserialize;
 
-use crate::core::{Client, Core, Effect, Input, Link};
 use clock::{Alarm, Clock};
+use linestack_core::{Client, Core, Effect, Input, Link};
 
 /// A pause for a connection that brings more than one message's worth at once. Giving way would not do: may
 /// looks at its sockets only when no coroutine can run.
