--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,12 +27,12 @@
 use bytes::Bytes;
 use linestack_dispatch::decide::Dispatcher;
 use linestack_dispatch::types::{
-    Decide, Ending, Event, Execution, Health, Job, ListKind, Listing, Nanos, Order, Outcome, Report,
-    Submission, Worker,
+    Decide, Ending, Event, Execution, Health, Job, ListKind, Listing, Order, Report, Submission, Worker,
 };
 use linestack_settings::Settings;
 
 pub use io::*;
+pub use linestack_dispatch::types::{Nanos, Outcome};
 
 const SECOND: Nanos = 1_000_000_000;
 const DAY: Nanos = 86_400 * SECOND;
--- /dev/null
+++ b/crates/lab/src/policies.rs
@@ -0,0 +1,284 @@
+//! What linestack is compared with: plain policies behind the interface of its decisions, each in the whole
+//! node. They keep the rules on repeats; of cold executors they know nothing.
+
+use std::sync::{Arc, Mutex};
+
+use clap::ValueEnum;
+use linestack_core::Nanos;
+use linestack_dispatch::types::{
+    Decide, Ending, Event, Group, Health, Job, ListKind, Listing, Order, Outcome, Repeats, Report,
+    StandingOrders, Submission, Worker,
+};
+use linestack_world::{Machine, Seat, Truth, linestack};
+use rand::{Rng as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum Policy {
+    /// The decisions that are served.
+    Linestack,
+    Random,
+    RoundRobin,
+    /// The fewest jobs of this node's own.
+    LeastInFlight,
+    /// The one of two drawn that holds fewer jobs of this node's own.
+    TwoChoices,
+    /// The shortest queue by the last report, less what was sent since.
+    LeastReported,
+    /// Sees the true state of all executors, which no real one can.
+    TrueState,
+}
+
+impl Policy {
+    #[must_use]
+    pub fn name(self) -> String {
+        self.to_possible_value().map(|v| v.get_name().to_owned()).unwrap_or_default()
+    }
+
+    /// Makes a whole node that decides by this policy.
+    #[must_use]
+    pub fn make(self, seat: Seat) -> Box<dyn Machine> {
+        if self == Self::Linestack {
+            return linestack(seat);
+        }
+        let plain = Plain::new(self, seat.settings.orders.clone(), seat.node, Arc::clone(&seat.truth));
+        seat.with(Box::new(plain))
+    }
+}
+
+#[derive(Clone, Default)]
+struct Desk {
+    listing: Listing,
+    own: f64,
+    report: Option<Report>,
+    since: f64,
+}
+
+#[derive(Clone, Default)]
+struct Held {
+    job: Job,
+    open: bool,
+    known: bool,
+    out: u32,
+    executions: u16,
+    anchor: Option<(Worker, Nanos)>,
+    perhaps_ran: bool,
+    tried: Vec<(Worker, bool)>,
+}
+
+struct Plain {
+    policy: Policy,
+    terms: StandingOrders,
+    node: usize,
+    truth: Arc<Mutex<Truth>>,
+    rng: Pcg64Mcg,
+    now: Nanos,
+    desks: Vec<Desk>,
+    held: Vec<Held>,
+    turn: usize,
+    orders: Vec<Order>,
+}
+
+impl Plain {
+    fn new(policy: Policy, terms: StandingOrders, node: usize, truth: Arc<Mutex<Truth>>) -> Self {
+        let rng = Pcg64Mcg::seed_from_u64(terms.seed);
+        let (desks, held, orders) = (Vec::new(), Vec::new(), Vec::new());
+        Self { policy, terms, node, truth, rng, now: 0, desks, held, turn: 0, orders }
+    }
+
+    fn allowed(&self, held: &Held, worker: Worker) -> bool {
+        let desk = &self.desks[worker as usize];
+        let product = &self.terms.products[usize::from(held.job.product)];
+        let late = self.now + self.terms.answer_slack >= held.job.cut_off;
+        if desk.listing.health != Health::Ready || late || held.executions >= self.terms.max_executions {
+            return false;
+        }
+        match (held.anchor, product.repeats) {
+            (None, _) | (_, Repeats::Harmless) => !held.tried.iter().any(|(w, _)| *w == worker),
+            (Some(_), Repeats::OneShot) => false,
+            (Some((first, sent)), Repeats::Stamped { group, memory }) => {
+                let joined = group.joins(&self.desks[first as usize].listing, &desk.listing);
+                joined && self.now + self.terms.connect_timeout < sent + memory
+            }
+        }
+    }
+
+    fn pick(&mut self, held: &Held) -> Option<Worker> {
+        let fits: Vec<Worker> = (0..self.desks.len() as Worker).filter(|w| self.allowed(held, *w)).collect();
+        if fits.is_empty() {
+            return None;
+        }
+        let draw = |rng: &mut Pcg64Mcg| fits[rng.random_range(0..fits.len())];
+        let own = |w: &Worker| self.desks[*w as usize].own;
+        let least = |load: &dyn Fn(Worker) -> f64, rng: &mut Pcg64Mcg| {
+            let best = fits.iter().map(|w| load(*w)).fold(f64::INFINITY, f64::min);
+            let alike: Vec<Worker> = fits.iter().copied().filter(|w| load(*w) <= best).collect();
+            alike[rng.random_range(0..alike.len())]
+        };
+        let mut rng = self.rng.clone();
+        let pick = match self.policy {
+            Policy::Random | Policy::Linestack => draw(&mut rng),
+            Policy::RoundRobin => {
+                self.turn = self.turn.wrapping_add(1);
+                fits[self.turn % fits.len()]
+            }
+            Policy::LeastInFlight => least(&|w| own(&w), &mut rng),
+            Policy::TwoChoices => {
+                let (a, b) = (draw(&mut rng), draw(&mut rng));
+                if own(&b) < own(&a) { b } else { a }
+            }
+            Policy::LeastReported => {
+                let load = |w: Worker| {
+                    let desk = &self.desks[w as usize];
+                    let told = desk.report.map_or(0.0, |r| {
+                        f64::from(r.waiting.unwrap_or(0.0)) - f64::from(r.free_slots.unwrap_or(0.0)).min(4.0)
+                    });
+                    told + desk.since
+                };
+                least(&load, &mut rng)
+            }
+            Policy::TrueState => {
+                let truth = self.truth.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                let places = &truth.places[self.node];
+                let load = |w: Worker| {
+                    let executor = places.get(w as usize).copied().flatten();
+                    let state = executor.and_then(|e| truth.executors.get(e));
+                    // Free slots count down from nothing; one that is down comes last.
+                    state.map_or(f64::MAX, |(up, free, capacity)| {
+                        if *up {
+                            (self.desks[w as usize].since - free) / capacity.max(1e-6)
+                        } else {
+                            f64::MAX
+                        }
+                    })
+                };
+                least(&load, &mut rng)
+            }
+        };
+        self.rng = rng;
+        Some(pick)
+    }
+
+    fn go_on(&mut self, submission: Submission) {
+        let held = self.held[submission as usize].clone();
+        if !held.open || held.out > 0 {
+            return;
+        }
+        let Some(worker) = self.pick(&held) else { return self.finish(submission) };
+        let (now, slack) = (self.now, self.terms.answer_slack / 2);
+        let held = &mut self.held[submission as usize];
+        held.executions += 1;
+        held.out += 1;
+        held.tried.push((worker, true));
+        held.anchor.get_or_insert((worker, now));
+        let desk = &mut self.desks[worker as usize];
+        desk.own += held.job.slots;
+        desk.since += held.job.slots;
+        let timeout = held.job.cut_off - now - slack;
+        self.orders.push(Order::Execute { submission, worker, timeout });
+    }
+
+    fn finish(&mut self, submission: Submission) {
+        let held = &self.held[submission as usize];
+        let repeats = self.terms.products.get(usize::from(held.job.product)).map(|p| p.repeats);
+        let free = matches!(repeats, Some(Repeats::Harmless | Repeats::Stamped { group: Group::All, .. }));
+        let order = if free || held.anchor.is_none() {
+            Order::Dismiss { submission, come_back: self.terms.come_back.map(|most| most / 8) }
+        } else {
+            Order::Abort { submission }
+        };
+        self.orders.push(order);
+        self.close(submission);
+    }
+
+    fn close(&mut self, submission: Submission) {
+        let Some(held) = self.held.get_mut(submission as usize) else { return };
+        held.open = false;
+        if self.terms.may_cancel {
+            for (execution, _) in held.tried.iter().enumerate().filter(|(_, (_, out))| *out) {
+                self.orders.push(Order::Cancel { submission, execution: execution as u16 });
+            }
+        }
+        self.forget(submission);
+    }
+
+    fn forget(&mut self, submission: Submission) {
+        let held = &mut self.held[submission as usize];
+        if !held.open && held.out == 0 && std::mem::take(&mut held.known) {
+            self.orders.push(Order::Forget { submission });
+        }
+    }
+
+    fn ended(&mut self, e: &Ending) {
+        let Some(held) = self.held.get_mut(e.submission as usize) else { return };
+        let Some(tried) = held.tried.get_mut(usize::from(e.execution)).filter(|t| t.1) else { return };
+        tried.1 = false;
+        held.out -= 1;
+        held.perhaps_ran |= !e.outcome.never_ran();
+        if held.out == 0 && !held.perhaps_ran {
+            held.anchor = None;
+        }
+        let slots = held.job.slots;
+        self.desks[e.worker as usize].own -= slots;
+        self.report(e.worker, e.report);
+        if e.closed || e.outcome == Outcome::Satisfied {
+            self.close(e.submission);
+        } else if self.held[e.submission as usize].open {
+            self.go_on(e.submission);
+        }
+        self.forget(e.submission);
+    }
+
+    fn report(&mut self, worker: Worker, report: Option<Report>) {
+        if let (Some(desk), Some(report)) = (self.desks.get_mut(worker as usize), report) {
+            (desk.report, desk.since) = (Some(report), 0.0);
+        }
+    }
+}
+
+impl Decide for Plain {
+    fn decide(&mut self, now: Nanos, event: Event<'_>) -> &[Order] {
+        self.orders.clear();
+        self.now = now;
+        match event {
+            Event::Listed { kind, entries } => {
+                if matches!(kind, ListKind::Whole | ListKind::Cached) {
+                    self.desks.iter_mut().for_each(|d| d.listing.health = Health::Gone);
+                }
+                for listing in entries {
+                    let place = listing.worker as usize;
+                    if self.desks.len() <= place {
+                        self.desks.resize(place + 1, Desk::default());
+                    }
+                    self.desks[place].listing = *listing;
+                }
+                if let Some(within) = self.terms.ask_within {
+                    match kind {
+                        ListKind::Cached => self.orders.push(Order::Subscribe),
+                        ListKind::Failed => self.orders.push(Order::Ring { at: now + within / 10, token: 1 }),
+                        _ => {}
+                    }
+                }
+            }
+            Event::Submitted { submission, job } => {
+                let place = submission as usize;
+                if self.held.len() <= place {
+                    self.held.resize(place + 1, Held::default());
+                }
+                self.held[place] = Held { job, open: true, known: true, ..Held::default() };
+                self.go_on(submission);
+            }
+            Event::Left { submission } => self.close(submission),
+            Event::Ended(ending) => self.ended(&ending),
+            Event::Probed { worker, report, .. } => self.report(worker, report),
+            Event::Rang { token: 1 } => self.orders.push(Order::Subscribe),
+            Event::Retired { worker } => {
+                self.desks.get_mut(worker as usize).into_iter().for_each(|d| *d = Desk::default());
+            }
+            Event::Rang { .. } | Event::Streaming { .. } | Event::Noted { .. } => {}
+        }
+        &self.orders
+    }
+}
--- /dev/null
+++ b/crates/world/src/executor.rs
@@ -0,0 +1,271 @@
+//! A model of an executor: cores that jobs share, slots, a queue in order, a cold start, load reports.
+
+use std::collections::VecDeque;
+
+use linestack_core::{Link, Nanos};
+use linestack_dispatch::types::Report;
+use rand::Rng as _;
+
+use crate::scenario::Executors;
+
+/// Who handed in a job: the node, which of its lives, and the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct Line {
+    pub(crate) node: usize,
+    pub(crate) life: u32,
+    pub(crate) link: Link,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) line: Line,
+    pub(crate) attempt: usize,
+    /// Seconds of work left, at speed 1.
+    pub(crate) left: f64,
+    pub(crate) slots: f64,
+    pub(crate) started: Nanos,
+}
+
+/// What is wrong with it now.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Ills {
+    pub(crate) hung: bool,
+    pub(crate) paused: bool,
+    pub(crate) vanished: bool,
+    pub(crate) slow: Option<f64>,
+    pub(crate) neighbour: f64,
+    pub(crate) neighbour_on: bool,
+    pub(crate) fails: f64,
+    pub(crate) product_fails: bool,
+    pub(crate) loses: f64,
+    pub(crate) refuses: f64,
+    pub(crate) garbage: f64,
+    pub(crate) lies: bool,
+    pub(crate) late: Nanos,
+    /// Messages from nodes, and to nodes, are lost.
+    pub(crate) deaf: bool,
+    pub(crate) mute: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Executor {
+    pub(crate) name: String,
+    pub(crate) spec: usize,
+    pub(crate) zone: u16,
+    pub(crate) group: u16,
+    pub(crate) speed: f64,
+    pub(crate) cores: f64,
+    pub(crate) slots: f64,
+    pub(crate) queue: usize,
+    pub(crate) cold_from: f64,
+    pub(crate) cold_for: Nanos,
+    pub(crate) alive: bool,
+    pub(crate) draining: bool,
+    /// Sent too much while it was cold; it stays down.
+    pub(crate) fallen: bool,
+    pub(crate) life: u32,
+    pub(crate) started: Nanos,
+    pub(crate) ills: Ills,
+    pub(crate) connections: usize,
+    pub(crate) running: Vec<Job>,
+    pub(crate) waiting: VecDeque<Job>,
+    pub(crate) in_use: f64,
+    /// Seconds of work that handshakes and probes still want.
+    debt: f64,
+    updated: Nanos,
+    /// Wakes set before the last change are not meant any more.
+    pub(crate) wake: u64,
+    /// Load reports as they stood, the newest last.
+    told: VecDeque<(Nanos, Report)>,
+    pub(crate) worked: f64,
+}
+
+impl Executor {
+    pub(crate) fn new(name: String, spec: usize, e: &Executors, zone: u16, group: u16, speed: f64) -> Self {
+        Self {
+            name,
+            spec,
+            zone,
+            group,
+            speed,
+            cores: e.cores,
+            slots: f64::from(e.slots),
+            queue: e.queue as usize,
+            cold_from: e.cold_from,
+            cold_for: crate::scenario::seconds(e.cold_s),
+            alive: true,
+            draining: false,
+            fallen: false,
+            life: 0,
+            started: 0,
+            ills: Ills::default(),
+            connections: 0,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            in_use: 0.0,
+            debt: 0.0,
+            updated: 0,
+            wake: 0,
+            told: VecDeque::new(),
+            worked: 0.0,
+        }
+    }
+
+    pub(crate) fn serves(&self) -> bool {
+        self.alive && !self.ills.vanished
+    }
+
+    pub(crate) fn halted(&self) -> bool {
+        !self.alive || self.ills.vanished || self.ills.hung || self.ills.paused
+    }
+
+    pub(crate) fn cold(&self, now: Nanos) -> bool {
+        self.started > 0 && now < self.started + self.cold_for
+    }
+
+    pub(crate) fn warmth(&self, now: Nanos) -> f64 {
+        if !self.cold(now) {
+            return 1.0;
+        }
+        let age = (now - self.started) as f64 / self.cold_for as f64;
+        self.cold_from + (1.0 - self.cold_from) * age
+    }
+
+    /// Seconds of work that it can do in a second.
+    pub(crate) fn capacity(&self, now: Nanos) -> f64 {
+        self.speed * self.cores.min(self.slots) * self.warmth(now)
+    }
+
+    fn core_speed(&self, now: Nanos) -> f64 {
+        self.speed * self.ills.slow.unwrap_or(1.0) * self.warmth(now)
+    }
+
+    fn cores_left(&self) -> f64 {
+        let taken = if self.ills.neighbour_on { self.ills.neighbour } else { 0.0 };
+        (self.cores * (1.0 - taken)).max(0.05)
+    }
+
+    /// How fast each running job goes on.
+    fn pace(&self, now: Nanos) -> f64 {
+        self.core_speed(now) * (self.cores_left() / self.running.len().max(1) as f64).min(1.0)
+    }
+
+    /// Lets it work until now. Whatever changes its pace must call this before.
+    pub(crate) fn advance(&mut self, now: Nanos) {
+        let span = (now - self.updated) as f64 / 1e9;
+        let (pace, all) = (self.pace(self.updated), self.core_speed(self.updated) * self.cores_left());
+        self.updated = now;
+        if self.halted() || span <= 0.0 {
+            return;
+        }
+        let paid = self.debt.min(all * span);
+        self.debt -= paid;
+        let span = span - paid / all;
+        for job in &mut self.running {
+            job.left -= pace * span;
+            self.worked += pace * span;
+        }
+    }
+
+    pub(crate) fn owe(&mut self, now: Nanos, work: f64) {
+        self.advance(now);
+        self.debt += work;
+    }
+
+    /// When something will be done, if it goes on as now.
+    pub(crate) fn next(&self, now: Nanos) -> Option<Nanos> {
+        if self.halted() {
+            return None;
+        }
+        let left = self.running.iter().map(|j| j.left).fold(f64::INFINITY, f64::min);
+        if !left.is_finite() {
+            return None;
+        }
+        let all = self.core_speed(now) * self.cores_left();
+        let span = left.max(0.0) / self.pace(now) + self.debt / all;
+        // A cold one gets faster: it is looked at again before.
+        let span = if self.cold(now) { span.min(0.25) } else { span };
+        Some(now + (span * 1e9).ceil().min(1e18) as Nanos + 1)
+    }
+
+    /// Starts what fits, in order; the head waits until it does.
+    pub(crate) fn start(&mut self, now: Nanos) -> usize {
+        let before = self.running.len();
+        if self.halted() {
+            return before;
+        }
+        while let Some(job) = self.waiting.front() {
+            if self.in_use + job.slots > self.slots + 1e-9 {
+                break;
+            }
+            let Some(mut job) = self.waiting.pop_front() else { break };
+            job.started = now;
+            self.in_use += job.slots;
+            self.running.push(job);
+        }
+        before
+    }
+
+    /// Takes out what is done.
+    pub(crate) fn done(&mut self) -> Vec<Job> {
+        let mut done = Vec::new();
+        let mut i = 0;
+        while i < self.running.len() {
+            if self.running[i].left <= 1e-9 {
+                done.push(self.running.remove(i));
+            } else {
+                i += 1;
+            }
+        }
+        self.count();
+        done
+    }
+
+    pub(crate) fn count(&mut self) {
+        self.in_use = self.running.iter().map(|j| j.slots).sum();
+    }
+
+    /// Forgets all that it holds, as at the end of a process.
+    pub(crate) fn clear(&mut self) {
+        self.running.clear();
+        self.waiting.clear();
+        (self.in_use, self.debt, self.connections) = (0.0, 0.0, 0);
+        self.told.clear();
+    }
+
+    pub(crate) fn free(&self) -> f64 {
+        let waiting: f64 = self.waiting.iter().map(|j| j.slots).sum();
+        (self.slots - self.in_use - waiting).max(0.0)
+    }
+
+    /// The report that an answer holds now: fresh, or the one made last, that many nanoseconds late.
+    pub(crate) fn report(
+        &mut self,
+        now: Nanos,
+        period: Nanos,
+        delay: Nanos,
+        noise: f64,
+        rng: &mut rand_pcg::Pcg64Mcg,
+    ) -> Report {
+        let mut noisy = |f: f64| (f * (1.0 + noise * rng.random_range(-1.0..=1.0))) as f32;
+        let (free, waiting) = ((self.slots - self.in_use).max(0.0), self.waiting.len() as f64);
+        let in_hand = (self.running.len() + self.waiting.len()) as f64;
+        let present = Report {
+            free_slots: Some(noisy(if self.ills.lies { self.slots } else { free })),
+            waiting: Some(noisy(if self.ills.lies { 0.0 } else { waiting })),
+            in_hand: Some(noisy(if self.ills.lies { 0.0 } else { in_hand })),
+            free_memory: None,
+        };
+        let delay = delay + self.ills.late;
+        if period == 0 && delay == 0 {
+            return present;
+        }
+        if self.told.back().is_none_or(|(at, _)| now >= at + period) {
+            self.told.push_back((now, present));
+        }
+        while self.told.len() > 1 && self.told[1].0 + delay <= now {
+            self.told.pop_front();
+        }
+        self.told[0].1
+    }
+}
--- /dev/null
+++ b/crates/world/src/judge.rs
@@ -0,0 +1,253 @@
+//! The judge. It sees what crossed the wires and what executors ran, and trusts no node.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use linestack_core::{Answer, Nanos};
+use linestack_dispatch::types::Health;
+use serde::Serialize;
+
+use crate::executor::Line;
+use crate::scenario::Repeats;
+
+/// The four rules, by what breaks them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// Taken, and no final answer before the cut-off.
+    Lost,
+    /// A second final answer.
+    AnsweredTwice,
+    /// Satisfied with what no executor made for it.
+    MadeUp,
+    /// Something new was sent after the final answer.
+    SentAfterAnswer,
+    /// One that must not run twice ran twice.
+    RanTwice,
+    /// Sent again although it may have run.
+    ResentMayHaveRun,
+    /// A repeat went to those who do not know its mark, or know it no longer.
+    OutsideGroup,
+    /// Dismissed although it may have run.
+    DismissedMayHaveRun,
+    /// Sent to an executor that drains or is gone, after the grace.
+    SentToDrained,
+    /// A cold executor was sent more than it bears.
+    ColdPushedOver,
+    /// A node found that something which must hold did not.
+    Invariant,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Breach {
+    pub rule: Rule,
+    pub at_s: f64,
+    pub what: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ran {
+    /// Nothing proves that it did not.
+    MayHave,
+    Never,
+}
+
+#[derive(Clone, Debug)]
+struct Sent {
+    line: Line,
+    group: u16,
+    at: Nanos,
+    ran: Ran,
+}
+
+/// A submission that a node took.
+#[derive(Clone, Debug)]
+struct Case {
+    life: (usize, u32),
+    repeats: Repeats,
+    memory: Nanos,
+    cut_off: Nanos,
+    answered: Option<Nanos>,
+    /// The client left, or the node died: nothing is owed.
+    excused: bool,
+    sent: Vec<Sent>,
+    runs: u32,
+    made: bool,
+}
+
+/// Work sent to a cold executor lately.
+type Window = VecDeque<(Nanos, f64)>;
+
+#[derive(Debug, Default)]
+pub struct Judge {
+    pub breaches: Vec<Breach>,
+    pub broken: u64,
+    cases: BTreeMap<usize, Case>,
+    told: HashMap<(usize, usize), (Nanos, Health)>,
+    cold: HashMap<usize, Window>,
+    grace: Nanos,
+    slack: Nanos,
+    window: Nanos,
+    multiple: f64,
+}
+
+const MOST_KEPT: usize = 64;
+/// Of what a cold one bears, a little more is let pass for chance.
+const CHANCE: f64 = 1.25;
+
+impl Judge {
+    pub(crate) fn new(grace: Nanos, slack: Nanos, window: Nanos, multiple: f64) -> Self {
+        Self { grace, slack, window, multiple, ..Self::default() }
+    }
+
+    pub(crate) fn breach(&mut self, rule: Rule, now: Nanos, what: String) {
+        self.broken += 1;
+        if self.breaches.len() < MOST_KEPT {
+            self.breaches.push(Breach { rule, at_s: now as f64 / 1e9, what });
+        }
+    }
+
+    pub(crate) fn taken(
+        &mut self,
+        attempt: usize,
+        life: (usize, u32),
+        repeats: Repeats,
+        memory: Nanos,
+        cut_off: Nanos,
+    ) {
+        let (answered, excused, sent, runs, made) = (None, false, Vec::new(), 0, false);
+        let case = Case { life, repeats, memory, cut_off, answered, excused, sent, runs, made };
+        self.cases.insert(attempt, case);
+    }
+
+    pub(crate) fn excuse(&mut self, attempt: usize) {
+        self.cases.get_mut(&attempt).into_iter().for_each(|c| c.excused = true);
+    }
+
+    /// A node died or ended: what it holds is left to the clients.
+    pub(crate) fn died(&mut self, life: (usize, u32)) {
+        self.cases.values_mut().filter(|c| c.life == life).for_each(|c| c.excused = true);
+        self.told.retain(|(node, _), _| *node != life.0);
+    }
+
+    pub(crate) fn answered(&mut self, attempt: usize, answer: &Answer, now: Nanos) {
+        let Some(case) = self.cases.get_mut(&attempt) else {
+            return self.breach(Rule::AnsweredTwice, now, format!("{attempt}: not taken, or long over"));
+        };
+        let second = case.answered.replace(now).is_some();
+        let late = now > case.cut_off + self.slack && !case.excused;
+        let may_have = case.sent.iter().any(|s| s.ran == Ran::MayHave);
+        let harmful = case.repeats != Repeats::Harmless && may_have;
+        let made = case.made;
+        if second {
+            self.breach(Rule::AnsweredTwice, now, format!("{attempt}"));
+        }
+        if late {
+            self.breach(Rule::Lost, now, format!("{attempt}: answered after its cut-off"));
+        }
+        match answer {
+            Answer::Satisfied(_) if !made => self.breach(Rule::MadeUp, now, format!("{attempt}")),
+            Answer::Dismissed(_) if harmful => {
+                self.breach(Rule::DismissedMayHaveRun, now, format!("{attempt}"));
+            }
+            _ => {}
+        }
+    }
+
+    /// The first byte of an execution left a node.
+    pub(crate) fn sent(&mut self, attempt: usize, line: Line, executor: usize, group: u16, now: Nanos) {
+        if let Some((at, health)) = self.told.get(&(line.node, executor))
+            && *health != Health::Ready
+            && now > at + self.grace + self.slack
+        {
+            let what = format!("{attempt} to {executor}, told {:.2} s before", (now - at) as f64 / 1e9);
+            self.breach(Rule::SentToDrained, now, what);
+        }
+        let Some(case) = self.cases.get_mut(&attempt) else {
+            return self.breach(Rule::SentAfterAnswer, now, format!("{attempt}: long over"));
+        };
+        let answered = case.answered.is_some();
+        let earlier: Vec<_> = case.sent.iter().filter(|s| s.ran == Ran::MayHave).cloned().collect();
+        case.sent.push(Sent { line, group, at: now, ran: Ran::MayHave });
+        let (repeats, memory) = (case.repeats, case.memory);
+        if answered {
+            self.breach(Rule::SentAfterAnswer, now, format!("{attempt}"));
+        }
+        match (repeats, earlier.first()) {
+            (Repeats::OneShot, Some(_)) => {
+                self.breach(Rule::ResentMayHaveRun, now, format!("{attempt}"));
+            }
+            (Repeats::Stamped, Some(first)) if first.group != group || now > first.at + memory => {
+                self.breach(Rule::OutsideGroup, now, format!("{attempt}"));
+            }
+            _ => {}
+        }
+    }
+
+    /// What went over the connection is proved not to have run.
+    pub(crate) fn never_ran(&mut self, attempt: usize, line: Line) {
+        let case = self.cases.get_mut(&attempt);
+        let sent = case.and_then(|c| c.sent.iter_mut().rfind(|s| s.line == line));
+        sent.into_iter().for_each(|s| s.ran = Ran::Never);
+    }
+
+    /// An executor began to carry it out.
+    pub(crate) fn ran(&mut self, attempt: usize, now: Nanos) {
+        let Some(case) = self.cases.get_mut(&attempt) else { return };
+        case.runs += 1;
+        if case.runs > 1 && case.repeats != Repeats::Harmless {
+            self.breach(Rule::RanTwice, now, format!("{attempt}"));
+        }
+    }
+
+    /// An executor's result reached the node.
+    pub(crate) fn made(&mut self, attempt: usize) {
+        self.cases.get_mut(&attempt).into_iter().for_each(|c| c.made = true);
+    }
+
+    /// Discovery wrote a line to a node.
+    pub(crate) fn told(&mut self, node: usize, executor: usize, health: Health, now: Nanos) {
+        let told = self.told.entry((node, executor)).or_insert((now, health));
+        if told.1 == Health::Ready || health == Health::Ready {
+            *told = (now, health);
+        }
+    }
+
+    /// Work on its way to a cold executor that can do `capacity` seconds of it in a second. True if it
+    /// falls over.
+    pub(crate) fn cold(&mut self, executor: usize, work: f64, capacity: f64, now: Nanos) -> bool {
+        let window = self.cold.entry(executor).or_default();
+        window.push_back((now, work));
+        while window.front().is_some_and(|(at, _)| at + self.window < now) {
+            window.pop_front();
+        }
+        let sum: f64 = window.iter().map(|(_, work)| work).sum();
+        let bears = CHANCE * self.multiple * capacity * self.window as f64 / 1e9;
+        // A single job is nobody's push.
+        let over = sum > bears && window.len() > 1;
+        if over {
+            let what = format!("{executor}: {sum:.2} s of work in a window, bears {bears:.2}");
+            self.breach(Rule::ColdPushedOver, now, what);
+        }
+        over
+    }
+
+    pub(crate) fn warm(&mut self, executor: usize) {
+        self.cold.remove(&executor);
+    }
+
+    /// What is long over is forgotten; what is overdue is found out.
+    pub(crate) fn sweep(&mut self, now: Nanos) {
+        let (slack, kept) = (self.slack, 20_000_000_000);
+        let late: Vec<usize> = self
+            .cases
+            .iter()
+            .filter(|(_, c)| c.answered.is_none() && !c.excused && now > c.cut_off + slack)
+            .map(|(a, _)| *a)
+            .collect();
+        for attempt in late {
+            self.breach(Rule::Lost, now, format!("{attempt}: no answer"));
+            self.excuse(attempt);
+        }
+        self.cases.retain(|_, c| now < c.cut_off + kept);
+    }
+}
--- /dev/null
+++ b/crates/world/src/outcome.rs
@@ -0,0 +1,104 @@
+//! What came of a world.
+
+use serde::Serialize;
+
+use crate::judge::{Breach, Rule};
+use crate::scenario::{Fault, Scenario};
+
+/// How long after a trouble the worth answered in time was what it had been.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Recovery {
+    pub trouble: Fault,
+    pub ended_s: f64,
+    /// None if it was not within the run.
+    pub after_s: Option<f64>,
+}
+
+/// Counts, unless the name says otherwise. Tries are submissions; a client's retries belong to its first.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Outcome {
+    pub scenario: String,
+    pub seed: u64,
+    pub asked: u64,
+    pub tries: u64,
+    pub taken: u64,
+    pub satisfied: u64,
+    pub in_time: u64,
+    pub dismissed: u64,
+    /// Dismissed while some executor that was up and warm had room for it.
+    pub dismissed_with_room: u64,
+    pub aborted: u64,
+    /// Tries that ended with no answer: the node died, could not be reached, or the client left.
+    pub unanswered: u64,
+    pub executions: u64,
+    pub crossings: u64,
+    pub probes: u64,
+    pub handshakes: u64,
+    /// Worth asked for, and the part of it that was answered in time (late, as far as that pays).
+    pub worth: f64,
+    pub goodput: f64,
+    /// The same by second of the first try, and by product and tenant.
+    pub asked_by_second: Vec<f64>,
+    pub won_by_second: Vec<f64>,
+    pub by_product: Vec<f64>,
+    pub by_tenant: Vec<f64>,
+    /// Seconds from the first try to the answer, of what was satisfied, in the order of answers.
+    #[serde(skip)]
+    pub answer_times: Vec<f32>,
+    pub p50_s: f64,
+    pub p99_s: f64,
+    /// Seconds of work done by each executor, and the part of all work that answered nothing.
+    pub work_by_executor: Vec<f64>,
+    pub waste: f64,
+    pub recoveries: Vec<Recovery>,
+    pub broken: u64,
+    pub breaches: Vec<Breach>,
+    /// Things that happened, for the cost of a world.
+    pub events: u64,
+}
+
+impl Outcome {
+    /// Goodput less the prices of crossings, probes and waste: the one figure to compare by.
+    #[must_use]
+    pub fn score(&self, s: &Scenario) -> f64 {
+        let each = 1.0 / (self.asked.max(1)) as f64;
+        let crossings = self.crossings as f64 * each * s.limits.crossing_price;
+        let probes = self.probes as f64 * each * s.limits.probe_price;
+        self.goodput - crossings - probes - 0.02 * self.waste
+    }
+
+    /// The rules that were broken, each once, in their order.
+    #[must_use]
+    pub fn rules(&self) -> Vec<Rule> {
+        let mut rules: Vec<Rule> = self.breaches.iter().map(|b| b.rule).collect();
+        rules.sort_unstable();
+        rules.dedup();
+        rules
+    }
+
+    pub(crate) fn finish(&mut self, s: &Scenario) {
+        let won: f64 = self.won_by_second.iter().sum();
+        self.goodput = if self.worth > 0.0 { won / self.worth } else { 0.0 };
+        let mut times = self.answer_times.clone();
+        times.sort_unstable_by(f32::total_cmp);
+        let at = |part: f64| {
+            let place = ((times.len() as f64 * part) as usize).min(times.len().saturating_sub(1));
+            times.get(place).map_or(0.0, |t| f64::from(*t))
+        };
+        (self.p50_s, self.p99_s) = (at(0.5), at(0.99));
+        let part = |second: usize| {
+            let asked = self.asked_by_second.get(second).copied().unwrap_or(0.0);
+            (asked > 0.0).then(|| self.won_by_second[second] / asked)
+        };
+        let first = s.troubles.iter().map(|t| t.at_s).fold(s.span_s, f64::min) as usize;
+        let before: Vec<f64> = (0..first).filter_map(part).collect();
+        let usual = before.iter().sum::<f64>() / before.len().max(1) as f64;
+        for t in &s.troubles {
+            let ended = (t.at_s + t.for_s).ceil() as usize;
+            let good = |second: usize| part(second).is_none_or(|p| p >= 0.9 * usual);
+            let back = (ended..self.asked_by_second.len()).find(|s| (*s..s + 3).all(good));
+            let after_s = back.filter(|_| !before.is_empty()).map(|b| (b - ended) as f64);
+            self.recoveries.push(Recovery { trouble: t.kind, ended_s: t.at_s + t.for_s, after_s });
+        }
+    }
+}
