--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -66,16 +66,14 @@
     }
 
     /// Whether an order that has waited for a connection may still be sent. A drain may have been heard of
-    /// in between, and what is sent after the grace breaks the rule however long ago it was decided.
+    /// in between, and what is sent after the grace breaks the rule however long ago it was decided; the
+    /// submission may have been answered by another execution, after which nothing more may go out for it.
     pub(crate) fn stands(&mut self, worker: Worker, load: Load) -> bool {
+        let Load::Execution(submission, execution) = load else { return true };
         let ready = self.workers[worker as usize].health == Health::Ready;
+        let owed = self.taken.get(submission as usize).and_then(Option::as_ref).is_some_and(|t| t.client.is_some());
         let now = self.now;
-        match load {
-            Load::Execution(submission, execution) => {
-                ready && self.sent(submission, execution).is_some_and(|a| a.until > now)
-            }
-            Load::Probe => true,
-        }
+        ready && owed && self.sent(submission, execution).is_some_and(|a| a.until > now)
     }
 
     /// Sends the order over a connection that is up and carries nothing.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,7 @@
 //! The lab: worlds played and compared, and real nodes loaded on loopback.
 
+pub mod draw;
 pub mod file;
+pub mod hunt;
 pub mod play;
 pub mod policies;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 
 use clap::{Parser, Subcommand};
 use linestack_lab::file;
+use linestack_lab::hunt::{Prey, search, shrink, to_file};
 use linestack_lab::play::{Played, mean, play_all, seeds};
 use linestack_lab::policies::Policy;
 
@@ -43,6 +44,28 @@
         #[arg(long, value_enum, value_delimiter = ',')]
         policies: Vec<Policy>,
     },
+    /// Search random small worlds for a broken rule, or for the largest loss against a policy; what is found
+    /// is cut down to the smallest scenario that shows it. Exits with 1 if a rule was broken.
+    Hunt {
+        #[arg(long, default_value_t = 1000)]
+        seeds: u64,
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        /// Look for losses against this policy too.
+        #[arg(long, value_enum)]
+        against: Option<Policy>,
+        /// How many of the largest losses to keep.
+        #[arg(long, default_value_t = 1)]
+        most: usize,
+        /// Plays that cutting down may take, for each find.
+        #[arg(long, default_value_t = 2000)]
+        tries: usize,
+        /// Where the scenarios go.
+        #[arg(long, default_value = "found")]
+        out: PathBuf,
+    },
+    /// Play scenario files again, as they are. Exits with 1 if a rule was broken.
+    Replay { scenarios: Vec<PathBuf> },
 }
 
 fn main() -> ExitCode {
@@ -92,7 +115,50 @@
             }
             Ok(ExitCode::SUCCESS)
         }
+        Command::Hunt { seeds, from, against, most, tries, out } => {
+            found(*from, *seeds, *against, *most, *tries, out, arguments.quiet)
+        }
+        Command::Replay { scenarios } => {
+            let all = scenarios.iter().map(|p| file::read(p)).collect::<Result<Vec<_>, _>>()?;
+            let played = play_all(&all, &[Policy::Linestack], arguments.quiet);
+            if arguments.json {
+                lines(&played)?;
+            } else {
+                print!("{}", table(&played));
+            }
+            Ok(verdict(&played))
+        }
+    }
+}
+
+fn found(
+    from: u64,
+    count: u64,
+    against: Option<Policy>,
+    most: usize,
+    tries: usize,
+    out: &std::path::Path,
+    quiet: bool,
+) -> Fallible<ExitCode> {
+    let (broken, found) = search(from, count, against, most, quiet);
+    println!("{count} worlds from seed {from}: {broken} with a broken rule");
+    for find in &found {
+        let small = shrink(find, tries);
+        std::fs::create_dir_all(out)?;
+        let what = match find.prey {
+            Prey::Broken(rule) => format!("{rule:?}"),
+            Prey::Loss(other, _) => format!("loss-{}", other.name()),
+        };
+        let path = out.join(format!("{}-{}.toml", what.to_lowercase(), small.seed));
+        std::fs::write(&path, to_file(&small))?;
+        println!("{what}: {}", path.display());
+        let policies: Vec<Policy> = match find.prey {
+            Prey::Broken(_) => vec![Policy::Linestack],
+            Prey::Loss(other, _) => vec![Policy::Linestack, other],
+        };
+        print!("{}", table(&play_all(&[small], &policies, true)));
     }
+    Ok(ExitCode::from(u8::from(broken > 0)))
 }
 
 fn lines(played: &[Played]) -> Fallible<()> {
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -128,6 +128,20 @@
     answered: bool,
 }
 
+/// A group remembers a mark for its span after it last had to do with it, and while it holds a copy.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mark {
+    ran: bool,
+    held: u32,
+    until: Nanos,
+}
+
+impl Mark {
+    fn known(&self, now: Nanos) -> bool {
+        self.ran && (self.held > 0 || self.until > now)
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Watch {
     Off,
@@ -144,6 +158,7 @@
     stopping: bool,
     armed: Nanos,
     busy_until: Nanos,
+    paused_until: Nanos,
     inbox: VecDeque<Input>,
     resuming: bool,
     watch: Watch,
@@ -176,7 +191,7 @@
     firsts: Vec<First>,
     attempts: Vec<Attempt>,
     /// Stamped work that a group remembers.
-    marks: HashMap<(u16, usize), Nanos>,
+    marks: HashMap<(u16, usize), Mark>,
     listed: Vec<(Health, Nanos)>,
     discovery_down: bool,
     discovery_flaps: bool,
@@ -295,6 +310,7 @@
                 stopping: false,
                 armed: Nanos::MAX,
                 busy_until: 0,
+                paused_until: 0,
                 inbox: VecDeque::new(),
                 resuming: false,
                 watch: Watch::Off,
@@ -440,7 +456,7 @@
             Happening::Sweep => {
                 self.judge.sweep(self.now);
                 let now = self.now;
-                self.marks.retain(|_, until| *until > now);
+                self.marks.retain(|_, m| m.held > 0 || m.until > now);
                 self.after(SECOND, Happening::Sweep);
             }
         }
@@ -963,11 +979,14 @@
         }
         e.advance(now);
         e.connections = e.connections.saturating_sub(1);
+        let mut dropped: Vec<Job> = e.waiting.iter().filter(|j| j.line == line).cloned().collect();
         e.waiting.retain(|j| j.line != line);
         if self.s.executors[e.spec].cancels {
+            dropped.extend(e.running.iter().filter(|j| j.line == line).cloned());
             e.running.retain(|j| j.line != line);
             e.count();
         }
+        dropped.iter().for_each(|job| self.let_go(c.executor, job));
         self.turn(c.executor);
     }
 
@@ -991,8 +1010,10 @@
         self.out.crossings += u64::from(zone != self.nodes[line.node].zone);
         if self.executors[executor].cold(self.now) && self.executors[executor].alive {
             let first = &self.firsts[self.attempts[attempt].first];
+            // By what a job of the product takes on average: nobody is told that this one is an outlier.
+            let work = self.s.products[first.product].work_ms / 1e3;
             let capacity = self.executors[executor].capacity(self.now);
-            if self.judge.cold(executor, first.work, capacity, self.now) {
+            if self.judge.cold(executor, work, capacity, self.now) {
                 self.executors[executor].fallen = true;
                 self.executor_ends(executor, true);
                 self.announce(executor, Health::Gone, true);
@@ -1041,7 +1062,7 @@
             return;
         }
         let mark = (self.executors[executor].group, self.attempts[attempt].first);
-        if p.repeats == Repeats::Stamped && self.marks.get(&mark).is_some_and(|until| *until > now) {
+        if p.repeats == Repeats::Stamped && self.marks.get(&mark).is_some_and(|m| m.known(now)) {
             // Seen before: not carried out again.
             return self.reply_later(executor, line, attempt, Ended::Satisfied);
         }
@@ -1054,6 +1075,8 @@
     }
 
     fn enqueue(&mut self, executor: usize, line: Line, attempt: usize, left: f64, slots: f64) {
+        let mark = (self.executors[executor].group, self.attempts[attempt].first);
+        self.marks.entry(mark).or_default().held += 1;
         let e = &mut self.executors[executor];
         e.advance(self.now);
         e.waiting.push_back(Job { line, attempt, left, slots, started: 0 });
@@ -1074,6 +1097,7 @@
             self.began(executor, life, line, attempt);
         }
         for job in done {
+            self.let_go(executor, &job);
             self.reply_later(executor, job.line, job.attempt, Ended::Satisfied);
         }
         let e = &mut self.executors[executor];
@@ -1082,18 +1106,37 @@
         if let Some(at) = e.next(now) {
             self.at(at, Happening::Wake { executor, wake });
         }
-        if !e_cold(&self.executors[executor], now) {
+        if !self.executors[executor].cold(now) {
             self.judge.warm(executor);
         }
         self.reflect(executor);
     }
 
+    /// An executor holds a job no longer.
+    fn let_go(&mut self, executor: usize, job: &Job) {
+        let first = self.attempts[job.attempt].first;
+        let memory = seconds(self.s.products[self.firsts[first].product].memory_s);
+        let until = self.now + memory;
+        if let Some(mark) = self.marks.get_mut(&(self.executors[executor].group, first)) {
+            mark.held = mark.held.saturating_sub(1);
+            mark.until = mark.until.max(until);
+        }
+    }
+
+    /// All that it holds is gone.
+    fn clear(&mut self, executor: usize) {
+        let e = &mut self.executors[executor];
+        let held: Vec<Job> = e.running.drain(..).chain(e.waiting.drain(..)).collect();
+        e.clear();
+        held.iter().for_each(|job| self.let_go(executor, job));
+    }
+
     fn began(&mut self, executor: usize, life: u32, line: Line, attempt: usize) {
         let first = self.attempts[attempt].first;
         let p = &self.s.products[self.firsts[first].product];
         if p.repeats == Repeats::Stamped {
             let mark = (self.executors[executor].group, first);
-            if self.marks.get(&mark).is_some_and(|until| *until > self.now) {
+            if self.marks.get(&mark).is_some_and(|m| m.known(self.now)) {
                 // Its twin began while it waited.
                 let e = &mut self.executors[executor];
                 if let Some(job) = e.running.iter_mut().find(|j| j.line == line) {
@@ -1101,7 +1144,8 @@
                 }
                 return;
             }
-            self.marks.insert(mark, self.now + seconds(p.memory_s));
+            let mark = self.marks.entry(mark).or_default();
+            (mark.ran, mark.until) = (true, self.now + seconds(p.memory_s));
         }
         self.judge.ran(attempt, self.now);
         if self.s.tells_start {
@@ -1167,10 +1211,10 @@
     fn executor_ends(&mut self, executor: usize, resets: bool) {
         let e = &mut self.executors[executor];
         e.advance(self.now);
-        e.clear();
         e.alive = false;
         e.life += 1;
         e.wake += 1;
+        self.clear(executor);
         if resets {
             self.reset_all(executor);
         }
@@ -1192,7 +1236,6 @@
         if e.fallen {
             return;
         }
-        e.clear();
         e.advance(now);
         (e.alive, e.draining, e.started) = (true, false, now);
         e.ills = crate::executor::Ills::default();
@@ -1254,8 +1297,10 @@
     fn tell(&mut self, node: usize, kind: ListKind, endpoints: Vec<Endpoint>) {
         let at = self.now + MS + self.rng.random_range(0..2 * MS);
         let life = self.nodes[node].life;
+        // Paused, it can hear nothing.
+        let told = at.max(self.nodes[node].paused_until);
         for e in &endpoints {
-            self.judge.told(node, executor_at(e.address), e.health, at);
+            self.judge.told(node, executor_at(e.address), e.health, told);
         }
         self.at(at, Happening::Feed { node, life, input: Input::Listed { kind, endpoints } });
     }
@@ -1393,7 +1438,9 @@
             }
             Fault::NodePause if begins => {
                 for node in victims {
-                    self.nodes[node].busy_until = self.now + seconds(t.for_s);
+                    let until = self.now + seconds(t.for_s);
+                    let slot = &mut self.nodes[node];
+                    (slot.busy_until, slot.paused_until) = (until, until);
                 }
             }
             Fault::NodeSlow => {
@@ -1471,7 +1518,7 @@
                 if !begins {
                     // Neither side knows what the other missed; what is left is reset.
                     self.reset_all(executor);
-                    self.executors[executor].clear();
+                    self.clear(executor);
                     self.executors[executor].life += 1;
                 }
             }
@@ -1501,10 +1548,6 @@
     }
 }
 
-fn e_cold(e: &Executor, now: Nanos) -> bool {
-    e.cold(now)
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
