The lab on sockets: stand-in fleet, bounded load, and a demonstration with two real nodes

A newcomer had no way to see a node at work without the operators' kit. linestack-lab serve, load, fill and demo run stand-in executors (the world's own model in real time) and discovery on loopback.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -59,6 +59,8 @@
 const REPORT_EVERY: Nanos = 10 * SECOND;
 /// Where changes are pushed: how soon a watch that ended is opened again, at the earliest.
 const WATCH_AGAIN: Nanos = SECOND / 2;
+/// A process that ends breaks all its connections within this.
+const TOGETHER: Nanos = SECOND / 50;
 /// Bytes that a connection takes: of its stack, what is touched, and the first of its buffers.
 const CONNECTION: usize = 20 * 1024;
 /// A client may say that it waits this many times as long as the longest cut-off; more is remembered in vain.
@@ -140,6 +142,8 @@
     worker: Worker,
     stage: Stage,
     load: Option<Load>,
+    /// It was made.
+    up: bool,
     /// For how long it had stood idle before what it carries now: it may have been closed at the other end.
     idled: Option<Nanos>,
     since: Nanos,
@@ -158,6 +162,20 @@
     known: usize,
     /// It waits in `left`.
     left: bool,
+    seen: Seen,
+}
+
+/// What was seen of an executor's connections, as far as it tells whether its process was lost.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    /// Those that are up.
+    up: usize,
+    /// How many broke together, until when, and whether one of them carried something.
+    breaks: usize,
+    broke: Nanos,
+    busy: bool,
+    /// Nothing has answered since something went unanswered.
+    silent: bool,
 }
 
 pub struct Core {
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -95,7 +95,14 @@
     pub(crate) fn overdue(&mut self, link: Link) {
         let Some(line) = self.links.get(&link) else { return };
         let (worker, stage, load) = (line.worker, line.stage, line.load);
-        self.close_link(link);
+        if load.is_some() {
+            self.workers[worker as usize].seen.silent = true;
+        }
+        let Some(line) = self.forget_link(link) else { return };
+        self.effects.push(Effect::CloseLink { link });
+        if stage == Stage::Opening {
+            self.broke(&line);
+        }
         match load {
             None => {}
             Some(Load::Probe) => self.probed(worker, Some(false), None),
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -47,7 +47,8 @@
         }
         self.stats.links_opened += 1;
         let (stage, since) = (Stage::Opening, self.now);
-        let line = Line { worker, stage, load: Some(load), idled: None, since, limit: Limit::NONE };
+        let line =
+            Line { worker, stage, load: Some(load), up: false, idled: None, since, limit: Limit::NONE };
         self.links.insert(link, line);
         self.workers[worker as usize].lines += 1;
         self.limit_link(link, self.now + limit);
@@ -71,7 +72,8 @@
     pub(crate) fn stands(&mut self, worker: Worker, load: Load) -> bool {
         let Load::Execution(submission, execution) = load else { return true };
         let ready = self.workers[worker as usize].health == Health::Ready;
-        let owed = self.taken.get(submission as usize).and_then(Option::as_ref).is_some_and(|t| t.client.is_some());
+        let owed =
+            self.taken.get(submission as usize).and_then(Option::as_ref).is_some_and(|t| t.client.is_some());
         let now = self.now;
         ready && owed && self.sent(submission, execution).is_some_and(|a| a.until > now)
     }
@@ -117,6 +119,7 @@
         let load = line.load.take();
         let idled = line.idled.take();
         line.stage = Stage::Finishing;
+        self.workers[line.worker as usize].seen.silent = false;
         if let Some(idled) = idled {
             self.idled(idled, true);
         }
@@ -140,6 +143,8 @@
 
     pub(crate) fn link_up(&mut self, link: Link) {
         let Some(line) = self.links.get_mut(&link) else { return };
+        self.workers[line.worker as usize].seen.up += 1;
+        line.up = true;
         match line.load.take() {
             Some(load) => self.hand(link, load),
             None => self.rest(link),
@@ -148,6 +153,9 @@
 
     pub(crate) fn link_down(&mut self, link: Link, broken: Broken) {
         let Some(line) = self.forget_link(link) else { return };
+        if !broken.here {
+            self.broke(&line);
+        }
         let Some(load) = line.load else {
             if line.stage == Stage::Idle && self.workers[line.worker as usize].health == Health::Ready {
                 self.idled(self.now - line.since, false);
@@ -181,9 +189,33 @@
         }
     }
 
+    /// Whether what broke, with what broke just before, or could not be made, tells that the process was lost.
+    /// One connection that breaks tells nothing, nor do idle ones that were closed at the other end.
+    pub(crate) fn broke(&mut self, line: &Line) {
+        let now = self.now;
+        let seen = &mut self.workers[line.worker as usize].seen;
+        let lost = if line.up {
+            if now > seen.broke + TOGETHER {
+                (seen.breaks, seen.busy) = (0, false);
+            }
+            (seen.breaks, seen.broke) = (seen.breaks + 1, now);
+            seen.busy |= line.load.is_some();
+            seen.silent || (seen.busy && seen.breaks > 1)
+        } else {
+            // An execution that finds no connection says so by its outcome.
+            line.load == Some(Load::Probe)
+        };
+        if lost && seen.up == 0 {
+            seen.breaks = 0;
+            self.pending.push_back(Event::Died { worker: line.worker });
+        }
+    }
+
     pub(crate) fn forget_link(&mut self, link: Link) -> Option<Line> {
         let line = self.links.remove(&link)?;
-        self.workers[line.worker as usize].lines -= 1;
+        let place = &mut self.workers[line.worker as usize];
+        place.lines -= 1;
+        place.seen.up -= usize::from(line.up);
         if line.stage == Stage::Idle {
             self.workers[line.worker as usize].idle.retain(|l| *l != link);
         }
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -57,9 +57,17 @@
         if let Some(worker) = self.names.get(e.name.as_str()) {
             return *worker;
         }
-        let name: Arc<str> = e.name.as_str().into();
-        let (address, health, idle) = (e.address, e.health, Vec::new());
-        let place = Place { name: Arc::clone(&name), address, health, idle, lines: 0, known: 0, left: false };
+        let (name, seen) = (Arc::<str>::from(e.name.as_str()), Seen::default());
+        let place = Place {
+            name: Arc::clone(&name),
+            address: e.address,
+            health: e.health,
+            idle: Vec::new(),
+            lines: 0,
+            known: 0,
+            left: false,
+            seen,
+        };
         let worker = if let Some(worker) = self.vacant.pop() {
             self.workers[worker as usize] = place;
             worker
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -117,6 +117,10 @@
                     self.flow.proved(self.fleet.report(worker, report, self.now), self.now);
                 }
             }
+            // Back at once, it would be sent as much as a warm one before the list tells of its start.
+            Event::Died { worker } => self.fleet.get_mut(worker).into_iter().for_each(|desk| {
+                (desk.aside, desk.suspected, desk.died) = (desk.aside.max(1), true, true);
+            }),
             Event::Retired { worker } => self.fleet.retire(worker),
             Event::Rang { .. } => {} // The pulse was seen to above; a stale timer calls for nothing.
         }
--- a/crates/dispatch/src/types.rs
+++ b/crates/dispatch/src/types.rs
@@ -204,6 +204,11 @@
         answered: Option<bool>,
         report: Option<Report>,
     },
+    /// All that was seen of its connections says that its process or machine was lost: it is gone, or back
+    /// and cold.
+    Died {
+        worker: Worker,
+    },
     Rang {
         token: u64,
     },
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod hunt;
 pub mod play;
 pub mod policies;
+pub mod sockets;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,13 +3,16 @@
 use std::io::Write as _;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Instant;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use clap::{Parser, Subcommand};
 use linestack_lab::file;
 use linestack_lab::hunt::{Prey, search, shrink, to_file};
 use linestack_lab::play::{Played, mean, play_all, seeds};
 use linestack_lab::policies::Policy;
+use linestack_lab::sockets::{self, Fleet, Loaded, Plan, Started};
+use linestack_world::{Executors, Fault, Product, Repeats, Scenario, Trouble};
 
 /// Plays worlds of whole nodes in simulated time, and loads real nodes on loopback.
 #[derive(Parser)]
@@ -64,6 +67,48 @@
         #[arg(long, default_value = "found")]
         out: PathBuf,
     },
+    /// Stand-in executors and discovery of a scenario, on loopback and in real time, with its troubles.
+    Serve {
+        scenario: PathBuf,
+        /// Seconds until it ends by itself.
+        #[arg(long, default_value_t = 3600.0)]
+        span: f64,
+    },
+    /// Load nodes on loopback with bounded clients, and tell how long answers took.
+    Load {
+        scenario: PathBuf,
+        /// Where the nodes, or executors, listen.
+        #[arg(required = true)]
+        to: Vec<std::net::SocketAddr>,
+        #[arg(long, default_value_t = 16)]
+        clients: usize,
+        /// Requests a second, at a fixed pace; else each client asks again once it is answered.
+        #[arg(long)]
+        rate: Option<f64>,
+        #[arg(long, default_value_t = 10.0)]
+        span: f64,
+        /// Seconds over which the clients begin.
+        #[arg(long, default_value_t = 1.0)]
+        ramp: f64,
+    },
+    /// What a node makes of workers of many slots: so many closed-loop clients, directly and through a node.
+    Fill {
+        #[arg(long, default_value_t = 4)]
+        workers: u32,
+        #[arg(long, default_value_t = 64)]
+        slots: u32,
+        #[arg(long, default_value_t = 200)]
+        clients: usize,
+        /// Time that a job holds its slot.
+        #[arg(long, default_value_t = 20.0)]
+        work_ms: f64,
+        #[arg(long, default_value_t = 5.0)]
+        span: f64,
+        #[arg(long, default_value_t = 1.0)]
+        ramp: f64,
+    },
+    /// Two real nodes and a small fleet, loaded through a fault for some seconds.
+    Demo,
     /// Play scenario files again, as they are. Exits with 1 if a rule was broken.
     Replay { scenarios: Vec<PathBuf> },
 }
@@ -118,6 +163,34 @@
         Command::Hunt { seeds, from, against, most, tries, out } => {
             found(*from, *seeds, *against, *most, *tries, out, arguments.quiet)
         }
+        Command::Serve { scenario, span } => {
+            let fleet = Arc::new(Fleet::start(&file::read(scenario)?)?);
+            fleet.play();
+            println!("discovery {}", fleet.discovery);
+            fleet.executors.iter().for_each(|e| println!("executor {e}"));
+            std::thread::sleep(Duration::from_secs_f64(span.clamp(0.0, 86_400.0)));
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Load { scenario, to, clients, rate, span, ramp } => {
+            let s = file::read(scenario)?;
+            let plan = plan(*clients, *rate, *span, *ramp)?;
+            let loaded = sockets::load(&s, to, &plan, seed_now())?;
+            println!("{HEAD}\n{}", row("load", &loaded));
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Fill { workers, slots, clients, work_ms, span, ramp } => {
+            let s = large(*workers, *slots, *work_ms);
+            s.check()?;
+            let plan = plan(*clients, None, *span, *ramp)?;
+            let fleet = Fleet::start(&s)?;
+            let node = Started::start(&Started::program()?, &fleet.configuration("n0", 1))?;
+            let direct = sockets::load(&s, &fleet.executors, &plan, seed_now())?;
+            let through = sockets::load(&s, &[node.address], &plan, seed_now())?;
+            println!("{HEAD}\n{}\n{}", row("direct", &direct), row("through a node", &through));
+            println!("{:.3} of the direct rate", through.rate() / direct.rate());
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Demo => demo(),
         Command::Replay { scenarios } => {
             let all = scenarios.iter().map(|p| file::read(p)).collect::<Result<Vec<_>, _>>()?;
             let played = play_all(&all, &[Policy::Linestack], arguments.quiet);
@@ -161,6 +234,74 @@
     Ok(ExitCode::from(u8::from(broken > 0)))
 }
 
+const HEAD: &str =
+    "                  answers a second  dismissed  failed  broken  p50 ms   p99 ms   longest ms";
+
+fn row(name: &str, l: &Loaded) -> String {
+    let ms = |us: u64| us as f64 / 1e3;
+    let (p50, p99) = (ms(l.times.value_at_quantile(0.5)), ms(l.times.value_at_quantile(0.99)));
+    format!(
+        "{name:<16}  {:<16.1}  {:<9}  {:<6}  {:<6}  {p50:<7.1}  {p99:<7.1}  {:.1}",
+        l.rate(),
+        l.dismissed,
+        l.failed,
+        l.broken,
+        ms(l.times.max())
+    )
+}
+
+fn plan(clients: usize, rate: Option<f64>, span: f64, ramp: f64) -> Fallible<Plan> {
+    let fine = |f: f64| f.is_finite() && (0.0..=3600.0).contains(&f);
+    if !fine(span) || span == 0.0 || !fine(ramp) || rate.is_some_and(|r| !(r.is_finite() && r > 0.0)) {
+        return Err("span and ramp must be from 0 to 3600 s, the span and a rate over 0".into());
+    }
+    Ok(Plan { clients, rate, span: Duration::from_secs_f64(span), ramp: Duration::from_secs_f64(ramp) })
+}
+
+/// Names requests apart from those of an earlier run.
+fn seed_now() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(1, |s| s.as_nanos() as u64)
+}
+
+/// Workers of many slots, each with a core for every slot, and one harmless product.
+fn large(workers: u32, slots: u32, work_ms: f64) -> Scenario {
+    let cores = f64::from(slots);
+    let executors = Executors { count: workers, slots, cores, speed_spread: 0.0, ..Executors::default() };
+    let product = Product { work_ms, cv: 0.0, agreed_ms: 400.0, ..Product::default() };
+    let nodes = linestack_world::Nodes { count: 1, sockets: 2048, ..Default::default() };
+    Scenario { executors: vec![executors], products: vec![product], nodes, ..Scenario::default() }
+}
+
+fn demo() -> Fallible<ExitCode> {
+    let product =
+        |name: &str, repeats| Product { name: name.into(), repeats, work_ms: 60.0, ..Product::default() };
+    let s = Scenario {
+        nodes: linestack_world::Nodes { count: 2, ..Default::default() },
+        executors: vec![Executors { count: 5, slots: 4, ..Executors::default() }],
+        products: vec![product("look", Repeats::Harmless), product("pay", Repeats::OneShot)],
+        troubles: vec![Trouble { kind: Fault::Hang, at_s: 3.0, for_s: 2.0, part: 0.2, ..Trouble::default() }],
+        ..Scenario::default()
+    };
+    let program = Started::program()?;
+    let fleet = Arc::new(Fleet::start(&s)?);
+    let nodes = [1, 2].map(|i| Started::start(&program, &fleet.configuration(&format!("n{i}"), i)));
+    let nodes = nodes.into_iter().collect::<Result<Vec<_>, _>>()?;
+    let to: Vec<_> = nodes.iter().map(|n| n.address).collect();
+    println!(
+        "two nodes, five executors of four slots; 150 requests a second; from 3 s to 5 s one executor hangs"
+    );
+    println!("{HEAD}");
+    fleet.play();
+    let mut failed = false;
+    for (name, span) in [("before (3 s)", 3.0), ("hanging (2 s)", 2.0), ("after (3 s)", 3.0)] {
+        let loaded = sockets::load(&s, &to, &plan(40, Some(150.0), span, 0.0)?, seed_now())?;
+        println!("{}", row(name, &loaded));
+        failed |= loaded.satisfied == 0;
+    }
+    Ok(ExitCode::from(u8::from(failed)))
+}
+
 fn lines(played: &[Played]) -> Fallible<()> {
     let mut out = std::io::stdout().lock();
     for p in played {
--- a/crates/lab/src/policies.rs
+++ b/crates/lab/src/policies.rs
@@ -277,7 +277,7 @@
             Event::Retired { worker } => {
                 self.desks.get_mut(worker as usize).into_iter().for_each(|d| *d = Desk::default());
             }
-            Event::Rang { .. } | Event::Streaming { .. } | Event::Noted { .. } => {}
+            Event::Rang { .. } | Event::Streaming { .. } | Event::Noted { .. } | Event::Died { .. } => {}
         }
         &self.orders
     }
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -9,6 +9,7 @@
 mod judge;
 mod outcome;
 mod scenario;
+pub mod standin;
 mod world;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/world/src/standin.rs
@@ -0,0 +1,163 @@
+//! The executor model for other clocks than the world's: a stand-in on sockets feeds it with real time.
+
+use std::collections::HashMap;
+
+use linestack_core::Nanos;
+use linestack_dispatch::types::Report;
+use rand::{Rng as _, SeedableRng as _};
+use rand_distr::{Distribution as _, LogNormal};
+use rand_pcg::Pcg64Mcg;
+
+use crate::executor::{Executor, Job, Line};
+use crate::scenario::{Fault, Scenario, millis};
+
+/// A job's number, given out by the caller and never again.
+pub type Ticket = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It will be among those that [`StandIn::turn`] returns.
+    Taken,
+    /// Turned away unseen.
+    Full,
+    /// Failed at once.
+    Failed,
+    /// Lost without a word.
+    Lost,
+}
+
+/// One executor, in real or any other time that only goes forward, in nanoseconds.
+pub struct StandIn {
+    e: Executor,
+    s: Scenario,
+    rng: Pcg64Mcg,
+    products: HashMap<String, usize>,
+}
+
+impl StandIn {
+    /// Executor `index` of the scenario, counted over all kinds.
+    #[must_use]
+    pub fn new(s: &Scenario, index: usize) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(s.seed ^ (index as u64) << 32);
+        let (mut spec, mut left) = (0, index);
+        while spec + 1 < s.executors.len() && left >= s.executors[spec].count as usize {
+            left -= s.executors[spec].count as usize;
+            spec += 1;
+        }
+        let e = &s.executors[spec];
+        let speed = e.speed * (1.0 + e.speed_spread * rng.random_range(-1.0..=1.0));
+        let zone = (index % usize::from(s.zones)) as u16;
+        let group = (index / e.group as usize) as u16;
+        let products = s.products.iter().enumerate().map(|(i, p)| (p.name.clone(), i)).collect();
+        Self {
+            e: Executor::new(format!("e{index}"), spec, e, zone, group, speed),
+            s: s.clone(),
+            rng,
+            products,
+        }
+    }
+
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.e.name
+    }
+
+    #[must_use]
+    pub fn kind(&self) -> &str {
+        &self.s.executors[self.e.spec].kind
+    }
+
+    #[must_use]
+    pub fn zone(&self) -> u16 {
+        self.e.zone
+    }
+
+    #[must_use]
+    pub fn group(&self) -> u16 {
+        self.e.group
+    }
+
+    /// Offers a job of a product; one that is not known counts as the first.
+    pub fn offer(&mut self, now: Nanos, ticket: Ticket, product: &str) -> Offer {
+        let place = self.products.get(product).copied().unwrap_or(0);
+        let p = &self.s.products[place];
+        let ills = &self.e.ills;
+        if !ills.hung {
+            if self.e.draining || self.rng.random::<f64>() < ills.refuses {
+                return Offer::Full;
+            }
+            if self.rng.random::<f64>() < ills.fails || (ills.product_fails && place == 0) {
+                return Offer::Failed;
+            }
+            if self.rng.random::<f64>() < ills.loses {
+                return Offer::Lost;
+            }
+        }
+        let full = self.e.in_use + p.slots > self.e.slots || !self.e.waiting.is_empty();
+        if p.slots > self.e.slots || (full && self.e.waiting.len() >= self.e.queue) {
+            return Offer::Full;
+        }
+        let mean = p.work_ms / 1e3;
+        let left = if p.cv > 0.0 {
+            let variance = (1.0 + p.cv * p.cv).ln();
+            let spread = LogNormal::new(mean.ln() - variance / 2.0, variance.sqrt());
+            spread.map_or(mean, |d| d.sample(&mut self.rng))
+        } else {
+            mean
+        };
+        self.e.advance(now);
+        let line = Line { node: 0, life: 0, link: ticket };
+        self.e.waiting.push_back(Job { line, attempt: 0, left, slots: p.slots, started: 0 });
+        Offer::Taken
+    }
+
+    /// Its client has gone away.
+    pub fn withdraw(&mut self, now: Nanos, ticket: Ticket) {
+        self.e.advance(now);
+        self.e.waiting.retain(|j| j.line.link != ticket);
+        if self.s.executors[self.e.spec].cancels {
+            self.e.running.retain(|j| j.line.link != ticket);
+            self.e.count();
+        }
+    }
+
+    /// What is done by now, and when to look again.
+    pub fn turn(&mut self, now: Nanos) -> (Vec<Ticket>, Option<Nanos>) {
+        self.e.advance(now);
+        let done = if self.e.halted() { Vec::new() } else { self.e.done() };
+        self.e.start(now);
+        (done.into_iter().map(|j| j.line.link).collect(), self.e.next(now))
+    }
+
+    pub fn report(&mut self, now: Nanos) -> Option<Report> {
+        let r = &self.s.reports;
+        let (period, delay) = (millis(r.period_ms), millis(r.delay_ms));
+        r.told.then(|| self.e.report(now, period, delay, r.noise, &mut self.rng))
+    }
+
+    /// Whether it answers anything, probes too.
+    #[must_use]
+    pub fn answers(&self) -> bool {
+        !self.e.halted()
+    }
+
+    /// A trouble begins or ends. False for one that is not an executor's own.
+    pub fn ail(&mut self, now: Nanos, kind: Fault, size: f64, begins: bool) -> bool {
+        self.e.advance(now);
+        let part = if begins { size } else { 0.0 };
+        let ills = &mut self.e.ills;
+        match kind {
+            Fault::Hang => ills.hung = begins,
+            Fault::Pauses => ills.paused = begins,
+            Fault::Slow => ills.slow = begins.then_some(size.max(0.01)),
+            Fault::Neighbour => (ills.neighbour, ills.neighbour_on) = (part, begins),
+            Fault::FastErrors => ills.fails = part,
+            Fault::ProductFails => ills.product_fails = begins,
+            Fault::Lose => ills.loses = part,
+            Fault::Refuse => ills.refuses = part,
+            Fault::Lie => ills.lies = begins,
+            _ => return false,
+        }
+        true
+    }
+}
--- a/crates/world/tests/judge.rs
+++ b/crates/world/tests/judge.rs
@@ -57,11 +57,31 @@
 #[rstest]
 fn every_trouble_alone_breaks_no_rule(
     #[values(
-        Fault::Crash, Fault::Vanish, Fault::Hang, Fault::Pauses, Fault::Slow, Fault::Neighbour,
-        Fault::FastErrors, Fault::ProductFails, Fault::Lose, Fault::Refuse, Fault::Garbage, Fault::Lie,
-        Fault::ReportsLate, Fault::Resets, Fault::Cut, Fault::Drain, Fault::Grow, Fault::Roll,
-        Fault::DiscoveryDown, Fault::DiscoveryFlaps, Fault::NodeKill, Fault::NodeRoll, Fault::NodePause,
-        Fault::NodeSlow, Fault::Flood
+        Fault::Crash,
+        Fault::Vanish,
+        Fault::Hang,
+        Fault::Pauses,
+        Fault::Slow,
+        Fault::Neighbour,
+        Fault::FastErrors,
+        Fault::ProductFails,
+        Fault::Lose,
+        Fault::Refuse,
+        Fault::Garbage,
+        Fault::Lie,
+        Fault::ReportsLate,
+        Fault::Resets,
+        Fault::Cut,
+        Fault::Drain,
+        Fault::Grow,
+        Fault::Roll,
+        Fault::DiscoveryDown,
+        Fault::DiscoveryFlaps,
+        Fault::NodeKill,
+        Fault::NodeRoll,
+        Fault::NodePause,
+        Fault::NodeSlow,
+        Fault::Flood
     )]
     kind: Fault,
     #[values(1, 2, 3)] seed: u64,
