--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -185,6 +185,8 @@
     /// Kept connections that were found closed when something was to be sent.
     pub stale: u64,
     pub connect_failed: u64,
+    /// Executors whose process or machine was lost, by what was seen of their connections.
+    pub died: u64,
     pub timed_out: u64,
     pub not_sent: u64,
     pub probes: u64,
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -207,6 +207,7 @@
         };
         if lost && seen.up == 0 {
             seen.breaks = 0;
+            self.stats.died += 1;
             self.pending.push_back(Event::Died { worker: line.worker });
         }
     }
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use linestack_core::*;
-use linestack_dispatch::types::{Health, ListKind, Nanos, Outcome};
+use linestack_dispatch::types::{Health, ListKind, Nanos, Outcome, Report};
 use rstest::rstest;
 
 const MS: Nanos = 1_000_000;
@@ -555,3 +555,43 @@
     assert_eq!(node.answers(), [(client, Answer::Satisfied(Bytes::from_static(b"r")))]);
     assert_eq!(node.core.stats().broken, 0);
 }
+
+// A process that ends breaks all its connections at once; its executor is then cold when it is back. One that
+// breaks alone, or idle ones closed at the other end, say nothing of the sort.
+#[rstest]
+#[case::all_at_once(&[true, false], 0, true)]
+#[case::one_alone(&[true], 0, false)]
+#[case::idle_ones(&[false, false], 0, false)]
+#[case::one_after_the_other(&[true, false], 100, false)]
+fn a_process_is_lost_when_all_its_connections_break(
+    #[case] broken: &[bool],
+    #[case] apart: Nanos,
+    #[case] lost: bool,
+) {
+    let mut node = Node::with(&common::SETTINGS.replace("\"mayProbe\": true", "\"mayProbe\": false"), 1);
+    let report = Some(Report { free_slots: Some(8.0), in_hand: Some(0.0), ..Report::default() });
+    let end = |node: &mut Node, link| {
+        node.feed(Input::Ended { link, outcome: Outcome::Satisfied, result: Bytes::new(), report });
+        node.feed(Input::Freed { link });
+    };
+    let (_, first) = node.under_way(LOOK);
+    end(&mut node, first);
+    let mut links = Vec::new();
+    for _ in broken {
+        node.submit(LOOK, 5_000 * MS);
+        if let Some((link, _)) = node.opened() {
+            node.feed(Input::LinkUp { link });
+        }
+        links.push(node.sent().unwrap());
+    }
+    for (link, busy) in links.iter().zip(broken) {
+        if !busy {
+            end(&mut node, *link);
+        }
+    }
+    for link in links {
+        node.feed(Input::LinkDown { link, broken: WHOLE });
+        node.now += apart * MS;
+    }
+    assert_eq!(node.core.stats().died, u64::from(lost));
+}
--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -226,14 +226,17 @@
     /// Slots that its workers were seen to have, and how many workers were seen.
     pub(crate) slots: f64,
     pub(crate) seen: f64,
-    /// The most that one of them was seen to have.
-    pub(crate) most: f64,
 }
 
 impl Kind {
     /// Where its threshold starts, and what it never passes.
     pub(crate) fn start(&self) -> f64 {
-        self.most.max(MODEST)
+        self.mean().max(MODEST)
+    }
+
+    /// The slots that one of its workers was seen to have, on average.
+    pub(crate) fn mean(&self) -> f64 {
+        self.slots / self.seen.max(1.0)
     }
 }
 
@@ -291,15 +294,14 @@
 
     /// What workers like this one were seen to have, one slot at least.
     pub(crate) fn mean_slots(&self, desk: &Desk) -> f64 {
-        self.kind(desk).map_or(1.0, |k| (k.slots / k.seen.max(1.0)).max(1.0))
+        self.kind(desk).map_or(1.0, |k| k.mean().max(1.0))
     }
 
-    /// The slots that all ready workers together would be filled to, as far as their kinds are known.
+    /// What all ready workers together may hold, as far as their kinds are known: half as much again may wait.
     pub(crate) fn room(&self) -> f64 {
         let known = self.kinds.iter().flatten();
-        let (sum, seen) = known.fold((0.0, 0.0), |(sum, seen), k| {
-            (sum + (k.slots / k.seen.max(1.0)).max(MODEST) * k.seen, seen + k.seen)
-        });
+        let (sum, seen) = known
+            .fold((0.0, 0.0), |(sum, seen), k| (sum + (1.5 * k.mean()).max(MODEST) * k.seen, seen + k.seen));
         self.ready.len() as f64 * if seen > 0.0 { sum / seen } else { MODEST }
     }
 
@@ -324,13 +326,7 @@
     }
 
     pub(crate) fn meet(&mut self, kind: u16, threshold: f64) {
-        at(&mut self.kinds, kind.into()).get_or_insert(Kind {
-            threshold,
-            run: 0,
-            slots: 0.0,
-            seen: 0.0,
-            most: 0.0,
-        });
+        at(&mut self.kinds, kind.into()).get_or_insert(Kind { threshold, run: 0, slots: 0.0, seen: 0.0 });
     }
 
     /// The executions of a submission that have not ended, among the workers that it was sent to.
@@ -391,10 +387,9 @@
         if let Some(Some(kind)) = self.kinds.get_mut(place) {
             // A start that was not known before: what was lost since by full answers stays lost.
             let start = kind.start();
-            kind.most = kind.most.max(after);
-            kind.threshold += kind.start() - start;
             kind.slots += after - before;
             kind.seen += f64::from(u8::from(before == 0.0 && after > 0.0));
+            kind.threshold += kind.start() - start;
         }
         if let Some(last) = last {
             let (gap, changed) = if same { ((now - last) as f64, 0.0) } else { (0.0, 1.0) };
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -270,6 +270,10 @@
         if own + job.slots > threshold || own > mean + job.slots || waits {
             return false;
         }
+        // Nobody else sends there, so what we hold is what it holds, however old its report.
+        if self.terms.nodes == 1 && desk.slots > 0.0 && !self.terms.counts_memory {
+            return own + job.slots <= desk.slots;
+        }
         // Reports older than the jobs they count say nothing of now; what we hold there ourselves does.
         if self.flow.lag(self.now) as f64 > longest(&self.answers) {
             return own <= mean;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,4 +5,6 @@
 pub mod hunt;
 pub mod play;
 pub mod policies;
+pub mod report;
 pub mod sockets;
+pub mod sweep;
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,171 @@
+//! One page of HTML that shows what came of worlds, with plots drawn into it.
+
+use std::fmt::Write as _;
+
+use plotters::prelude::*;
+
+use crate::play::{Played, mean};
+use crate::policies::Policy;
+
+const SIZE: (u32, u32) = (760, 300);
+const COLOURS: [RGBColor; 7] = [
+    RGBColor(31, 119, 180),
+    RGBColor(214, 39, 40),
+    RGBColor(44, 160, 44),
+    RGBColor(255, 127, 14),
+    RGBColor(148, 103, 189),
+    RGBColor(140, 86, 75),
+    RGBColor(127, 127, 127),
+];
+
+type Fallible<T> = Result<T, Box<dyn std::error::Error>>;
+
+/// A line for each policy.
+type Lines = Vec<(Policy, Vec<(f64, f64)>)>;
+
+/// The page. The same worlds give the same bytes.
+///
+/// # Errors
+///
+/// A plot could not be drawn.
+pub fn page(title: &str, played: &[Played]) -> Fallible<String> {
+    let mut policies: Vec<Policy> = Vec::new();
+    for p in played {
+        if !policies.contains(&p.policy) {
+            policies.push(p.policy);
+        }
+    }
+    let of = |policy: Policy| played.iter().filter(move |p| p.policy == policy);
+    let goodput: Lines = policies.iter().map(|p| (*p, by_second(&of(*p).collect::<Vec<_>>()))).collect();
+    let times: Lines = policies.iter().map(|p| (*p, quantiles(&of(*p).collect::<Vec<_>>()))).collect();
+    let longest = times.iter().flat_map(|(_, l)| l.iter().map(|p| p.1)).fold(0.1, f64::max);
+    let span = goodput.iter().flat_map(|(_, l)| l.iter().map(|p| p.0)).fold(1.0, f64::max);
+    let title = escape(title);
+    let mut html = format!(
+        "<!doctype html>\n<html lang=\"en\"><meta charset=\"utf-8\"><title>{title}</title>\n<style>body{{font:15px/1.4 \
+         sans-serif;max-width:800px;margin:2em auto}}table{{border-collapse:collapse}}td,th{{padding:2px 10px;\
+         text-align:right;border-bottom:1px solid #ccc}}td:first-child,th:first-child{{text-align:left}}\
+         </style>\n<h1>{title}</h1>\n"
+    );
+    html += "<table><tr><th>policy</th><th>worlds</th><th>score</th><th>goodput</th><th>p99, s</th>\
+             <th>dismissed</th><th>aborted</th><th>probes a submission</th></tr>\n";
+    for policy in &policies {
+        let worlds: Vec<&Played> = of(*policy).collect();
+        let ask = |f: &dyn Fn(&Played) -> f64| mean(&worlds.iter().map(|p| f(p)).collect::<Vec<_>>());
+        let part = |n: u64, p: &Played| n as f64 / p.outcome.asked.max(1) as f64;
+        writeln!(
+            html,
+            "<tr><td>{}</td><td>{}</td><td>{}</td><td>{:.3}</td><td>{:.3}</td><td>{:.3}</td><td>{:.3}</td><td>{:.2}</td></tr>",
+            policy.name(),
+            worlds.len(),
+            ask(&|p| p.score),
+            ask(&|p| p.outcome.goodput).mean,
+            ask(&|p| p.outcome.p99_s).mean,
+            ask(&|p| part(p.outcome.dismissed, p)).mean,
+            ask(&|p| part(p.outcome.aborted, p)).mean,
+            ask(&|p| part(p.outcome.probes, p)).mean,
+        )?;
+    }
+    html += "</table>\n<h2>Goodput over time</h2>\n";
+    html += &plot(&goodput, (0.0..span, 0.0..1.05), ("seconds", "part of the worth asked for"))?;
+    html += "<h2>Answer times</h2>\n";
+    html += &plot(&times, (0.0..1.0, 0.0..longest), ("part of the answers", "seconds"))?;
+    html += "<h2>Work by executor</h2>\n";
+    for policy in &policies {
+        if let Some(first) = of(*policy).next() {
+            writeln!(html, "<p>{}, seed {}</p>", policy.name(), first.outcome.seed)?;
+            html += &bars(&first.outcome.work_by_executor)?;
+        }
+    }
+    html += "<h2>Rules broken</h2>\n<table><tr><th>policy</th><th>seed</th><th>rule</th><th>at, s</th><th>what</th></tr>\n";
+    for p in played {
+        for b in &p.outcome.breaches {
+            let (name, seed, what) = (p.policy.name(), p.outcome.seed, escape(&b.what));
+            writeln!(
+                html,
+                "<tr><td>{name}</td><td>{seed}</td><td>{:?}</td><td>{:.2}</td><td>{what}</td></tr>",
+                b.rule, b.at_s
+            )?;
+        }
+    }
+    if played.iter().all(|p| p.outcome.breaches.is_empty()) {
+        html += "<tr><td>none</td></tr>\n";
+    }
+    html += "</table></html>\n";
+    Ok(html)
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+fn by_second(worlds: &[&Played]) -> Vec<(f64, f64)> {
+    let seconds = worlds.iter().map(|p| p.outcome.asked_by_second.len()).max().unwrap_or(0);
+    let sum = |f: &dyn Fn(&Played) -> &Vec<f64>, s: usize| -> f64 {
+        worlds.iter().map(|p| f(p).get(s).copied().unwrap_or(0.0)).sum()
+    };
+    let point = |s: usize| {
+        let asked = sum(&|p| &p.outcome.asked_by_second, s);
+        (asked > 0.0).then(|| (s as f64, sum(&|p| &p.outcome.won_by_second, s) / asked))
+    };
+    (0..seconds).filter_map(point).collect()
+}
+
+fn quantiles(worlds: &[&Played]) -> Vec<(f64, f64)> {
+    let mut all: Vec<f32> = worlds.iter().flat_map(|p| p.outcome.answer_times.iter().copied()).collect();
+    all.sort_unstable_by(f32::total_cmp);
+    if all.is_empty() {
+        return Vec::new();
+    }
+    (0..=200).map(|i| (f64::from(i) / 200.0, f64::from(all[(all.len() - 1) * i as usize / 200]))).collect()
+}
+
+fn plot(
+    lines: &Lines,
+    (x, y): (std::ops::Range<f64>, std::ops::Range<f64>),
+    (x_name, y_name): (&str, &str),
+) -> Fallible<String> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .x_label_area_size(36)
+            .y_label_area_size(52)
+            .build_cartesian_2d(x, y)?;
+        chart.configure_mesh().x_desc(x_name).y_desc(y_name).light_line_style(TRANSPARENT).draw()?;
+        for (i, (policy, line)) in lines.iter().enumerate() {
+            let colour = COLOURS[i % COLOURS.len()];
+            chart
+                .draw_series(LineSeries::new(line.iter().copied(), colour.stroke_width(2)))?
+                .label(policy.name())
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(2)));
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::LowerLeft)
+            .background_style(WHITE)
+            .draw()?;
+        area.present()?;
+    }
+    Ok(svg)
+}
+
+fn bars(work: &[f64]) -> Fallible<String> {
+    let most = work.iter().copied().fold(1e-9, f64::max);
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, (SIZE.0, 180)).into_drawing_area();
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .x_label_area_size(36)
+            .y_label_area_size(52)
+            .build_cartesian_2d(0.0..work.len().max(1) as f64, 0.0..most * 1.05)?;
+        chart.configure_mesh().x_desc("executor").y_desc("seconds").light_line_style(TRANSPARENT).draw()?;
+        chart.draw_series(work.iter().enumerate().map(|(i, w)| {
+            Rectangle::new([(i as f64 + 0.1, 0.0), (i as f64 + 0.9, *w)], COLOURS[0].filled())
+        }))?;
+        area.present()?;
+    }
+    Ok(svg)
+}
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -325,6 +325,7 @@
                     resets = stats.resets,
                     stale = stats.stale,
                     connect_failed = stats.connect_failed,
+                    died = stats.died,
                     timed_out = stats.timed_out,
                     not_sent = stats.not_sent,
                     probes = stats.probes,
@@ -335,6 +336,7 @@
                     broken = stats.broken,
                     clients = stats.clients,
                     links = stats.links,
+                    workers = stats.workers,
                     open = stats.open,
                     "counts"
                 );
