--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -27,7 +27,10 @@
 #[case::unknown_key("span_s = 5\nspeed = 3\n", "x.toml:2: unknown field `speed`")]
 #[case::wrong_kind("\n\nspan_s = \"long\"\n", "x.toml:3: invalid type")]
 #[case::not_toml("[[[", "x.toml:1: ")]
-#[case::impossible("[[executors]]\ncores = 2\n\n[[executors]]\nslots = 0\n", "x.toml:5: executors[1].slots: ")]
+#[case::impossible(
+    "[[executors]]\ncores = 2\n\n[[executors]]\nslots = 0\n",
+    "x.toml:5: executors[1].slots: "
+)]
 #[case::nobody("span_s = 5\nexecutors = []\n", "x.toml:2: executors: no executor")]
 #[case::no_load("[load]\nof_capacity = 0\n", "x.toml:1: load: empty")]
 fn a_fault_names_file_line_and_key(#[case] text: &str, #[case] says: &str) {
--- a/crates/world/src/executor.rs
+++ b/crates/world/src/executor.rs
@@ -81,7 +81,15 @@
 }
 
 impl Executor {
-    pub(crate) fn new(name: String, spec: usize, e: &Executors, zone: u16, group: u16, speed: f64) -> Self {
+    pub(crate) fn new(
+        name: String,
+        spec: usize,
+        e: &Executors,
+        zone: u16,
+        group: u16,
+        speed: f64,
+        now: Nanos,
+    ) -> Self {
         Self {
             name,
             spec,
@@ -104,7 +112,7 @@
             waiting: VecDeque::new(),
             in_use: 0.0,
             debt: 0.0,
-            updated: 0,
+            updated: now,
             wake: 0,
             told: VecDeque::new(),
             worked: 0.0,
@@ -127,7 +135,7 @@
         if !self.cold(now) {
             return 1.0;
         }
-        let age = (now - self.started) as f64 / self.cold_for as f64;
+        let age = now.saturating_sub(self.started) as f64 / self.cold_for as f64;
         self.cold_from + (1.0 - self.cold_from) * age
     }
 
@@ -152,7 +160,7 @@
 
     /// Lets it work until now. Whatever changes its pace must call this before.
     pub(crate) fn advance(&mut self, now: Nanos) {
-        let span = (now - self.updated) as f64 / 1e9;
+        let span = now.saturating_sub(self.updated) as f64 / 1e9;
         let (pace, all) = (self.pace(self.updated), self.core_speed(self.updated) * self.cores_left());
         self.updated = now;
         if self.halted() || span <= 0.0 {
--- a/crates/world/src/standin.rs
+++ b/crates/world/src/standin.rs
@@ -50,7 +50,7 @@
         let group = (index / e.group as usize) as u16;
         let products = s.products.iter().enumerate().map(|(i, p)| (p.name.clone(), i)).collect();
         Self {
-            e: Executor::new(format!("e{index}"), spec, e, zone, group, speed),
+            e: Executor::new(format!("e{index}"), spec, e, zone, group, speed, 0),
             s: s.clone(),
             rng,
             products,
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -344,7 +344,7 @@
         let group = (index / usize::from(self.s.zones) / e.group as usize) * usize::from(self.s.zones)
             + usize::from(zone);
         let name = format!("e{index}");
-        self.executors.push(Executor::new(name, spec, e, zone, group as u16, speed));
+        self.executors.push(Executor::new(name, spec, e, zone, group as u16, speed, self.now));
         self.reflect(index);
         index
     }
