--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -61,6 +61,8 @@
 const WATCH_AGAIN: Nanos = SECOND / 2;
 /// A process that ends breaks all its connections within this.
 const TOGETHER: Nanos = SECOND / 50;
+/// So many that could not be made, and none in between that could, tell of its end.
+const UNMADE: u32 = 2;
 /// Bytes that a connection takes: of its stack, what is touched, and the first of its buffers.
 const CONNECTION: usize = 20 * 1024;
 /// A client may say that it waits this many times as long as the longest cut-off; more is remembered in vain.
@@ -174,6 +176,8 @@
     breaks: usize,
     broke: Nanos,
     busy: bool,
+    /// How many in a row could not be made.
+    unmade: u32,
     /// Nothing has answered since something went unanswered.
     silent: bool,
 }
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -101,7 +101,7 @@
         let Some(line) = self.forget_link(link) else { return };
         self.effects.push(Effect::CloseLink { link });
         if stage == Stage::Opening {
-            self.broke(&line);
+            self.broke(&line, false);
         }
         match load {
             None => {}
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -143,7 +143,8 @@
 
     pub(crate) fn link_up(&mut self, link: Link) {
         let Some(line) = self.links.get_mut(&link) else { return };
-        self.workers[line.worker as usize].seen.up += 1;
+        let seen = &mut self.workers[line.worker as usize].seen;
+        (seen.up, seen.unmade) = (seen.up + 1, 0);
         line.up = true;
         match line.load.take() {
             Some(load) => self.hand(link, load),
@@ -154,7 +155,7 @@
     pub(crate) fn link_down(&mut self, link: Link, broken: Broken) {
         let Some(line) = self.forget_link(link) else { return };
         if !broken.here {
-            self.broke(&line);
+            self.broke(&line, broken.answered);
         }
         let Some(load) = line.load else {
             if line.stage == Stage::Idle && self.workers[line.worker as usize].health == Health::Ready {
@@ -191,7 +192,7 @@
 
     /// Whether what broke, with what broke just before, or could not be made, tells that the process was lost.
     /// One connection that breaks tells nothing, nor do idle ones that were closed at the other end.
-    pub(crate) fn broke(&mut self, line: &Line) {
+    pub(crate) fn broke(&mut self, line: &Line, answered: bool) {
         let now = self.now;
         let seen = &mut self.workers[line.worker as usize].seen;
         let lost = if line.up {
@@ -199,14 +200,16 @@
                 (seen.breaks, seen.busy) = (0, false);
             }
             (seen.breaks, seen.broke) = (seen.breaks + 1, now);
-            seen.busy |= line.load.is_some();
+            // Before any answer it may have been closed while it was idle.
+            seen.busy |= line.load.is_some() && answered;
             seen.silent || (seen.busy && seen.breaks > 1)
         } else {
-            // An execution that finds no connection says so by its outcome.
-            line.load == Some(Load::Probe)
+            // One may be refused for other reasons, such as a full table.
+            seen.unmade += 1;
+            seen.unmade >= UNMADE
         };
         if lost && seen.up == 0 {
-            seen.breaks = 0;
+            (seen.breaks, seen.unmade) = (0, 0);
             self.stats.died += 1;
             self.pending.push_back(Event::Died { worker: line.worker });
         }
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -171,6 +171,8 @@
     life: Option<u32>,
     /// What the node has sent on it and not heard the end of.
     busy: Option<Option<usize>>,
+    /// The executor has taken what is on it, and has said so.
+    answered: bool,
     /// It is up at the node, and the node has not closed it.
     up: bool,
     closed: bool,
@@ -756,6 +758,7 @@
                     executor,
                     life: None,
                     busy: None,
+                    answered: false,
                     up: false,
                     closed: false,
                     to_node: 0,
@@ -957,7 +960,8 @@
         }
         // What was out on it had been written: the last byte leaves a node when it is sent.
         let out = c.busy.is_some();
-        let broken = broken.unwrap_or(Broken { begun: out, written: out, answered: false, here: false });
+        let answered = out && c.answered;
+        let broken = broken.unwrap_or(Broken { begun: out, written: out, answered, here: false });
         if let (Some(Some(attempt)), false) = (c.busy, broken.written) {
             self.judge.never_ran(attempt, line);
         }
@@ -1002,7 +1006,7 @@
         let id = std::str::from_utf8(&shipment.id).ok().and_then(|id| id.parse::<usize>().ok());
         let Some(attempt) = id.filter(|a| *a < self.attempts.len()) else { return };
         let Some(c) = self.connections.get_mut(&line) else { return };
-        c.busy = Some(Some(attempt));
+        (c.busy, c.answered) = (Some(Some(attempt)), false);
         let executor = c.executor;
         let (group, zone) = (self.executors[executor].group, self.executors[executor].zone);
         self.judge.sent(attempt, line, executor, group, self.now);
@@ -1075,6 +1079,9 @@
     }
 
     fn enqueue(&mut self, executor: usize, line: Line, attempt: usize, left: f64, slots: f64) {
+        if let Some(c) = self.connections.get_mut(&line) {
+            c.answered = true;
+        }
         let mark = (self.executors[executor].group, self.attempts[attempt].first);
         self.marks.entry(mark).or_default().held += 1;
         let e = &mut self.executors[executor];
