--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -93,7 +93,9 @@
     };
     let plain = Scenario::default();
     for i in 0..s.troubles.len() {
-        add(&|t| drop(t.troubles.remove(i)));
+        add(&|t| {
+            t.troubles.remove(i);
+        });
     }
     add(&|t| t.span_s = (t.span_s / 2.0).ceil());
     add(&|t| t.span_s = (t.span_s - 1.0).max(1.0));
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -77,9 +77,12 @@
     })
 }
 
+/// Where the answer to each job that is held goes, and the id that it names.
+type Waiting = HashMap<Ticket, (TcpStream, String)>;
+
 /// A stand-in executor's state, shared by its connections and its clock.
 struct Stand {
-    model: Mutex<(StandIn, HashMap<Ticket, (TcpStream, String)>)>,
+    model: Mutex<(StandIn, Waiting)>,
     changed: Condvar,
     next: AtomicU64,
     start: Instant,
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -418,7 +418,7 @@
                     e.life == life && e.running.iter().any(|j| j.attempt == attempt && j.line == line);
                 if running {
                     if !e.halted() {
-                        self.to_node(line, Happening::Note { line, attempt });
+                        self.pass_to_node(line, Happening::Note { line, attempt });
                     }
                     let again = Happening::Progress { executor, life, line, attempt };
                     self.after(seconds(self.s.progress_s), again);
@@ -767,7 +767,7 @@
                 };
                 self.connections.insert(line(link), connection);
                 self.out.handshakes += 1;
-                self.to_executor(line(link), Happening::Syn { line: line(link) });
+                self.pass_to_executor(line(link), Happening::Syn { line: line(link) });
             }
             Effect::Send { link, shipment, .. } => self.send(line(link), &shipment),
             Effect::Probe { link } => {
@@ -775,13 +775,13 @@
                 if let Some(c) = self.connections.get_mut(&line(link)) {
                     c.busy = Some(None);
                 }
-                self.to_executor(line(link), Happening::Probe { line: line(link) });
+                self.pass_to_executor(line(link), Happening::Probe { line: line(link) });
             }
             Effect::CloseLink { link } => {
                 if let Some(c) = self.connections.get_mut(&line(link)) {
                     c.closed = true;
                     c.busy = None;
-                    self.to_executor(line(link), Happening::Fin { line: line(link) });
+                    self.pass_to_executor(line(link), Happening::Fin { line: line(link) });
                 }
             }
             Effect::Watch => {
@@ -872,7 +872,7 @@
             if let Some(c) = self.connections.get_mut(&line) {
                 c.closed = true;
             }
-            self.to_executor(line, Happening::Fin { line });
+            self.pass_to_executor(line, Happening::Fin { line });
         }
         for attempt in 0..self.attempts.len() {
             let a = &self.attempts[attempt];
@@ -909,7 +909,7 @@
     }
 
     /// In order on each connection.
-    fn to_executor(&mut self, line: Line, what: Happening) {
+    fn pass_to_executor(&mut self, line: Line, what: Happening) {
         let Some(executor) = self.connections.get(&line).map(|c| c.executor) else { return };
         let at = self.now + self.way(line, executor);
         let Some(c) = self.connections.get_mut(&line) else { return };
@@ -918,7 +918,7 @@
         self.at(at, what);
     }
 
-    fn to_node(&mut self, line: Line, what: Happening) {
+    fn pass_to_node(&mut self, line: Line, what: Happening) {
         let Some(executor) = self.connections.get(&line).map(|c| c.executor) else { return };
         let e = &self.executors[executor];
         if e.ills.mute || e.ills.vanished {
@@ -940,7 +940,7 @@
         }
         let spec = &self.s.executors[e.spec];
         if !e.alive || e.connections >= spec.connections as usize {
-            return self.to_node(line, Happening::Down { line, broken: None });
+            return self.pass_to_node(line, Happening::Down { line, broken: None });
         }
         e.connections += 1;
         let life = e.life;
@@ -949,7 +949,7 @@
             c.life = Some(life);
         }
         self.turn(executor);
-        self.to_node(line, Happening::Up { line });
+        self.pass_to_node(line, Happening::Up { line });
     }
 
     /// A connection is down at the node.
@@ -1027,12 +1027,12 @@
             let how = self.rng.random_range(0..3);
             let broken = Broken { begun: true, written: how > 0, answered: false, here: false };
             if how == 2 {
-                self.to_executor(line, Happening::Request { line, attempt });
+                self.pass_to_executor(line, Happening::Request { line, attempt });
             }
             let down = Happening::Down { line, broken: Some(broken) };
             return self.after(3 * MS, down);
         }
-        self.to_executor(line, Happening::Request { line, attempt });
+        self.pass_to_executor(line, Happening::Request { line, attempt });
     }
 
     fn request(&mut self, line: Line, attempt: usize) {
@@ -1045,7 +1045,7 @@
             return;
         }
         if now > idle_since + seconds(self.s.executors[e.spec].idle_s) {
-            return self.to_node(line, Happening::Down { line, broken: None });
+            return self.pass_to_node(line, Happening::Down { line, broken: None });
         }
         let (ills, draining, spec) = (e.ills.clone(), e.draining, e.spec);
         let first = &self.firsts[self.attempts[attempt].first];
@@ -1156,7 +1156,7 @@
         }
         self.judge.ran(attempt, self.now);
         if self.s.tells_start {
-            self.to_node(line, Happening::Note { line, attempt });
+            self.pass_to_node(line, Happening::Note { line, attempt });
         }
         if self.s.progress_s > 0.0 {
             let next = Happening::Progress { executor, life, line, attempt };
@@ -1169,13 +1169,13 @@
         let garbage = self.executors[executor].ills.garbage;
         if garbage > 0.0 && self.rng.random::<f64>() < garbage {
             let broken = Broken { begun: true, written: true, answered: true, here: false };
-            return self.to_node(line, Happening::Down { line, broken: Some(broken) });
+            return self.pass_to_node(line, Happening::Down { line, broken: Some(broken) });
         }
         let now = self.now;
         if let Some(c) = self.connections.get_mut(&line) {
             c.idle_since = now;
         }
-        self.to_node(line, Happening::Reply { line, attempt, ended, report });
+        self.pass_to_node(line, Happening::Reply { line, attempt, ended, report });
     }
 
     fn report(&mut self, executor: usize) -> Option<Report> {
@@ -1210,7 +1210,7 @@
         e.owe(self.now, cost);
         self.turn(executor);
         let report = self.report(executor);
-        self.to_node(line, Happening::Probed { line, answered: Some(true), report });
+        self.pass_to_node(line, Happening::Probed { line, answered: Some(true), report });
     }
 
     // Executors come and go.
@@ -1233,7 +1233,7 @@
         let here = self.connections.iter().filter(|(_, c)| c.executor == executor && c.life.is_some());
         let lines: Vec<Line> = here.map(|(l, _)| *l).collect();
         for line in lines {
-            self.to_node(line, Happening::Down { line, broken: None });
+            self.pass_to_node(line, Happening::Down { line, broken: None });
         }
     }
 
