--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -278,6 +278,8 @@
     /// Those of which something is known now.
     pub(crate) watched: Vec<Worker>,
     pub(crate) turn: usize,
+    /// Some worker has reported.
+    pub(crate) told: bool,
     /// Of reports in a row: the time between those that were the same, and how many were not.
     same: f64,
     changed: f64,
@@ -378,6 +380,7 @@
     /// Notes a report, and the slots that it shows. Returns the age that it proves, 0 for none.
     pub(crate) fn report(&mut self, worker: Worker, report: Option<Report>, now: Nanos) -> Nanos {
         let Some(report) = report.filter(|_| (worker as usize) < self.desks.len()) else { return 0 };
+        self.told = true;
         let desk = self.watch(worker);
         let (before, last) = (desk.slots, desk.reported);
         // Figures carry noise: the same to the last digit, they are the same report.
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -279,8 +279,9 @@
             return own <= mean;
         }
         // Nothing is known of a worker before its first report: one job at a time is the feeler.
+        // Where answers come and never a report, none will: threshold and mean are all there is to go by.
         if desk.reported.is_none() {
-            return desk.out.is_empty();
+            return desk.out.is_empty() || (!self.fleet.told && self.answers.iter().any(|a| a.seen > 0.0));
         }
         // A late report misses jobs that were sent before it came: what is younger than the reports' known
         // age counts as sent since, and what we hold is never free.
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -582,6 +582,18 @@
     assert!(node.spread(40).contains(&worker));
 }
 
+// Where workers report nothing, a node must not stay at one job for each of them.
+#[test]
+fn without_reports_the_threshold_governs() {
+    let mut node =
+        Node { dispatcher: Dispatcher::new(terms(Repeats::Harmless)), now: 5_000_000 * MS, next: 0 };
+    let entries: Vec<_> = (0..2).map(listing).collect();
+    node.list(ListKind::Cached, &entries);
+    assert!(!node.spread(1).is_empty());
+    let taken = (0..16).filter(|_| sent(&node.submit(0, 0, 0.0)).is_some()).count();
+    assert_eq!(taken, 16);
+}
+
 // A node that is alone goes by what it holds: a report that stands for long hides the room that has come since.
 #[rstest]
 #[case::alone(1, true)]
