A coroutine that ends straight after a sleep no longer hangs the node

Cause: may runs a coroutine whose wake comes while it is put to sleep from within its own park. If it ends there, the park that is dropped with it waits for the call that drops it, in sched_yield for ever, and the one scheduler thread with it. Alarm::sleep (net/clock.rs, the loop round park) let that happen: connections that bring much sleep 1 ms between reads.

Change: a sleeper gives way once after its wake. linestack-lab starts counts starts that are late, hung or refused, and stops that go wrong; a test does 400 of them under load.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod policies;
 pub mod report;
 pub mod sockets;
+pub mod starts;
 pub mod sweep;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,6 +13,7 @@
 use linestack_lab::policies::Policy;
 use linestack_lab::report::page;
 use linestack_lab::sockets::{self, Fleet, Loaded, Plan, Started};
+use linestack_lab::starts;
 use linestack_lab::sweep::{Axis, grid};
 use linestack_world::{Executors, Fault, Product, Repeats, Scenario, Trouble};
 
@@ -134,6 +135,26 @@
         #[arg(long, default_value_t = 1.0)]
         ramp: f64,
     },
+    /// Start and stop the real program many times, many at once, and tell which starts were late, hung or refused.
+    /// Exits with 1 unless all served in time and ended well.
+    Starts {
+        #[arg(long, default_value_t = 10_000)]
+        count: u64,
+        #[arg(long, default_value_t = 100)]
+        at_once: usize,
+        /// Seconds from the start of the process to a 200 of /healthz.
+        #[arg(long, default_value_t = 10.0)]
+        ready_within: f64,
+        /// Seconds after which a start or a stop counts as hung.
+        #[arg(long, default_value_t = 60.0)]
+        hung_after: f64,
+        /// Words before the program, such as "taskset -c 0".
+        #[arg(long, default_value = "")]
+        via: String,
+        /// Another build of the program.
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// Two real nodes and a small fleet, loaded through a fault for some seconds.
     Demo,
     /// Play scenario files again, as they are. Exits with 1 if a rule was broken.
@@ -240,6 +261,18 @@
             println!("{:.3} of the direct rate", through.rate() / direct.rate());
             Ok(ExitCode::SUCCESS)
         }
+        Command::Starts { count, at_once, ready_within, hung_after, via, program } => {
+            let span = |s: f64| Duration::try_from_secs_f64(s).map_err(|_| "a span of time is over 0");
+            let plan = starts::Plan {
+                count: *count,
+                at_once: *at_once,
+                ready_within: span(*ready_within)?,
+                hung_after: span(*hung_after)?,
+                via: via.split_whitespace().map(str::to_owned).collect(),
+            };
+            let program = program.clone().map_or_else(Started::program, Ok)?;
+            many_starts(&program, &plan)
+        }
         Command::Demo => demo(),
         Command::Replay { scenarios } => {
             let all = scenarios.iter().map(|p| file::read(p)).collect::<Result<Vec<_>, _>>()?;
@@ -352,6 +385,30 @@
     Ok(ExitCode::from(u8::from(failed)))
 }
 
+fn many_starts(program: &std::path::Path, plan: &starts::Plan) -> Fallible<ExitCode> {
+    // A short cut-off, since a node that stops serves on for half of it.
+    let product = Product { agreed_ms: 50.0, cut_off_ms: 100.0, ..Product::default() };
+    let fleet = Fleet::start(&Scenario { products: vec![product], ..Scenario::default() })?;
+    let begin = Instant::now();
+    let c = starts::starts(program, &fleet, plan)?;
+    println!(
+        "{} starts, {} at once, {:.0} s: {} ready within {:.1} s, {} late, {} hung, {} refused; {} stopped badly; \
+         longest {:.2} s",
+        plan.count,
+        plan.at_once,
+        begin.elapsed().as_secs_f64(),
+        c.ready,
+        plan.ready_within.as_secs_f64(),
+        c.late,
+        c.hung,
+        c.refused,
+        c.stopped_badly,
+        c.longest.as_secs_f64()
+    );
+    c.notes.iter().for_each(|note| println!("  {note}"));
+    Ok(ExitCode::from(u8::from(!c.sound())))
+}
+
 fn lines(played: &[Played]) -> Fallible<()> {
     let mut out = std::io::stdout().lock();
     for p in played {
--- a/crates/node/src/net/clock.rs
+++ b/crates/node/src/net/clock.rs
@@ -162,5 +162,9 @@
         while self.clock.now() < until {
             coroutine::park();
         }
+        // A wake that comes while may puts a coroutine to sleep is answered by running it from within its own
+        // park. If it ended there, its park would wait for itself to be over, and no coroutine would run any
+        // more. Once it has given way it runs from the queue.
+        coroutine::yield_now();
     }
 }
--- /dev/null
+++ b/crates/node/tests/starts.rs
@@ -0,0 +1,30 @@
+//! The program started and stopped some hundreds of times, many at once, beside executors that are busy.
+
+use std::time::Duration;
+
+use linestack_lab::sockets::{self, Fleet};
+use linestack_lab::starts::{Plan, starts};
+use linestack_world::{Product, Scenario};
+
+#[test]
+fn every_start_serves_and_every_stop_ends_well() {
+    let product = Product { agreed_ms: 50.0, cut_off_ms: 100.0, ..Product::default() };
+    let scenario = Scenario { products: vec![product], ..Scenario::default() };
+    let fleet = Fleet::start(&scenario).unwrap();
+    let plan = Plan {
+        count: 400,
+        at_once: 48,
+        ready_within: Duration::from_secs(30),
+        hung_after: Duration::from_secs(60),
+        via: Vec::new(),
+    };
+    let (executors, span) = (fleet.executors.clone(), Duration::from_secs(5));
+    let load = std::thread::spawn(move || {
+        let plan = sockets::Plan { clients: 32, rate: None, span, ramp: Duration::ZERO };
+        sockets::load(&scenario, &executors, &plan, 1)
+    });
+    let counted = starts(env!("CARGO_BIN_EXE_linestack").as_ref(), &fleet, &plan).unwrap();
+    assert!(counted.sound(), "{counted:?}");
+    assert_eq!(counted.ready, plan.count);
+    assert!(load.join().unwrap().unwrap().satisfied > 0, "there was no load");
+}
