Products go only where they may; slots are seen where reports do not count jobs in hand

Change: sets of kinds and zones in the standing orders, read by the one reader (numbers as on the wire, or names; empty lists, wrong types and repeats refused by key); the draw, its room, mean, in-flight limit and strangers go by the executors open to the product; asked again before every execution; core asserts it, counted in release. A zone or kind past the names that are kept is no longer taken for the last known one.

--- a/crates/core/src/executions.rs
+++ b/crates/core/src/executions.rs
@@ -8,6 +8,10 @@
             must!(self, false, "an execution of what is not held");
             return;
         };
+        let place = &self.workers[worker as usize];
+        let at = Listing { kind: place.kind, zone: place.zone, ..Listing::default() };
+        let open = self.products.get(usize::from(taken.product)).is_none_or(|p| p.open_to(&at));
+        must!(self, open, "an execution where its product may not go");
         let execution = taken.executions.len() as Execution;
         let until = self.now + timeout;
         taken.executions.push(Sent { worker, at: self.now, until, link: None });
--- a/crates/core/src/guests.rs
+++ b/crates/core/src/guests.rs
@@ -92,11 +92,11 @@
         guest.limit.until = Nanos::MAX;
         self.stats.taken += 1;
         let cut_off = (self.now + intake.patience.min(self.longest_wait)).min(self.last_call);
-        let (number, shipment) = (self.stats.taken, intake.shipment);
+        let Intake { product, tenant, slots, memory, shipment, .. } = intake;
+        let (number, client, executions) = (self.stats.taken, Some(client), Vec::new());
         self.taken[submission as usize] =
-            Some(Taken { number, client: Some(client), cut_off, shipment, executions: Vec::new() });
+            Some(Taken { number, client, product, cut_off, shipment, executions });
         self.arm(cut_off, Timer::CutOff(submission, number));
-        let Intake { product, tenant, slots, memory, .. } = intake;
         let job = Job { product, tenant, cut_off, slots, memory };
         self.pending.push_back(Event::Submitted { submission, job });
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,7 +27,8 @@
 use bytes::Bytes;
 use linestack_dispatch::decide::Dispatcher;
 use linestack_dispatch::types::{
-    Decide, Ending, Event, Execution, Health, Job, ListKind, Listing, Order, Report, Submission, Worker,
+    Decide, Ending, Event, Execution, Health, Job, ListKind, Listing, Order, Product, Report, Submission,
+    Worker,
 };
 use linestack_settings::Settings;
 
@@ -111,6 +112,7 @@
     /// Told apart from those that had this index before.
     number: u64,
     client: Option<Client>,
+    product: u8,
     cut_off: Nanos,
     shipment: Arc<Shipment>,
     executions: Vec<Sent>,
@@ -159,6 +161,8 @@
     name: Arc<str>,
     address: SocketAddr,
     health: Health,
+    kind: u16,
+    zone: u16,
     idle: Vec<Link>,
     /// Connections to it, and executions there of submissions that are still known: while there are any, its
     /// index can mean no other.
@@ -191,6 +195,7 @@
     /// How long a connection may have been idle and still get a job, as far as was seen.
     kept: Nanos,
     asks: bool,
+    products: Vec<Product>,
     longest_wait: Nanos,
     /// How long it may go on after it was told to stop.
     last_span: Nanos,
@@ -257,6 +262,7 @@
             idle: if orders.idle > 0 { orders.idle / 2 } else { SECOND },
             kept: if orders.idle > 0 { orders.idle / 2 } else { SECOND },
             asks: orders.ask_within.is_some(),
+            products: orders.products,
             last_span,
             longest_wait: if settings.longest_cut_off > 0 { settings.longest_cut_off * LONGER } else { DAY },
             last_call: Nanos::MAX,
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -30,6 +30,8 @@
             }
             let kind = position(&mut self.kinds, &e.kind);
             let zone = position(&mut self.zones, &e.zone);
+            let place = &mut self.workers[worker as usize];
+            (place.kind, place.zone) = (kind, zone);
             let (health, cell, started) = (e.health, e.group, e.started);
             listings.push(Listing { worker, health, kind, zone, cell, started });
         }
@@ -62,6 +64,8 @@
             name: Arc::clone(&name),
             address: e.address,
             health: e.health,
+            kind: u16::MAX,
+            zone: u16::MAX,
             idle: Vec::new(),
             lines: 0,
             known: 0,
@@ -104,12 +108,12 @@
 
 /// The place of a name among those known; a new one is added while there is room.
 fn position(names: &mut Vec<String>, name: &str) -> u16 {
-    let known = names.iter().position(|n| n == name);
-    let place = known.unwrap_or_else(|| {
-        if names.len() < MOST_NAMES {
+    let known = names.iter().position(|n| n == name).or_else(|| {
+        (names.len() < MOST_NAMES).then(|| {
             names.push(name.to_owned());
-        }
-        names.len() - 1
+            names.len() - 1
+        })
     });
-    u16::try_from(place).unwrap_or(u16::MAX)
+    // One too many is like no other: taken for a known one, it would be open to products that are not for it.
+    known.and_then(|place| u16::try_from(place).ok()).unwrap_or(u16::MAX)
 }
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use linestack_core::*;
-use linestack_dispatch::types::{Health, ListKind, Nanos, Outcome, Report};
+use linestack_dispatch::types::{Event, Health, ListKind, Nanos, Order, Outcome, Report};
 use rstest::rstest;
 
 const MS: Nanos = 1_000_000;
@@ -609,3 +609,41 @@
     }
     assert_eq!(node.core.stats().died, u64::from(lost));
 }
+
+/// Decisions that send the first submission to the first executor, wherever that is.
+struct Heedless;
+
+impl linestack_dispatch::types::Decide for Heedless {
+    fn decide(&mut self, _: Nanos, event: Event<'_>) -> &[Order] {
+        match event {
+            Event::Submitted { .. } => &[Order::Execute { submission: 0, worker: 0, timeout: 1_000 * MS }],
+            _ => &[],
+        }
+    }
+}
+
+// The executor is "here", of the kind "small"; a name that stands nowhere in the settings is never open, nor is
+// none at all.
+#[rstest]
+#[case::open(r#""staysIn": [0], "boundTo": ["small"]"#, "here", true)]
+#[case::elsewhere(r#""staysIn": ["there"]"#, "here", false)]
+#[case::other_kind(r#""boundTo": ["large"]"#, "here", false)]
+#[case::zone_not_told(r#""staysIn": ["here"]"#, "", false)]
+fn an_execution_where_its_product_may_not_go_is_noticed(
+    #[case] bound: &str,
+    #[case] zone: &str,
+    #[case] open: bool,
+) {
+    let settings = common::SETTINGS.replace(r#""name": "pay","#, &format!(r#""name": "pay", {bound},"#));
+    let settings = linestack_settings::read(settings.as_bytes(), 7).unwrap();
+    let core = Core::with(Box::new(Heedless), settings, 64, 32 << 20);
+    let mut node = Node { core, now: 1_000_000 * MS, effects: Vec::new(), clients: 0 };
+    let place = Endpoint { zone: zone.to_owned(), ..endpoint(0, Health::Ready) };
+    node.list(ListKind::Cached, vec![place]);
+    let noticed = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+        node.submit(PAY, 5_000 * MS);
+        node.effects.iter().any(|e| matches!(e, Effect::Fault(what) if what.contains("may not go")))
+    }));
+    // A debug build ends there, a release build counts it.
+    assert_eq!(noticed.unwrap_or(true), !open);
+}
--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -2,7 +2,7 @@
 
 use std::ops::{Index, IndexMut};
 
-use crate::types::{Execution, Health, Job, Listing, Nanos, Report, Submission, Worker};
+use crate::types::{Execution, Health, Job, Listing, Nanos, Product, Report, Submission, Worker};
 
 /// A sum that loses its past: what was added `span` ago counts 1/e.
 #[derive(Clone, Copy, Debug, Default)]
@@ -118,10 +118,16 @@
     /// arrived: the age that this proves is returned.
     pub(crate) fn take_report(&mut self, report: Report, now: Nanos) -> Option<Nanos> {
         (self.report, self.reported) = (report, Some(now));
-        let in_hand = whole(report.in_hand?);
-        let busy = in_hand - report.waiting.map_or(0.0, whole);
-        self.slots = report.free_slots.map_or(self.slots, |free| self.slots.max(whole(free) + busy));
-        self.out.get(in_hand as usize).map(|missed| now - missed.sent)
+        let free = report.free_slots.map_or(0.0, whole);
+        // Where reports do not count the jobs in hand, the most that was ever free or started of ours is the
+        // best that is known: added up, a late report would make a worker look larger than it is.
+        let started = || self.out.iter().filter(|o| !o.waits).map(|o| o.slots).sum::<f64>().max(free);
+        let seen =
+            report.in_hand.map_or_else(started, |n| free + whole(n) - report.waiting.map_or(0.0, whole));
+        if report.free_slots.is_some() {
+            self.slots = self.slots.max(seen);
+        }
+        self.out.get(whole(report.in_hand?) as usize).map(|missed| now - missed.sent)
     }
 
     /// Of what we hold there, the part sent since its last report was taken, which was `lag` before it came.
@@ -319,6 +325,18 @@
         self.ready.len() as f64 * if seen > 0.0 { sum / seen } else { MODEST }
     }
 
+    /// How many ready workers are open to a product.
+    pub(crate) fn open(&self, product: &Product) -> usize {
+        let open = |w: &&Worker| product.open_to(&self[**w].listing);
+        if product.is_bound() { self.ready.iter().filter(open).count() } else { self.ready.len() }
+    }
+
+    /// What this node holds at those.
+    pub(crate) fn own_slots(&self, product: &Product) -> f64 {
+        let open = self.watched.iter().map(|w| &self[*w]).filter(|d| product.open_to(&d.listing));
+        open.map(|d| d.own_slots).sum()
+    }
+
     /// The next ready worker in turn whose report is so old, noted as probed.
     pub(crate) fn next_older(&mut self, now: Nanos, old: f64) -> Option<Worker> {
         for _ in 0..self.ready.len() {
@@ -483,6 +501,9 @@
     pub(crate) room: f64,
     pub(crate) members: usize,
     pub(crate) pick: Option<Worker>,
+    /// The ready workers open to it, and what each of them holds of ours on average.
+    pub(crate) open: usize,
+    pub(crate) mean: f64,
 }
 
 /// A uniformly random one of those with the lowest rank offered.
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -196,10 +196,12 @@
         // Room is kept for products that pay more, and for tenants inside their shares.
         let best = self.terms.products.iter().map(|p| p.payoff).fold(f64::MIN_POSITIVE, f64::max);
         let behind = 1.0 - self.terms.products[usize::from(job.product)].payoff / best;
-        let room = (excess / 3.0).max(RESERVE * behind);
-        let limit = (self.flow.limit * self.fleet.room()).max(self.fleet.ready.len() as f64);
-        let full = choice.members == 0 && self.flow.in_flight + job.slots > limit;
-        if choice.room < room || full {
+        let reserve = (excess / 3.0).max(RESERVE * behind);
+        let (room_each, open) =
+            (self.fleet.room() / self.fleet.ready.len().max(1) as f64, choice.open as f64);
+        let limit = (self.flow.limit * room_each).max(1.0) * open;
+        let full = choice.members == 0 && choice.mean * open + job.slots > limit;
+        if choice.room < reserve || full {
             return self.finish(submission, excess > 0.0);
         }
         self.execute(submission, &choice);
@@ -231,7 +233,10 @@
     fn choose(&mut self, submission: Submission) -> Choice {
         self.flow.draws.add(self.now);
         let (held, fleet) = (&self.held[submission as usize], &self.fleet);
-        let mean = self.flow.in_flight / fleet.ready.len().max(1) as f64;
+        let product = &self.terms.products[usize::from(held.job.product)];
+        let open = fleet.open(product);
+        let own = if product.is_bound() { fleet.own_slots(product) } else { self.flow.in_flight };
+        let mean = own / open.max(1) as f64;
         // Where many are not known at all, what was heard of long ago is neither free nor full.
         let sparse = fleet.watched.len() < fleet.ready.len();
         let fresh = FRESH * longest(&self.answers) + self.flow.lag(self.now) as f64;
@@ -241,10 +246,12 @@
         let waits = terms.map(|(a, p)| p.agreed as f64 + (p.stretch - 1.0).max(0.0) * a.shortest);
         let bears = waits.fold(f64::INFINITY, f64::min) / usual(&self.answers);
         let [mut members, mut cold, mut others, mut aside]: [Draw; 4] = Default::default();
-        let (mut known, mut roomy, mut strangers, mut chance) =
-            (0, 0, fleet.ready.len(), self.chance.clone());
+        let (mut known, mut roomy, mut strangers, mut chance) = (0, 0, open, self.chance.clone());
         for &worker in &fleet.watched {
             let desk = &fleet[worker];
+            if !product.open_to(&desk.listing) {
+                continue;
+            }
             strangers -= usize::from(desk.listing.health == Health::Ready);
             if held.tried.contains(&worker) || !self.allowed(held, worker) {
                 continue;
@@ -264,7 +271,7 @@
             }
         }
         // Where many nodes read the same reports, all of them would send to the same few at once.
-        let knowing = f64::from(self.terms.nodes) * (known as f64 / fleet.ready.len().max(1) as f64);
+        let knowing = f64::from(self.terms.nodes) * (known as f64 / open.max(1) as f64);
         let asked = knowing * self.flow.draws.read(self.now) * fleet.renewal();
         for (draw, part) in [(&mut members, ROOM_BEARS), (&mut others, QUEUE_BEARS)] {
             let slots = draw.pick.map_or(1.0, |w| fleet.mean_slots(&fleet[w]));
@@ -302,7 +309,7 @@
         let room = (roomy as f64 + more * fleet.roomy(self.now)) / (known as f64 + more).max(1.0);
         let members = members.offered + usize::from(pick.is_some() && pick != others.pick);
         self.chance = chance;
-        Choice { room, members, pick }
+        Choice { room, members, pick, open, mean }
     }
 
     fn below_threshold(&self, desk: &Desk, held: &Held, mean: f64) -> bool {
@@ -360,8 +367,8 @@
         let over = !held.open || held.streaming || held.executions >= self.terms.max_executions;
         let late = self.now + self.terms.answer_slack >= held.job.cut_off;
         let second = held.out > 0 && !self.terms.may_duplicate;
-        let stranger = product.kind.is_some_and(|k| k != desk.listing.kind);
-        if over || late || second || stranger || desk.listing.health != Health::Ready {
+        let closed = !product.open_to(&desk.listing);
+        if over || late || second || closed || desk.listing.health != Health::Ready {
             return false;
         }
         match (held.anchor, product.repeats) {
--- a/crates/dispatch/src/types.rs
+++ b/crates/dispatch/src/types.rs
@@ -48,8 +48,23 @@
     pub payoff: f64,
     /// The part of the payoff that is left after the agreed time.
     pub late_payoff: f64,
-    /// The one kind of worker that runs it, if not every kind does.
-    pub kind: Option<u16>,
+    /// The kinds of worker and the zones that are open to it; `None` where all are.
+    pub kinds: Option<Vec<u16>>,
+    pub zones: Option<Vec<u16>>,
+}
+
+impl Product {
+    /// Whether it may be sent there at all. One that is not open to it stays so when all others are down.
+    #[must_use]
+    pub fn open_to(&self, place: &Listing) -> bool {
+        let within = |open: &Option<Vec<u16>>, is: u16| open.as_ref().is_none_or(|open| open.contains(&is));
+        within(&self.kinds, place.kind) && within(&self.zones, place.zone)
+    }
+
+    #[must_use]
+    pub fn is_bound(&self) -> bool {
+        self.kinds.is_some() || self.zones.is_some()
+    }
 }
 
 /// The terms under which a node works, read once at start.
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -14,8 +14,15 @@
 }
 
 fn terms(repeats: Repeats) -> StandingOrders {
-    let product =
-        |payoff| Product { repeats, agreed: 400 * MS, stretch: 1.0, payoff, late_payoff: 0.5, kind: None };
+    let product = |payoff| Product {
+        repeats,
+        agreed: 400 * MS,
+        stretch: 1.0,
+        payoff,
+        late_payoff: 0.5,
+        kinds: None,
+        zones: None,
+    };
     StandingOrders {
         seed: 7,
         nodes: 2,
@@ -734,3 +741,55 @@
     let drawn = node.spread(40).iter().filter(|w| **w == 0).count();
     assert_eq!(drawn < 10, died, "{drawn} of 40");
 }
+
+/// The middle worker of three is open to the product; the others are not, whatever has become of it.
+#[rstest]
+#[case::zone(None, Some(vec![1]))]
+#[case::kind(Some(vec![1]), None)]
+#[case::both(Some(vec![1, 2]), Some(vec![0, 1]))]
+fn a_bound_product_goes_nowhere_else(
+    #[case] kinds: Option<Vec<u16>>,
+    #[case] zones: Option<Vec<u16>>,
+    #[values(None, Some(Health::Gone), Some(Health::Draining))] listed: Option<Health>,
+    #[values(true, false)] may_probe: bool,
+) {
+    let mut terms = StandingOrders { may_probe, ..terms(Repeats::Harmless) };
+    (terms.products[0].kinds, terms.products[0].zones) = (kinds, zones);
+    let place = |w: Worker| Listing { kind: w as u16, zone: w as u16, ..listing(w) };
+    let mut node = Node::new(terms, 0);
+    let entries = [0, 1, 2].map(place);
+    node.list(ListKind::Whole, &entries);
+    (0..3).for_each(|w| drop(node.probed(w, Some(true), report(4.0, 0.0, 0.0))));
+    let all = node.spread(40);
+    assert!(all.len() >= 30 && all.iter().all(|w| *w == 1), "{all:?}");
+    match listed {
+        Some(health) => drop(node.list(ListKind::Changes, &[Listing { health, ..place(1) }])),
+        None => drop(node.probed(1, Some(false), None)),
+    }
+    for _ in 0..40 {
+        let orders = node.submit(0, 0, 0.0);
+        assert!(sent(&orders).is_none_or(|w| w == 1), "{orders:?}");
+        if let Some(worker) = sent(&orders) {
+            let orders = node.ended(worker, 0, Outcome::Full);
+            assert!(sent(&orders).is_none(), "{orders:?}");
+        } else {
+            assert!(dismissed(&orders), "{orders:?}");
+        }
+        // The other product still finds them.
+        let orders = node.submit(1, 0, 0.0);
+        assert!(sent(&orders).is_some() || dismissed(&orders));
+    }
+}
+
+/// Nothing is told of the jobs in hand, and the product that pays less is still executed where there is room.
+#[test]
+fn slots_are_seen_where_reports_do_not_count_the_jobs_in_hand() {
+    let mut node = Node::new(terms(Repeats::Harmless), 0);
+    node.list(ListKind::Whole, &[0, 1, 2, 3].map(listing));
+    let free = |f| Some(Report { free_slots: Some(f), ..Report::default() });
+    (0..4).for_each(|w| drop(node.probed(w, Some(true), free(3.0))));
+    for i in 0..12 {
+        assert!(sent(&node.submit(1, 0, 0.0)).is_some(), "submission {i} of 12 that fit");
+    }
+    assert!(dismissed(&node.submit(1, 0, 0.0)), "more than fits, and it pays less");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -165,6 +165,7 @@
 struct Class {
     agreed_time_ms: f64,
     aim_stretch: Option<f64>,
+    bound_to: Option<Places>,
     cut_off_ms: f64,
     dedup_scope: String,
     effect: String,
@@ -172,6 +173,7 @@
     memory_span_ms: f64,
     name: String,
     payoff: f64,
+    stays_in: Option<Places>,
 }
 
 impl Default for Class {
@@ -179,6 +181,7 @@
         Self {
             agreed_time_ms: 0.0,
             aim_stretch: None,
+            bound_to: None,
             cut_off_ms: 0.0,
             dedup_scope: String::new(),
             // Without a word on repeats, none may be made.
@@ -187,10 +190,59 @@
             memory_span_ms: 0.0,
             name: String::new(),
             payoff: 1.0,
+            stays_in: None,
         }
     }
 }
 
+/// Zones or kinds: the place in the list of their names, as on the simulator's wire, or a name.
+#[derive(Deserialize, PartialEq)]
+#[serde(untagged)]
+enum Place {
+    Index(u16),
+    Name(String),
+}
+
+/// Those that are open to a product. With none it could go nowhere, which nobody means; and of one named twice
+/// it is not clear what was meant.
+#[derive(Deserialize)]
+#[serde(try_from = "Vec<Place>")]
+struct Places(Vec<Place>);
+
+impl TryFrom<Vec<Place>> for Places {
+    type Error = &'static str;
+
+    fn try_from(places: Vec<Place>) -> Result<Self, Self::Error> {
+        if places.is_empty() {
+            return Err("an empty list: one place at least, or leave the key out");
+        }
+        if (1..places.len()).any(|i| places[..i].contains(&places[i])) {
+            return Err("a place is named twice");
+        }
+        Ok(Self(places))
+    }
+}
+
+impl Places {
+    /// As indices. A name that is not known yet may come with the list, and gets its place now.
+    fn resolve(&self, names: &mut Vec<String>) -> Vec<u16> {
+        let index = |place: &Place| match place {
+            Place::Index(index) => *index,
+            Place::Name(name) => {
+                let known = names.iter().position(|n| n == name).unwrap_or_else(|| {
+                    names.push(name.clone());
+                    names.len() - 1
+                });
+                u16::try_from(known).unwrap_or(u16::MAX)
+            }
+        };
+        let mut all: Vec<u16> = self.0.iter().map(index).collect();
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
+}
+
 #[derive(Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Reports {
@@ -215,9 +267,22 @@
 
 /// Reads the settings object. `seed` is the source of this node's chance.
 pub fn read(text: &[u8], seed: u64) -> Result<Settings, Fault> {
-    let info: Info = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(text))?;
+    let mut info: Info = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(text))?;
     let family = &info.family_info;
-    let product = |(i, class): (usize, &Class)| Product {
+    let (zones, kinds) = (&mut info.zones, &mut info.kinds);
+    let mut open = |i: usize, class: &Class| {
+        let one = family.class_kind.get(i).and_then(|k| u16::try_from(*k).ok());
+        let bound = class.bound_to.as_ref().map(|p| p.resolve(kinds));
+        // Both must hold where both are given.
+        let kinds = match (one, bound) {
+            (Some(one), Some(bound)) => Some(bound.into_iter().filter(|k| *k == one).collect()),
+            (one, bound) => bound.or(one.map(|k| vec![k])),
+        };
+        (kinds, class.stays_in.as_ref().map(|p| p.resolve(zones)))
+    };
+    let open: Vec<_> = info.products.iter().enumerate().map(|(i, class)| open(i, class)).collect();
+    type Open = (Option<Vec<u16>>, Option<Vec<u16>>);
+    let product = |((i, class), (kinds, zones)): ((usize, &Class), Open)| Product {
         repeats: match class.effect.as_str() {
             "pure" => Repeats::Harmless,
             "token" => Repeats::Stamped {
@@ -234,7 +299,8 @@
         stretch: class.aim_stretch.or(family.class_stretch.get(i).copied()).unwrap_or(0.0),
         payoff: class.payoff,
         late_payoff: class.late_payoff,
-        kind: family.class_kind.get(i).and_then(|k| u16::try_from(*k).ok()),
+        kinds,
+        zones,
     };
     let field = |name: &str| info.report.fields.iter().position(|f| f == name);
     let extra = |word: &str| {
@@ -253,7 +319,7 @@
         seed,
         nodes: info.balancers.max(1),
         zone: info.az,
-        products: info.products.iter().enumerate().map(product).collect(),
+        products: info.products.iter().enumerate().zip(open).map(product).collect(),
         quotas: info.tenants.iter().map(|t| t.quota_per_s.max(0.0)).collect(),
         excess_payoff: info.excess_payoff,
         probe_price: info.deductions.probe,
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -418,7 +418,8 @@
             stretch: p.stretch,
             payoff: p.payoff,
             late_payoff: p.late_payoff,
-            kind: None,
+            kinds: None,
+            zones: None,
         };
         let shares: f64 = self.tenants.iter().map(|t| t.share).sum();
         let cold = self.executors.iter().map(|e| e.cold_from).fold(1.0, f64::min);
