Load told by the list's live weights, scarce workers left to bound products, dear probes fewer

Causes, each counted: (1) pulse (decide.rs, 'unasked') asked what held a job of ours at every pulse when it did not answer, past its back-off and the budget, and every two connect time-outs at any price; (2) each of 36 nodes knows a few of 124 workers and draws the rest blind, though the list tells every worker's load for nothing (weights 'live'); (3) what may run anywhere took the workers that bound products need; (4) of a worker that slows down answers come too late to tell. Ruled out: queues let in too long.

Change: set aside means asked by the budget; a job costs no more probes than refreshing may; live weights are taken as reports where reports cost probes; workers open to bound products come after others; executions out for longer than usual count against the pace, and a pace over twice the usual comes after a crossing. Could do harm where weights follow false reports: they are then as wrong as the reports themselves.

--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -22,6 +22,7 @@
     pub health: Health,
     /// Its last start on the node's clock, 0 for long ago.
     pub started: Nanos,
+    pub weight: f32,
 }
 
 /// What goes on unchanged to the executor.
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -32,8 +32,8 @@
             let zone = position(&mut self.zones, &e.zone);
             let place = &mut self.workers[worker as usize];
             (place.kind, place.zone) = (kind, zone);
-            let (health, cell, started) = (e.health, e.group, e.started);
-            listings.push(Listing { worker, health, kind, zone, cell, started });
+            let (health, cell, started, weight) = (e.health, e.group, e.started, e.weight);
+            listings.push(Listing { worker, health, kind, zone, cell, started, weight });
         }
         // What a whole list lacks has left, and so do the connections kept for it.
         self.present = 0;
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -29,7 +29,7 @@
 fn endpoint(worker: usize, health: Health) -> Endpoint {
     let address = SocketAddr::from(([127, 0, 0, 1], 100 + worker as u16));
     let (zone, kind) = ("here".to_owned(), "small".to_owned());
-    Endpoint { name: format!("w{worker}"), address, zone, kind, group: 1, health, started: 0 }
+    Endpoint { name: format!("w{worker}"), address, zone, kind, group: 1, health, started: 0, weight: 1.0 }
 }
 
 impl Node {
--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -48,6 +48,8 @@
     pub(crate) heard: Nanos,
     pub(crate) slots: f64,
     pub(crate) memory: f64,
+    /// What an answer took as a rule when it was sent.
+    pub(crate) usual: f64,
     /// When another worker was last looked for.
     pub(crate) looked: Nanos,
     /// It has not started, as far as is known.
@@ -103,10 +105,13 @@
         self.aside > 0 && self.listing.health == Health::Ready && now >= self.ask_at
     }
 
-    /// Its answer times lately, as a multiple of what was usual; four usual ones are taken as given.
+    /// Its answer times lately, as a multiple of what was usual; four usual ones are taken as given. What is out
+    /// for longer than usual counts as it stands: of a worker that slows down answers come too late to tell.
     pub(crate) fn pace(&self, now: Nanos, span: Nanos) -> f64 {
         let span = span as f64;
-        (self.paces.read(now, span) + 4.0) / (self.answers.read(now, span) + 4.0)
+        let out = self.out.iter().map(|o| (now - o.sent) as f64 / o.usual).filter(|pace| *pace > 1.0);
+        let (sum, n) = out.fold((4.0, 4.0), |(sum, n), pace| (sum + pace, n + 1.0));
+        (self.paces.read(now, span) + sum) / (self.answers.read(now, span) + n)
     }
 
     pub(crate) fn paced(&mut self, now: Nanos, span: Nanos, pace: f64) {
@@ -207,13 +212,20 @@
         self.job.slots * answers.get(usize::from(self.job.product)).map_or(0.0, |a| a.shortest)
     }
 
-    pub(crate) fn send(&mut self, submission: Submission, worker: Worker, sent: Nanos, waits: bool) -> Out {
+    pub(crate) fn send(
+        &mut self,
+        submission: Submission,
+        worker: Worker,
+        sent: Nanos,
+        waits: bool,
+        usual: f64,
+    ) -> Out {
         let (execution, Job { slots, memory, .. }) = (self.executions, self.job);
         self.anchor.get_or_insert((worker, sent));
         self.executions += 1;
         self.out += 1;
         self.tried.push(worker);
-        Out { submission, execution, sent, heard: sent, looked: 0, slots, memory, waits }
+        Out { submission, execution, sent, heard: sent, usual, looked: 0, slots, memory, waits }
     }
 
     pub(crate) fn ended(&mut self, perhaps_ran: bool) {
@@ -241,6 +253,8 @@
     /// Slots that its workers were seen to have, and how many workers were seen.
     pub(crate) slots: f64,
     pub(crate) seen: f64,
+    /// The largest weight that one of its workers had: it held nothing then, where weights are live.
+    pub(crate) idle_weight: f32,
 }
 
 impl Kind {
@@ -298,6 +312,8 @@
     /// Of reports in a row: the time between those that were the same, and how many were not.
     same: f64,
     changed: f64,
+    /// When the list last told weights.
+    weighed: Nanos,
     /// Workers that answered probes lately, and those of them that had room.
     asked: Decaying,
     free: Decaying,
@@ -361,7 +377,13 @@
     }
 
     pub(crate) fn meet(&mut self, kind: u16, threshold: f64) {
-        at(&mut self.kinds, kind.into()).get_or_insert(Kind { threshold, run: 0, slots: 0.0, seen: 0.0 });
+        at(&mut self.kinds, kind.into()).get_or_insert(Kind {
+            threshold,
+            run: 0,
+            slots: 0.0,
+            seen: 0.0,
+            idle_weight: 0.0,
+        });
     }
 
     /// The executions of a submission that have not ended, among the workers that it was sent to.
@@ -385,6 +407,10 @@
         }
         let before = std::mem::replace(&mut desk.listing, listing).started;
         desk.listing.started = listing.started.max(before);
+        if let Some(Some(kind)) = self.kinds.get_mut(usize::from(listing.kind)) {
+            let told = if listing.weight.is_finite() { listing.weight } else { 0.0 };
+            kind.idle_weight = kind.idle_weight.max(told);
+        }
         listing.started > before
     }
 
@@ -405,6 +431,30 @@
         desk
     }
 
+    /// Where the list's weights are live, they tell each worker's load, the same to all nodes and late: a report
+    /// that costs nothing. What is not named has not changed.
+    pub(crate) fn weigh(&mut self, now: Nanos) {
+        let gap = now - std::mem::replace(&mut self.weighed, now);
+        if gap == 0 {
+            return;
+        }
+        (self.same, self.changed) = (gap as f64, 1.0);
+        for i in 0..self.ready.len() {
+            let worker = self.ready[i];
+            let Some(kind) = self.kind(&self[worker]) else { continue };
+            let (weight, slots) = (self[worker].listing.weight, kind.mean().round() as f32);
+            if !(weight > 0.0 && weight.is_finite()) || slots < 1.0 || self[worker].probed.is_some() {
+                continue;
+            }
+            let held = slots * (kind.idle_weight / weight - 1.0).clamp(0.0, 64.0);
+            let (free_slots, waiting) = (Some((slots - held).max(0.0)), Some((held - slots).max(0.0)));
+            let desk = self.watch(worker);
+            // Memory is not told by it; what was told of it stands.
+            let report = Report { free_slots, waiting, in_hand: Some(held), ..desk.report };
+            desk.take_report(report, now);
+        }
+    }
+
     /// How long a report stands before it is renewed, as far as was seen.
     pub(crate) fn renewal(&self) -> f64 {
         self.same / self.changed.max(1.0 / 64.0)
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -29,6 +29,10 @@
 const RESERVE: f64 = 0.2;
 /// A worker that takes this many times the workers' mean for the same jobs is drawn after the others.
 const SLOW: f64 = 1.1;
+/// And one that takes this many times, after those that cost a crossing too.
+const CRAWLS: f64 = 2.0;
+/// A price of a crossing below which it is no reason to take from others what they need.
+const CHEAP: f64 = 0.05;
 /// Answer times after which a report tells nothing, and in which it is fresh where not all are known.
 const REMEMBERED: f64 = 2.0;
 const FRESH: f64 = 0.25;
@@ -182,6 +186,9 @@
                 self.fleet[listing.worker].restarted();
             }
         }
+        if self.terms.live_weights && matches!(kind, ListKind::Changes | ListKind::Whole) {
+            self.fleet.weigh(self.now);
+        }
     }
 
     fn submitted(&mut self, submission: Submission) {
@@ -242,6 +249,10 @@
         let fresh = FRESH * longest(&self.answers) + self.flow.lag(self.now) as f64;
         let stale = |d: &Desk| d.reported.is_none_or(|r| (self.now - r) as f64 > fresh);
         let near = |d: &Desk| self.terms.crossing_price <= 0.0 || d.listing.zone == self.terms.zone;
+        // What products bound to few places need is left to them, before a crossing if that costs little.
+        let bound = |d: &Desk| self.terms.products.iter().any(|p| p.is_bound() && p.open_to(&d.listing));
+        let scarce = |d: &Desk| u8::from(!product.is_bound() && bound(d));
+        let spared = if self.terms.crossing_price < CHEAP { 8 } else { 1 };
         let terms = self.answers.iter().zip(&self.terms.products);
         let waits = terms.map(|(a, p)| p.agreed as f64 + (p.stretch - 1.0).max(0.0) * a.shortest);
         let bears = waits.fold(f64::INFINITY, f64::min) / usual(&self.answers);
@@ -262,11 +273,19 @@
             // One that lost its process is cold when it is back, though the list does not tell yet.
             aside.offer_if(warm && !fit && !desk.died, worker, 0, &mut chance);
             cold.offer_if(below && !warm, worker, 0, &mut chance);
-            others.offer_if(fit && warm && self.in_time(desk, bears), worker, 0, &mut chance);
+            // A crossing costs less than an answer that comes late for sure.
+            let pace = desk.pace(self.now, self.terms.cold_for);
+            let crawls = u8::from(pace > CRAWLS);
+            others.offer_if(
+                fit && warm && self.in_time(desk, bears),
+                worker,
+                2 * crawls + scarce(desk),
+                &mut chance,
+            );
             if below && warm {
                 roomy += 1;
-                let rank =
-                    if near(desk) { u8::from(desk.pace(self.now, self.terms.cold_for) > SLOW) } else { 2 };
+                let (far, slow) = (u8::from(!near(desk)), u8::from(pace > SLOW));
+                let rank = 16 * crawls + spared * scarce(desk) + 4 * far + 2 * slow;
                 members.offer_if(!sparse || !stale(desk), worker, rank, &mut chance);
             }
         }
@@ -406,8 +425,9 @@
             return self.finish(submission, false);
         };
         let (now, held) = (self.now, &mut self.held[submission as usize]);
+        let usual = self.answers[usize::from(held.job.product)].mean;
         self.flow.in_flight += held.job.slots;
-        self.fleet.watch(worker).send(held.send(submission, worker, now, self.terms.tells_start));
+        self.fleet.watch(worker).send(held.send(submission, worker, now, self.terms.tells_start, usual));
         let timeout = held.job.cut_off - now - self.terms.answer_slack / 2;
         self.todo.push(Order::Execute { submission, worker, timeout });
         self.pulse_at(now + self.terms.connect_timeout / 5);
@@ -528,6 +548,9 @@
         let silence = 2.0 * (self.terms.progress_every.unwrap_or(0) as f64 + took) + period as f64;
         let crowded = (MOST_WATCHED / self.fleet.watched.len() as f64).min(1.0);
         let remembered = (REMEMBERED * took + self.flow.lag(self.now) as f64) * crowded;
+        // Asked less often where a probe is dear: no job costs more of them than refreshing may.
+        let dear = took * self.terms.probe_price / PROBE_SPEND;
+        let unheard = (2 * self.terms.connect_timeout).max(dear as Nanos);
         let owed = -self.flow.probes.0;
         let (mut known, mut full, mut next) = (0.0, 0.5, self.subscribe_at);
         for i in (0..self.fleet.watched.len()).rev() {
@@ -539,7 +562,7 @@
                 set_aside(desk, false);
             }
             // A hung worker is only found by asking: what holds jobs of ours is not left unasked for long.
-            let unasked = busy && desk.reported.is_none_or(|r| now - r > 2 * self.terms.connect_timeout);
+            let unasked = busy && desk.aside == 0 && desk.reported.is_none_or(|r| now - r > unheard);
             if desk.listing.health == Health::Gone {
                 desk.aside = 0;
             } else if !self.terms.may_probe {
--- a/crates/dispatch/src/types.rs
+++ b/crates/dispatch/src/types.rs
@@ -100,6 +100,9 @@
     /// Time between progress notes, where workers send them.
     pub progress_every: Option<Nanos>,
     pub tells_start: bool,
+    /// Reports cost a probe each, and the list's weights tell the load for nothing: they are the workers' sizes
+    /// over one more than the jobs that each core holds.
+    pub live_weights: bool,
     pub counts_memory: bool,
 }
 
@@ -120,6 +123,8 @@
     pub cell: u16,
     /// The last start, 0 if long ago.
     pub started: Nanos,
+    /// Its size, or what of it is free where weights are live; 0 if the list gives none.
+    pub weight: f32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -47,6 +47,7 @@
         ask_within: None,
         progress_every: Some(1_000 * MS),
         tells_start: false,
+        live_weights: false,
         counts_memory: false,
     }
 }
@@ -793,3 +794,109 @@
     }
     assert!(dismissed(&node.submit(1, 0, 0.0)), "more than fits, and it pays less");
 }
+
+// Its jobs are out until their cut-off, and each node that holds one would ask it at every pulse.
+#[test]
+fn a_worker_that_answers_no_probe_is_asked_ever_more_seldom_though_it_holds_a_job() {
+    let mut node = Node::new(StandingOrders { may_cancel: false, ..terms(Repeats::OneShot) }, 1);
+    assert_eq!(sent(&node.submit(0, 0, 0.0)), Some(0));
+    let (end, mut asked) = (node.now + 4_000 * MS, 0);
+    while node.now < end {
+        node.now += 25 * MS;
+        if node.event(Event::Rang { token: 0 }).contains(&Order::Probe { worker: 0 }) {
+            asked += 1;
+            node.probed(0, Some(false), None);
+        }
+    }
+    assert!((2..=12).contains(&asked), "asked {asked} times in 4 s, with pulses of 50 ms");
+}
+
+// Where a probe costs a whole point and refreshing may cost one and a half, ten a job are none of its business.
+#[rstest]
+#[case::dear(0.01, 1..=5)]
+#[case::cheap(0.001, 6..=90)]
+fn jobs_are_asked_after_as_their_price_bears(
+    #[case] probe_price: f64,
+    #[case] bears: std::ops::RangeInclusive<usize>,
+) {
+    let product = |p: Product| Product { agreed: 3_000 * MS, ..p };
+    let mut terms = StandingOrders { probe_price, may_cancel: false, ..terms(Repeats::OneShot) };
+    terms.products = terms.products.into_iter().map(product).collect();
+    let mut node = Node::new(terms, 1);
+    assert_eq!(sent(&node.submit(0, 0, 0.0)), Some(0));
+    let (end, mut asked) = (node.now + 4_500 * MS, 0);
+    while node.now < end {
+        node.now += 25 * MS;
+        if node.event(Event::Rang { token: 0 }).contains(&Order::Probe { worker: 0 }) {
+            asked += 1;
+            node.probed(0, Some(true), report(3.0, 0.0, 1.0));
+        }
+    }
+    assert!(bears.contains(&asked), "asked {asked} times");
+}
+
+#[test]
+fn what_is_out_for_longer_than_usual_counts_against_its_worker() {
+    let mut node = Node::new(terms(Repeats::OneShot), 3);
+    let slow = sent(&node.submit(0, 0, 0.0)).unwrap();
+    for _ in 0..24 {
+        node.now += 50 * MS;
+        node.event(Event::Rang { token: 0 });
+        for w in 0..3 {
+            let held = f32::from(u8::from(w == slow));
+            node.probed(w, Some(true), report(4.0 - held, 0.0, held));
+        }
+    }
+    let drawn = node.spread(30);
+    assert!(drawn.len() == 30 && !drawn.contains(&slow), "{slow} is slow: {drawn:?}");
+}
+
+// Four slots each, and a weight of 2 with nothing in hand. Nothing but the list tells what has changed.
+#[rstest]
+#[case::live(true, &[3])]
+#[case::of_another_meaning(false, &[0, 1, 2, 3])]
+fn live_weights_tell_who_is_full(#[case] live_weights: bool, #[case] open: &[Worker]) {
+    let mut node = Node::new(StandingOrders { live_weights, ..terms(Repeats::Harmless) }, 0);
+    let weighed = |w: Worker, weight| Listing { weight, ..listing(w) };
+    node.list(ListKind::Whole, &[0, 1, 2, 3].map(|w| weighed(w, 2.0)));
+    (0..4).for_each(|w| drop(node.probed(w, Some(true), report(4.0, 0.0, 0.0))));
+    node.now += 300 * MS;
+    node.list(ListKind::Changes, &[0, 1, 2].map(|w| weighed(w, 1.0)));
+    let mut drawn = node.spread(60);
+    drawn.sort_unstable();
+    drawn.dedup();
+    assert_eq!(drawn, open);
+}
+
+#[rstest]
+#[case::nothing(0.0)]
+#[case::not_a_number(f32::NAN)]
+#[case::negative(-1.0)]
+#[case::beyond_all(f32::INFINITY)]
+fn weights_that_make_no_sense_starve_nobody(#[case] weight: f32) {
+    let mut node = Node::new(StandingOrders { live_weights: true, ..terms(Repeats::Harmless) }, 2);
+    node.now += 300 * MS;
+    node.list(ListKind::Changes, &[0, 1].map(|w| Listing { weight, ..listing(w) }));
+    node.now += 300 * MS;
+    node.list(ListKind::Changes, &[Listing { weight: 2.0, ..listing(0) }]);
+    let drawn = node.spread(40);
+    assert!(drawn.len() == 40 && drawn.contains(&0) && drawn.contains(&1), "{drawn:?}");
+}
+
+// The second product runs anywhere, and the first needs the two of kind 1.
+#[test]
+fn what_may_go_anywhere_leaves_scarce_workers_to_bound_products() {
+    let mut terms = terms(Repeats::Harmless);
+    terms.products[0].kinds = Some(vec![1]);
+    let mut node = Node::new(terms, 0);
+    node.list(ListKind::Whole, &[0, 1, 2, 3].map(|w| Listing { kind: w as u16 / 2, ..listing(w) }));
+    (0..4).for_each(|w| drop(node.probed(w, Some(true), report(4.0, 0.0, 0.0))));
+    for _ in 0..30 {
+        let worker = sent(&node.submit(1, 0, 0.0)).unwrap();
+        assert!(worker < 2);
+        node.ended(worker, 0, Outcome::Satisfied);
+        let worker = sent(&node.submit(0, 0, 0.0)).unwrap();
+        assert!(worker >= 2);
+        node.ended(worker, 0, Outcome::Satisfied);
+    }
+}
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -81,6 +81,8 @@
     status: String,
     #[serde(default)]
     since_ms: f64,
+    #[serde(default)]
+    weight: f32,
 }
 
 impl List {
@@ -113,7 +115,8 @@
     };
     let group = u16::try_from(raw.group).unwrap_or(u16::MAX);
     let started = linestack_settings::nanos(raw.since_ms);
-    Some(Endpoint { name: raw.name, address, zone: raw.zone, kind: raw.kind, group, health, started })
+    let weight = if raw.weight.is_finite() { raw.weight.max(0.0) } else { 0.0 };
+    Some(Endpoint { name: raw.name, address, zone: raw.zone, kind: raw.kind, group, health, started, weight })
 }
 
 impl From<List> for Input {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -64,6 +64,7 @@
     products: Vec<Class>,
     report: Reports,
     tenants: Vec<Tenant>,
+    weights: String,
     zones: Vec<String>,
 }
 
@@ -82,6 +83,7 @@
             products: Vec::new(),
             report: Reports::default(),
             tenants: Vec::new(),
+            weights: String::new(),
             zones: Vec::new(),
         }
     }
@@ -247,6 +249,7 @@
 #[serde(rename_all = "camelCase", default)]
 struct Reports {
     fields: Vec<String>,
+    how: String,
 }
 
 #[derive(Default, Deserialize)]
@@ -340,6 +343,8 @@
         ask_within: some(nanos(rules.must_ask_in_ms)).filter(|_| info.discovery == "on_request"),
         progress_every: some(nanos(family.progress_ms)),
         tells_start: family.tells_start,
+        // What answers tell is fresher, and looking at all workers for each submission would cost more than it.
+        live_weights: info.weights == "live" && info.report.how == "pull",
         counts_memory: family.memory_unit.as_ref().is_some_and(|unit| !unit.is_empty()),
     };
     let longest_cut_off = nanos(info.products.iter().map(|p| p.cut_off_ms).fold(0.0, f64::max));
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -5,7 +5,7 @@
 use linestack_dispatch::decide::Dispatcher;
 use linestack_dispatch::types::{Ending, Event, Listing, Nanos, Order};
 use linestack_settings::{ReportLayout, Settings};
-use linestack_simwire::{Incoming, Outgoing, Reply};
+use linestack_simwire::{Entry, Incoming, Outgoing, Reply};
 
 pub struct Instance {
     node: u16,
@@ -88,8 +88,8 @@
                         self.executors.push(e.executor);
                         self.executors.len() as u32 - 1
                     });
-                    let (health, kind, zone, cell, started) = (e.health, e.kind, e.zone, e.cell, e.started);
-                    self.listings.push(Listing { worker, health, kind, zone, cell, started });
+                    let Entry { health, kind, zone, cell, started, weight, .. } = e;
+                    self.listings.push(Listing { worker, health, kind, zone, cell, started, weight });
                 }
                 Event::Listed { kind, entries: &[] }
             }
--- a/crates/simwire/src/lib.rs
+++ b/crates/simwire/src/lib.rs
@@ -40,6 +40,8 @@
     pub zone: u16,
     pub cell: u16,
     pub started: Nanos,
+    /// What the list calls scale; 0 where it makes no sense.
+    pub weight: f32,
 }
 
 /// Up to four figures of a load report, in the order of the site's fields.
@@ -209,6 +211,7 @@
                         zone: e.u16(21),
                         cell: e.u16(19),
                         started: nanos(e.f64(7)),
+                        weight: positive(e.f32(0)).unwrap_or(0.0),
                     })
                 });
                 Incoming::Listed { kind, entries: entries.collect::<Result<_, _>>()? }
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -451,6 +451,7 @@
             ask_within: self.discovery.asked.then(|| seconds(10.0)),
             progress_every: some(self.progress_s * 1e3),
             tells_start: self.tells_start,
+            live_weights: false,
             counts_memory: false,
         };
         let longest = self.products.iter().map(|p| p.cut_off_ms).fold(0.0, f64::max);
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -1323,6 +1323,7 @@
             group: e.group,
             health,
             started,
+            weight: 1.0,
         }
     }
 
