Unknown workers are drawn by their listed size; waiting jobs move by way of a cancel

Where no copy may go out, nothing at all was done for jobs that waited (rescue -> allowed). Lines at fault: the draw of strangers in choose, the check of a second copy in allowed.

--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -307,6 +307,8 @@
     /// Those of which something is known now.
     pub(crate) watched: Vec<Worker>,
     pub(crate) turn: usize,
+    /// The largest size listed, 0 where the list tells none.
+    pub(crate) largest: f64,
     /// Some worker has reported.
     pub(crate) told: bool,
     /// Of reports in a row: the time between those that were the same, and how many were not.
@@ -333,6 +335,12 @@
         self.kind(desk).map_or(1.0, |k| k.mean().max(1.0))
     }
 
+    /// Its size as a part of the largest listed, where the list tells sizes.
+    pub(crate) fn size(&self, desk: &Desk) -> f64 {
+        let told = f64::from(desk.listing.weight);
+        if self.largest > 0.0 && told > 0.0 { (told / self.largest).min(1.0) } else { 1.0 }
+    }
+
     /// What all ready workers together may hold, as far as their kinds are known: half as much again may wait.
     pub(crate) fn room(&self) -> f64 {
         let known = self.kinds.iter().flatten();
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -182,6 +182,9 @@
         let threshold = self.fleet.mean_threshold().unwrap_or(MODEST);
         for &listing in entries {
             self.fleet.meet(listing.kind, threshold);
+            if self.terms.listed_sizes && listing.weight.is_finite() {
+                self.fleet.largest = self.fleet.largest.max(listing.weight.into());
+            }
             if self.fleet.follow(listing) {
                 self.fleet[listing.worker].restarted();
             }
@@ -308,7 +311,9 @@
         for _ in 0..if members.pick.is_some() || strangers == 0 { 0 } else { STRANGER_DRAWS } {
             let worker = fleet.ready[chance.usize(..fleet.ready.len())];
             let (desk, tried) = (&fleet[worker], held.tried.contains(&worker));
-            let share = self.trickle(desk, held).map_or(1.0, |share| share * strangers as f64 / 2.0);
+            // Of what is not known the expected room is the chance to be drawn.
+            let size = fleet.size(desk);
+            let share = self.trickle(desk, held).map_or(size, |share| size.min(share * strangers as f64 / 2.0));
             let unknown = desk.out.is_empty() && stale(desk) && self.fit(desk);
             if unknown && !tried && self.allowed(held, worker) && chance.f64() < share {
                 stranger = Some(worker);
@@ -385,9 +390,8 @@
         let product = &self.terms.products[usize::from(held.job.product)];
         let over = !held.open || held.streaming || held.executions >= self.terms.max_executions;
         let late = self.now + self.terms.answer_slack >= held.job.cut_off;
-        let second = held.out > 0 && !self.terms.may_duplicate;
         let closed = !product.open_to(&desk.listing);
-        if over || late || second || closed || desk.listing.health != Health::Ready {
+        if over || late || closed || desk.listing.health != Health::Ready {
             return false;
         }
         match (held.anchor, product.repeats) {
@@ -421,7 +425,8 @@
     /// The only place that orders an execution; with none to order and none out, the submission is over.
     fn execute(&mut self, submission: Submission, choice: &Choice) {
         let held = &self.held[submission as usize];
-        let Some(worker) = choice.pick.filter(|w| self.allowed(held, *w)) else {
+        let second = held.out > 0 && !self.terms.may_duplicate;
+        let Some(worker) = choice.pick.filter(|w| !second && self.allowed(held, *w)) else {
             return self.finish(submission, false);
         };
         let (now, held) = (self.now, &mut self.held[submission as usize]);
@@ -638,8 +643,12 @@
         self.fleet[worker].out[out].looked = now;
         let choice = self.choose(submission);
         if choice.members > 0 {
-            self.execute(submission, &choice);
-            if waits && self.terms.may_cancel && self.held[submission as usize].out > 1 {
+            // Where no two may be out, it is called off first and goes on when that is known.
+            let moves = !self.terms.may_duplicate;
+            if !moves {
+                self.execute(submission, &choice);
+            }
+            if waits && self.terms.may_cancel && (moves || self.held[submission as usize].out > 1) {
                 self.todo.push(Order::Cancel { submission, execution });
             }
         }
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -48,6 +48,7 @@
         progress_every: Some(1_000 * MS),
         tells_start: false,
         live_weights: false,
+        listed_sizes: false,
         counts_memory: false,
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -345,6 +345,7 @@
         tells_start: family.tells_start,
         // What answers tell is fresher, and looking at all workers for each submission would cost more than it.
         live_weights: info.weights == "live" && info.report.how == "pull",
+        listed_sizes: matches!(info.weights.as_str(), "nominal" | "rough"),
         counts_memory: family.memory_unit.as_ref().is_some_and(|unit| !unit.is_empty()),
     };
     let longest_cut_off = nanos(info.products.iter().map(|p| p.cut_off_ms).fold(0.0, f64::max));
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -452,6 +452,7 @@
             progress_every: some(self.progress_s * 1e3),
             tells_start: self.tells_start,
             live_weights: false,
+            listed_sizes: false,
             counts_memory: false,
         };
         let longest = self.products.iter().map(|p| p.cut_off_ms).fold(0.0, f64::max);
