--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -202,6 +202,7 @@
             return self.finish(submission, false);
         }
         let excess = self.beyond_share(usize::from(job.tenant));
+        self.flow.draws.add(self.now);
         let choice = self.choose(submission);
         // Room is kept for products that pay more, and for tenants inside their shares.
         let best = self.terms.products.iter().map(|p| p.payoff).fold(f64::MIN_POSITIVE, f64::max);
@@ -241,7 +242,6 @@
 
     /// The design: a random member of the set below threshold, else a random ready worker.
     fn choose(&mut self, submission: Submission) -> Choice {
-        self.flow.draws.add(self.now);
         let (held, fleet) = (&self.held[submission as usize], &self.fleet);
         let product = &self.terms.products[usize::from(held.job.product)];
         let open = fleet.open(product);
@@ -532,6 +532,7 @@
         let Some(held) = self.held.get(submission as usize).filter(|h| h.open && h.out == 0) else { return };
         let product = &self.terms.products[usize::from(held.job.product)];
         let pointless = product.late_payoff == 0.0 && self.now > held.taken + 4 * product.agreed;
+        self.flow.draws.add(self.now);
         let choice = if pointless { Choice::default() } else { self.choose(submission) };
         self.execute(submission, &choice);
     }
@@ -646,6 +647,7 @@
             // Where no two may be out, it is called off first and goes on when that is known.
             let moves = !self.terms.may_duplicate;
             if !moves {
+                self.flow.draws.add(now);
                 self.execute(submission, &choice);
             }
             if waits && self.terms.may_cancel && (moves || self.held[submission as usize].out > 1) {
