Waiting jobs move only while most start at once; repeats drawn among the few of their group

And 10% of record-import were aborted after a move: sixteen draws among all workers hardly ever hit the four to eight of its pod.

--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -161,12 +161,17 @@
         told.unwrap_or(self.slots - self.own_memory - others)
     }
 
-    /// A job of ours has started or made progress.
-    pub(crate) fn noted(&mut self, submission: Submission, execution: Execution, now: Nanos) {
+    /// A job of ours has started or made progress. Returns how long it waited, if that was not known before.
+    pub(crate) fn noted(
+        &mut self,
+        submission: Submission,
+        execution: Execution,
+        now: Nanos,
+    ) -> Option<Nanos> {
         let mut out = self.out.iter_mut();
-        if let Some(out) = out.find(|o| o.submission == submission && o.execution == execution) {
-            (out.waits, out.heard, self.heard) = (false, now, now);
-        }
+        let out = out.find(|o| o.submission == submission && o.execution == execution)?;
+        (out.heard, self.heard) = (now, now);
+        std::mem::replace(&mut out.waits, false).then(|| now - out.sent)
     }
 
     /// Whether a job of ours is gone without a word: no sign of it for the time of two progress notes, and a
@@ -603,6 +608,8 @@
     /// Answer times as multiples of their products' shortest.
     pub(crate) stretch: f64,
     pub(crate) memory_per_slot: f64,
+    /// The part of the executions that started at once.
+    pub(crate) prompt: f64,
     pub(crate) lag: (Nanos, Nanos),
     /// Probes that refreshing may send now, and since when.
     pub(crate) probes: (f64, Nanos),
@@ -625,6 +632,10 @@
         self.probes = ((self.probes.0 + rate * (now - self.probes.1) as f64).min(most), now);
     }
 
+    pub(crate) fn started(&mut self, at_once: bool) {
+        self.prompt += (f64::from(u8::from(at_once)) - self.prompt) / 16.0;
+    }
+
     pub(crate) fn proved(&mut self, age: Nanos, now: Nanos) {
         if age > 0 && age >= self.lag(now) {
             self.lag = (age, now);
@@ -637,6 +648,6 @@
         let (arrivals, draws) = (Rate::default(), Rate::default());
         let (lag, probes) = ((0, 0), (0.0, 0));
         let (in_flight, limit, stretch, memory_per_slot) = (0.0, 1.0, 1.0, 1.0);
-        Self { arrivals, draws, in_flight, limit, stretch, memory_per_slot, lag, probes }
+        Self { arrivals, draws, in_flight, limit, stretch, memory_per_slot, prompt: 1.0, lag, probes }
     }
 }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -39,6 +39,7 @@
 /// Workers that may be known before reports are remembered for less, and probes that may be owed.
 const MOST_WATCHED: f64 = 64.0;
 const MOST_OWED: f64 = 8.0;
+const PROMPT: f64 = 0.5;
 const STRANGER_DRAWS: usize = 16;
 /// Of its slots, what all nodes may send a worker with room, or a queue in time, while a report stands.
 const ROOM_BEARS: f64 = 0.25;
@@ -114,7 +115,9 @@
             Event::Noted { submission, execution } => {
                 let held = self.held.get(submission as usize);
                 let worker = held.and_then(|h| h.tried.get(usize::from(execution)));
-                worker.into_iter().for_each(|w| self.fleet[*w].noted(submission, execution, self.now));
+                let waited = worker.and_then(|w| self.fleet[*w].noted(submission, execution, self.now));
+                let patience = self.terms.connect_timeout / 5;
+                waited.into_iter().for_each(|waited| self.flow.started(waited <= patience));
             }
             Event::Ended(ending) => {
                 self.ended(&ending);
@@ -307,9 +310,14 @@
         if left < aside.offered && chance.usize(..left + aside.offered) >= left {
             others.pick = aside.pick;
         }
+        // Of few that a repeat may go to, hardly one would come up among all.
+        let few = held.anchor.is_some() && product.repeats.is_grouped();
+        let few = few.then(|| fleet.ready.iter().copied().filter(|w| self.allowed(held, *w)).collect::<Vec<_>>());
+        let ready = few.as_ref().unwrap_or(&fleet.ready);
+        let strangers = strangers.min(ready.len());
         let mut stranger = None;
         for _ in 0..if members.pick.is_some() || strangers == 0 { 0 } else { STRANGER_DRAWS } {
-            let worker = fleet.ready[chance.usize(..fleet.ready.len())];
+            let worker = ready[chance.usize(..ready.len())];
             let (desk, tried) = (&fleet[worker], held.tried.contains(&worker));
             // Of what is not known the expected room is the chance to be drawn.
             let size = fleet.size(desk);
@@ -637,7 +645,7 @@
         }
         let held = &self.held[submission as usize];
         let patience = self.terms.products[usize::from(held.job.product)].agreed / 2;
-        let stuck = waits && now - sent > patience;
+        let stuck = waits && now - sent > patience && self.flow.prompt > PROMPT;
         if !held.open || held.out != 1 || (self.fit(desk) && !stuck) || now - looked < patience / 4 {
             return;
         }
@@ -646,7 +654,9 @@
         if choice.members > 0 {
             // Where no two may be out, it is called off first and goes on when that is known.
             let moves = !self.terms.may_duplicate;
-            if !moves {
+            if moves {
+                self.flow.started(false);
+            } else {
                 self.flow.draws.add(now);
                 self.execute(submission, &choice);
             }
--- a/crates/dispatch/src/types.rs
+++ b/crates/dispatch/src/types.rs
@@ -27,6 +27,14 @@
     Cell,
 }
 
+impl Repeats {
+    /// A repeat may go to some of the workers only.
+    #[must_use]
+    pub fn is_grouped(self) -> bool {
+        matches!(self, Self::Stamped { group: Group::Zone | Group::Cell, .. })
+    }
+}
+
 impl Group {
     /// Whether both drop repeats of what the other has seen.
     #[must_use]
