Cold workers are drawn by their own part alone, reckoned by each job's hint

Lines at fault: in choose, up to sixteen draws of strangers each had the cold worker's chance, so that where all others were full it got up to eight times its part, and each of the 6.7 executions a submission asked again. Now the cold ones are gone through once, by the first execution alone, each with its own part; a job that is more than a cold one bears by itself is not for it.

--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -212,9 +212,12 @@
 }
 
 impl Held {
-    /// The time that the job will hold its slots, waiting left out.
+    /// The time that the job will hold its slots, waiting left out: its product's shortest mean, by its hint.
     pub(crate) fn work(&self, answers: &[AnswerTime]) -> f64 {
-        self.job.slots * answers.get(usize::from(self.job.product)).map_or(0.0, |a| a.shortest)
+        let Some(usual) = answers.get(usize::from(self.job.product)) else { return 0.0 };
+        let told = self.job.hint > 0 && usual.hint > 0.0;
+        let part = if told { self.job.hint as f64 / usual.hint } else { 1.0 };
+        self.job.slots * usual.shortest * part
     }
 
     pub(crate) fn send(
@@ -285,12 +288,22 @@
     pub(crate) seen: f64,
     pub(crate) mean: f64,
     pub(crate) shortest: f64,
+    /// The mean of the hints, and how many were given.
+    pub(crate) hint: f64,
+    pub(crate) hinted: f64,
 }
 
 impl AnswerTime {
     /// Before any answer was seen.
     pub(crate) fn expected(agreed: Nanos) -> Self {
-        Self { mean: agreed as f64, shortest: agreed as f64, seen: 0.0 }
+        Self { mean: agreed as f64, shortest: agreed as f64, ..Self::default() }
+    }
+
+    pub(crate) fn hint(&mut self, hint: Nanos) {
+        if hint > 0 {
+            self.hinted = (self.hinted + 1.0).min(128.0);
+            self.hint += (hint as f64 - self.hint) / self.hinted;
+        }
     }
 
     pub(crate) fn add(&mut self, took: f64) {
@@ -314,6 +327,9 @@
     pub(crate) turn: usize,
     /// The largest size listed, 0 where the list tells none.
     pub(crate) largest: f64,
+    /// The mean of the ready workers' sizes, and those of them that were cold when the list last told.
+    pub(crate) mean_size: f64,
+    pub(crate) young: Vec<Worker>,
     /// Some worker has reported.
     pub(crate) told: bool,
     /// Of reports in a row: the time between those that were the same, and how many were not.
@@ -600,8 +616,6 @@
 #[derive(Debug)]
 pub(crate) struct Flow {
     pub(crate) arrivals: Rate,
-    /// Choices of a worker, which are more than the arrivals.
-    pub(crate) draws: Rate,
     pub(crate) in_flight: f64,
     /// How much of the ready workers' room this node may fill.
     pub(crate) limit: f64,
@@ -624,7 +638,6 @@
     /// Until anything was seen, this rate is taken as given.
     pub(crate) fn expect(&mut self, now: Nanos, rate: f64) {
         self.arrivals.0.add(now, Rate::SPAN, rate * Rate::SPAN);
-        self.draws = self.arrivals;
     }
 
     /// Saves up probes, up to the most.
@@ -645,9 +658,9 @@
 
 impl Default for Flow {
     fn default() -> Self {
-        let (arrivals, draws) = (Rate::default(), Rate::default());
+        let arrivals = Rate::default();
         let (lag, probes) = ((0, 0), (0.0, 0));
         let (in_flight, limit, stretch, memory_per_slot) = (0.0, 1.0, 1.0, 1.0);
-        Self { arrivals, draws, in_flight, limit, stretch, memory_per_slot, prompt: 1.0, lag, probes }
+        Self { arrivals, in_flight, limit, stretch, memory_per_slot, prompt: 1.0, lag, probes }
     }
 }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -39,7 +39,8 @@
 /// Workers that may be known before reports are remembered for less, and probes that may be owed.
 const MOST_WATCHED: f64 = 64.0;
 const MOST_OWED: f64 = 8.0;
-const PROMPT: f64 = 0.35;
+const COLD_BEARS: f64 = 2.0;
+const PROMPT: f64 = 0.25;
 const STRANGER_DRAWS: usize = 16;
 /// Of its slots, what all nodes may send a worker with room, or a queue in time, while a report stands.
 const ROOM_BEARS: f64 = 0.25;
@@ -192,6 +193,11 @@
                 self.fleet[listing.worker].restarted();
             }
         }
+        let sizes = self.fleet.ready.iter().map(|w| self.fleet.size(&self.fleet[*w])).sum::<f64>();
+        self.fleet.mean_size = (sizes / self.fleet.ready.len().max(1) as f64).max(f64::MIN_POSITIVE);
+        let (now, span, desks) = (self.now, self.terms.cold_for, &self.fleet.desks);
+        let cold = |w: &Worker| now < desks[*w as usize].listing.started.saturating_add(span);
+        self.fleet.young = self.fleet.ready.iter().copied().filter(cold).collect();
         if self.terms.live_weights && matches!(kind, ListKind::Changes | ListKind::Whole) {
             self.fleet.weigh(self.now);
         }
@@ -204,12 +210,11 @@
         if usize::from(job.product) >= self.terms.products.len() {
             return self.finish(submission, false);
         }
+        self.answers[usize::from(job.product)].hint(job.hint);
         let excess = self.beyond_share(usize::from(job.tenant));
-        self.flow.draws.add(self.now);
         let choice = self.choose(submission);
         // Room is kept for products that pay more, and for tenants inside their shares.
-        let best = self.terms.products.iter().map(|p| p.payoff).fold(f64::MIN_POSITIVE, f64::max);
-        let behind = 1.0 - self.terms.products[usize::from(job.product)].payoff / best;
+        let behind = self.behind(job.product);
         let reserve = (excess / 3.0).max(RESERVE * behind);
         let (room_each, open) =
             (self.fleet.room() / self.fleet.ready.len().max(1) as f64, choice.open as f64);
@@ -221,6 +226,12 @@
         self.execute(submission, &choice);
     }
 
+    /// By how far a product's payoff is below the best.
+    fn behind(&self, product: u8) -> f64 {
+        let best = self.terms.products.iter().map(|p| p.payoff).fold(f64::MIN_POSITIVE, f64::max);
+        1.0 - self.terms.products[usize::from(product)].payoff / best
+    }
+
     /// How far a tenant sends past its share here, up to twice it. This node's part of all traffic is not
     /// told: it is taken from the median tenant, lest one that sends far too much widens its own share.
     fn beyond_share(&mut self, tenant: usize) -> f64 {
@@ -262,7 +273,7 @@
         let terms = self.answers.iter().zip(&self.terms.products);
         let waits = terms.map(|(a, p)| p.agreed as f64 + (p.stretch - 1.0).max(0.0) * a.shortest);
         let bears = waits.fold(f64::INFINITY, f64::min) / usual(&self.answers);
-        let [mut members, mut cold, mut others, mut aside]: [Draw; 4] = Default::default();
+        let [mut members, mut others, mut aside]: [Draw; 3] = Default::default();
         let (mut known, mut roomy, mut strangers, mut chance) = (0, 0, open, self.chance.clone());
         for &worker in &fleet.watched {
             let desk = &fleet[worker];
@@ -278,7 +289,6 @@
             let below = fit && self.below_threshold(desk, held, mean);
             // One that lost its process is cold when it is back, though the list does not tell yet.
             aside.offer_if(warm && !fit && !desk.died, worker, 0, &mut chance);
-            cold.offer_if(below && !warm, worker, 0, &mut chance);
             // A crossing costs less than an answer that comes late for sure.
             let pace = desk.pace(self.now, self.terms.cold_for);
             let crawls = u8::from(pace > CRAWLS);
@@ -297,7 +307,7 @@
         }
         // Where many nodes read the same reports, all of them would send to the same few at once.
         let knowing = f64::from(self.terms.nodes) * (known as f64 / open.max(1) as f64);
-        let asked = knowing * self.flow.draws.read(self.now) * fleet.renewal();
+        let asked = knowing * self.flow.arrivals.read(self.now) * fleet.renewal();
         for (draw, part) in [(&mut members, ROOM_BEARS), (&mut others, QUEUE_BEARS)] {
             let slots = draw.pick.map_or(1.0, |w| fleet.mean_slots(&fleet[w]));
             if knowing > 2.0 * slots && chance.f64() * asked > part * slots * draw.offered as f64 {
@@ -319,11 +329,9 @@
         for _ in 0..if members.pick.is_some() || strangers == 0 { 0 } else { STRANGER_DRAWS } {
             let worker = ready[chance.usize(..ready.len())];
             let (desk, tried) = (&fleet[worker], held.tried.contains(&worker));
+            let unknown = desk.out.is_empty() && stale(desk) && self.fit(desk) && self.trickle(desk, held).is_none();
             // Of what is not known the expected room is the chance to be drawn.
-            let size = fleet.size(desk);
-            let share = self.trickle(desk, held).map_or(size, |share| size.min(share * strangers as f64 / 2.0));
-            let unknown = desk.out.is_empty() && stale(desk) && self.fit(desk);
-            if unknown && !tried && self.allowed(held, worker) && chance.f64() < share {
+            if unknown && !tried && self.allowed(held, worker) && chance.f64() < fleet.size(desk) {
                 stranger = Some(worker);
                 if near(desk) {
                     break;
@@ -331,9 +339,22 @@
             }
         }
         let mut pick = members.pick.or(stranger).or(others.pick);
-        let share = cold.pick.and_then(|w| self.trickle(&fleet[w], held)).unwrap_or(0.0);
-        if chance.f64() < share.min(1.0 / (cold.offered + members.offered) as f64) * cold.offered as f64 {
-            pick = cold.pick;
+        // A cold one is drawn by its own part and no more, and by the first execution alone: when all others are
+        // full, each submission asks again and again, and what is left would get the part of all.
+        let mut left_over = chance.f64();
+        for &worker in if held.executions == 0 { &fleet.young[..] } else { &[] } {
+            let desk = &fleet[worker];
+            let Some((bears, present)) = self.trickle(desk, held).filter(|_| self.fit(desk)) else { continue };
+            let empty = if stale(desk) { desk.out.is_empty() } else { self.below_threshold(desk, held, mean) };
+            let alike = (members.offered + strangers).max(1) as f64;
+            let share = bears.min(fleet.size(desk) / fleet.mean_size / alike);
+            if empty && near(desk) && self.allowed(held, worker) {
+                left_over -= share;
+                if left_over < 0.0 {
+                    pick = Some(worker);
+                    break;
+                }
+            }
         }
         // Those known just now are largely those that hold our jobs or turned some away; of the others, as many
         // will have room as had of all that were asked in turn.
@@ -413,10 +434,11 @@
         }
     }
 
-    /// The jobs that a cold worker may be sent from here for each choice. All nodes hear of its start at
-    /// once, and would spend at once what they saved up: so this node's part is spent by chance, and the mean
-    /// of all nodes kept so far below what it bears in a window that chance does not push it over.
-    fn trickle(&self, desk: &Desk, held: &Held) -> Option<f64> {
+    /// The jobs that a cold worker may be sent from here for each submission, and the part of its capacity that it
+    /// has. All nodes hear of its start at once, and would spend at once what they saved up: so this node's part
+    /// is spent by chance, and the mean of all nodes kept so far below what it bears in a window that chance does
+    /// not push it over. A job that is more than that by itself is not for it.
+    fn trickle(&self, desk: &Desk, held: &Held) -> Option<(f64, f64)> {
         let age = self.now.saturating_sub(desk.listing.started);
         if desk.listing.started == 0 || age >= self.terms.cold_for {
             return None;
@@ -426,8 +448,8 @@
         let window = self.terms.fall_window as f64;
         let bears = self.terms.fall_multiple * present * self.fleet.mean_slots(desk) * window;
         let jobs = bears / held.work(&self.answers);
-        let mean = (jobs - 3.0 * jobs.sqrt()).max(jobs / 2.0) / f64::from(self.terms.nodes);
-        Some(mean / (self.flow.draws.read(self.now) * window))
+        let mean = if jobs < 1.0 { 0.0 } else { (jobs - 3.0 * jobs.sqrt()).max(jobs / COLD_BEARS) };
+        Some((mean / f64::from(self.terms.nodes) / (self.flow.arrivals.read(self.now) * window), present))
     }
 
     /// The only place that orders an execution; with none to order and none out, the submission is over.
@@ -540,7 +562,6 @@
         let Some(held) = self.held.get(submission as usize).filter(|h| h.open && h.out == 0) else { return };
         let product = &self.terms.products[usize::from(held.job.product)];
         let pointless = product.late_payoff == 0.0 && self.now > held.taken + 4 * product.agreed;
-        self.flow.draws.add(self.now);
         let choice = if pointless { Choice::default() } else { self.choose(submission) };
         self.execute(submission, &choice);
     }
@@ -629,6 +650,8 @@
         if desk.aside == 0 && desk.take_death(!self.terms.may_probe) {
             // The list tells of the new start late; until then this is the best that is known of it.
             (desk.listing.started, desk.reported) = (self.now, None);
+            self.fleet.young.retain(|w| *w != worker);
+            self.fleet.young.push(worker);
         }
     }
 
@@ -645,7 +668,7 @@
         }
         let held = &self.held[submission as usize];
         let patience = self.terms.products[usize::from(held.job.product)].agreed / 2;
-        let stuck = waits && now - sent > patience && self.flow.prompt > PROMPT;
+        let stuck = waits && now - sent > patience && self.flow.prompt > PROMPT.max(self.behind(held.job.product));
         if !held.open || held.out != 1 || (self.fit(desk) && !stuck) || now - looked < patience / 4 {
             return;
         }
@@ -657,7 +680,6 @@
             if moves {
                 self.flow.started(false);
             } else {
-                self.flow.draws.add(now);
                 self.execute(submission, &choice);
             }
             if waits && self.terms.may_cancel && (moves || self.held[submission as usize].out > 1) {
