--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -212,12 +212,9 @@
 }
 
 impl Held {
-    /// The time that the job will hold its slots, waiting left out: its product's shortest mean, by its hint.
+    /// The time that the job will hold its slots, waiting left out.
     pub(crate) fn work(&self, answers: &[AnswerTime]) -> f64 {
-        let Some(usual) = answers.get(usize::from(self.job.product)) else { return 0.0 };
-        let told = self.job.hint > 0 && usual.hint > 0.0;
-        let part = if told { self.job.hint as f64 / usual.hint } else { 1.0 };
-        self.job.slots * usual.shortest * part
+        self.job.slots * answers.get(usize::from(self.job.product)).map_or(0.0, |a| a.shortest)
     }
 
     pub(crate) fn send(
@@ -288,9 +285,6 @@
     pub(crate) seen: f64,
     pub(crate) mean: f64,
     pub(crate) shortest: f64,
-    /// The mean of the hints, and how many were given.
-    pub(crate) hint: f64,
-    pub(crate) hinted: f64,
 }
 
 impl AnswerTime {
@@ -299,13 +293,6 @@
         Self { mean: agreed as f64, shortest: agreed as f64, ..Self::default() }
     }
 
-    pub(crate) fn hint(&mut self, hint: Nanos) {
-        if hint > 0 {
-            self.hinted = (self.hinted + 1.0).min(128.0);
-            self.hint += (hint as f64 - self.hint) / self.hinted;
-        }
-    }
-
     pub(crate) fn add(&mut self, took: f64) {
         self.seen = (self.seen + 1.0).min(128.0);
         self.mean += (took - self.mean) / self.seen;
@@ -622,6 +609,8 @@
     /// Answer times as multiples of their products' shortest.
     pub(crate) stretch: f64,
     pub(crate) memory_per_slot: f64,
+    /// What jobs take of a worker's slots, on average.
+    pub(crate) work: f64,
     /// The part of the executions that started at once.
     pub(crate) prompt: f64,
     pub(crate) lag: (Nanos, Nanos),
@@ -661,6 +650,6 @@
         let arrivals = Rate::default();
         let (lag, probes) = ((0, 0), (0.0, 0));
         let (in_flight, limit, stretch, memory_per_slot) = (0.0, 1.0, 1.0, 1.0);
-        Self { arrivals, in_flight, limit, stretch, memory_per_slot, prompt: 1.0, lag, probes }
+        Self { arrivals, in_flight, limit, stretch, memory_per_slot, work: 0.0, prompt: 1.0, lag, probes }
     }
 }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -39,7 +39,7 @@
 /// Workers that may be known before reports are remembered for less, and probes that may be owed.
 const MOST_WATCHED: f64 = 64.0;
 const MOST_OWED: f64 = 8.0;
-const COLD_BEARS: f64 = 2.0;
+const COLD_BEARS: f64 = 3.0;
 const PROMPT: f64 = 0.25;
 const STRANGER_DRAWS: usize = 16;
 /// Of its slots, what all nodes may send a worker with room, or a queue in time, while a report stands.
@@ -210,7 +210,8 @@
         if usize::from(job.product) >= self.terms.products.len() {
             return self.finish(submission, false);
         }
-        self.answers[usize::from(job.product)].hint(job.hint);
+        let work = self.held[submission as usize].work(&self.answers);
+        self.flow.work += (work - self.flow.work) / if self.flow.work > 0.0 { 64.0 } else { 1.0 };
         let excess = self.beyond_share(usize::from(job.tenant));
         let choice = self.choose(submission);
         // Room is kept for products that pay more, and for tenants inside their shares.
@@ -284,7 +285,7 @@
             if held.tried.contains(&worker) || !self.allowed(held, worker) {
                 continue;
             }
-            let (fit, warm) = (self.fit(desk), self.trickle(desk, held).is_none());
+            let (fit, warm) = (self.fit(desk), self.trickle(desk).is_none());
             known += usize::from(fit);
             let below = fit && self.below_threshold(desk, held, mean);
             // One that lost its process is cold when it is back, though the list does not tell yet.
@@ -329,7 +330,7 @@
         for _ in 0..if members.pick.is_some() || strangers == 0 { 0 } else { STRANGER_DRAWS } {
             let worker = ready[chance.usize(..ready.len())];
             let (desk, tried) = (&fleet[worker], held.tried.contains(&worker));
-            let unknown = desk.out.is_empty() && stale(desk) && self.fit(desk) && self.trickle(desk, held).is_none();
+            let unknown = desk.out.is_empty() && stale(desk) && self.fit(desk) && self.trickle(desk).is_none();
             // Of what is not known the expected room is the chance to be drawn.
             if unknown && !tried && self.allowed(held, worker) && chance.f64() < fleet.size(desk) {
                 stranger = Some(worker);
@@ -344,7 +345,7 @@
         let mut left_over = chance.f64();
         for &worker in if held.executions == 0 { &fleet.young[..] } else { &[] } {
             let desk = &fleet[worker];
-            let Some((bears, present)) = self.trickle(desk, held).filter(|_| self.fit(desk)) else { continue };
+            let Some(bears) = self.trickle(desk).filter(|_| self.fit(desk)) else { continue };
             let empty = if stale(desk) { desk.out.is_empty() } else { self.below_threshold(desk, held, mean) };
             let alike = (members.offered + strangers).max(1) as f64;
             let share = bears.min(fleet.size(desk) / fleet.mean_size / alike);
@@ -434,11 +435,10 @@
         }
     }
 
-    /// The jobs that a cold worker may be sent from here for each submission, and the part of its capacity that it
-    /// has. All nodes hear of its start at once, and would spend at once what they saved up: so this node's part
-    /// is spent by chance, and the mean of all nodes kept so far below what it bears in a window that chance does
-    /// not push it over. A job that is more than that by itself is not for it.
-    fn trickle(&self, desk: &Desk, held: &Held) -> Option<(f64, f64)> {
+    /// The jobs that a cold worker may be sent from here for each submission. All nodes hear of its start at
+    /// once, and would spend at once what they saved up: so this node's part is spent by chance, and the mean
+    /// of all nodes kept so far below what it bears in a window that chance does not push it over.
+    fn trickle(&self, desk: &Desk) -> Option<f64> {
         let age = self.now.saturating_sub(desk.listing.started);
         if desk.listing.started == 0 || age >= self.terms.cold_for {
             return None;
@@ -447,9 +447,9 @@
         let present = self.terms.cold_from + (1.0 - self.terms.cold_from) * warmth;
         let window = self.terms.fall_window as f64;
         let bears = self.terms.fall_multiple * present * self.fleet.mean_slots(desk) * window;
-        let jobs = bears / held.work(&self.answers);
-        let mean = if jobs < 1.0 { 0.0 } else { (jobs - 3.0 * jobs.sqrt()).max(jobs / COLD_BEARS) };
-        Some((mean / f64::from(self.terms.nodes) / (self.flow.arrivals.read(self.now) * window), present))
+        let jobs = bears / self.flow.work;
+        let mean = (jobs - 3.0 * jobs.sqrt()).max(jobs / COLD_BEARS) / f64::from(self.terms.nodes);
+        Some(mean / (self.flow.arrivals.read(self.now) * window))
     }
 
     /// The only place that orders an execution; with none to order and none out, the submission is over.
--- a/crates/dispatch/src/types.rs
+++ b/crates/dispatch/src/types.rs
@@ -188,8 +188,6 @@
     pub cut_off: Nanos,
     pub slots: f64,
     pub memory: f64,
-    /// Its running time on a standard core, roughly; 0 where the client gave no hint.
-    pub hint: Nanos,
 }
 
 /// How an execution ended.
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -83,7 +83,7 @@
     }
 
     fn submit(&mut self, product: u8, tenant: u16, memory: f64) -> Vec<Order> {
-        let job = Job { product, tenant, cut_off: self.now + 5_000 * MS, slots: 1.0, memory, hint: 0 };
+        let job = Job { product, tenant, cut_off: self.now + 5_000 * MS, slots: 1.0, memory };
         self.next += 1;
         self.event(Event::Submitted { submission: self.next - 1, job })
     }
--- a/crates/simwire/src/lib.rs
+++ b/crates/simwire/src/lib.rs
@@ -165,8 +165,6 @@
                     cut_off: nanos(f.f64(22)),
                     slots: positive(f.f32(38)).filter(|s| *s > 0.0).unwrap_or(1.0).into(),
                     memory: positive(f.f32(42)).unwrap_or(0.0).into(),
-                    // Bit 1 of the marks: the hint is valid.
-                    hint: if f.u16(46) & 1 == 1 { nanos(f.f64(30)) } else { 0 },
                 },
             },
             2 => Incoming::Probed {
