What waits is not counted as slots where reports do not tell how much waits

Checked and dropped: the rate of arrivals (3 to 8 a second and node, followed within 4 s), executions after the first (none drew a cold one). Now slots are seen only while nothing waits, and what is beyond them counts as waiting.

--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -121,17 +121,23 @@
 
     /// Notes a report. If it names fewer jobs than we hold there, it was taken before the newest of them
     /// arrived: the age that this proves is returned.
-    pub(crate) fn take_report(&mut self, report: Report, now: Nanos) -> Option<Nanos> {
-        (self.report, self.reported) = (report, Some(now));
+    pub(crate) fn take_report(&mut self, mut report: Report, now: Nanos) -> Option<Nanos> {
         let free = report.free_slots.map_or(0.0, whole);
         // Where reports do not count the jobs in hand, the most that was ever free or started of ours is the
         // best that is known: added up, a late report would make a worker look larger than it is.
         let started = || self.out.iter().filter(|o| !o.waits).map(|o| o.slots).sum::<f64>().max(free);
-        let seen =
-            report.in_hand.map_or_else(started, |n| free + whole(n) - report.waiting.map_or(0.0, whole));
+        // What waits is in hand as well, and noise grows with it: counted as slots, a long queue would make a
+        // worker look the larger the less it can take.
+        let queued = report.waiting.map_or(free < 1.0, |w| whole(w) > 0.0);
+        let seen = report.in_hand.map_or_else(started, |n| if queued { 0.0 } else { free + whole(n) });
         if report.free_slots.is_some() {
             self.slots = self.slots.max(seen);
         }
+        if let (None, Some(n)) = (report.waiting, report.in_hand) {
+            let beyond = if queued && self.slots > 0.0 { f64::from(n) - self.slots } else { 0.0 };
+            report.waiting = Some(beyond.max(0.0) as f32);
+        }
+        (self.report, self.reported) = (report, Some(now));
         self.out.get(whole(report.in_hand?) as usize).map(|missed| now - missed.sent)
     }
 
