--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -39,7 +39,7 @@
 /// Workers that may be known before reports are remembered for less, and probes that may be owed.
 const MOST_WATCHED: f64 = 64.0;
 const MOST_OWED: f64 = 8.0;
-const COLD_BEARS: f64 = 3.0;
+const COLD_BEARS: f64 = 4.0;
 const PROMPT: f64 = 0.25;
 const STRANGER_DRAWS: usize = 16;
 /// Of its slots, what all nodes may send a worker with room, or a queue in time, while a report stands.
@@ -448,7 +448,7 @@
         let window = self.terms.fall_window as f64;
         let bears = self.terms.fall_multiple * present * self.fleet.mean_slots(desk) * window;
         let jobs = bears / self.flow.work;
-        let mean = (jobs - 3.0 * jobs.sqrt()).max(jobs / COLD_BEARS) / f64::from(self.terms.nodes);
+        let mean = (jobs - 3.0 * jobs.sqrt()).max(jobs * (jobs / 2.0).min(1.0) / COLD_BEARS) / f64::from(self.terms.nodes);
         Some(mean / (self.flow.arrivals.read(self.now) * window))
     }
 
