Idle connections are kept and used first where a new one is priced

Now a worker with an idle connection that started the last job at once is a member, and drawn before those without one; how long idle ones are good is learned from starts that come or do not, and older ones are released before use; a reset at once on an idle connection is no sign against the worker.

--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -50,6 +50,8 @@
     pub(crate) memory: f64,
     /// What an answer took as a rule when it was sent.
     pub(crate) usual: f64,
+    /// For how long the connection that it took had stood idle, 0 if it was new.
+    pub(crate) idled: Nanos,
     /// When another worker was last looked for.
     pub(crate) looked: Nanos,
     /// It has not started, as far as is known.
@@ -73,6 +75,9 @@
     /// Its answers lately, and their times as multiples of what was usual.
     pub(crate) answers: Decaying,
     pub(crate) paces: Decaying,
+    /// Since when a connection stands idle there, and that the last job there started at once.
+    pub(crate) linked: Option<Nanos>,
+    pub(crate) prompt: bool,
     /// The probe that is out.
     pub(crate) probed: Option<Nanos>,
     /// It is among the workers of which something is known now.
@@ -147,7 +152,13 @@
         self.out.iter().filter(|o| o.sent > taken_at).map(part).sum()
     }
 
+    /// A connection to it stands idle, for less than `kept`.
+    pub(crate) fn is_linked(&self, now: Nanos, kept: f64) -> bool {
+        self.linked.is_some_and(|l| ((now - l) as f64) < kept)
+    }
+
     pub(crate) fn restarted(&mut self) {
+        self.linked = None;
         (self.reported, self.suspected, self.died) = (None, false, false);
         (self.unanswered, self.ask_at) = (0, 0);
     }
@@ -167,17 +178,18 @@
         told.unwrap_or(self.slots - self.own_memory - others)
     }
 
-    /// A job of ours has started or made progress. Returns how long it waited, if that was not known before.
+    /// A job of ours has started or made progress. Returns how long it waited, if that was not known before,
+    /// and how long its connection had stood idle.
     pub(crate) fn noted(
         &mut self,
         submission: Submission,
         execution: Execution,
         now: Nanos,
-    ) -> Option<Nanos> {
+    ) -> Option<(Nanos, Nanos)> {
         let mut out = self.out.iter_mut();
         let out = out.find(|o| o.submission == submission && o.execution == execution)?;
         (out.heard, self.heard) = (now, now);
-        std::mem::replace(&mut out.waits, false).then(|| now - out.sent)
+        std::mem::replace(&mut out.waits, false).then(|| (now - out.sent, out.idled))
     }
 
     /// Whether a job of ours is gone without a word: no sign of it for the time of two progress notes, and a
@@ -236,7 +248,7 @@
         self.executions += 1;
         self.out += 1;
         self.tried.push(worker);
-        Out { submission, execution, sent, heard: sent, usual, looked: 0, slots, memory, waits }
+        Out { submission, execution, sent, heard: sent, usual, looked: 0, slots, memory, waits, idled: 0 }
     }
 
     pub(crate) fn ended(&mut self, perhaps_ran: bool) {
@@ -617,6 +629,8 @@
     pub(crate) memory_per_slot: f64,
     /// What jobs take of a worker's slots, on average.
     pub(crate) work: f64,
+    /// For how long idle connections are good, as far as was seen.
+    pub(crate) kept: f64,
     /// The part of the executions that started at once.
     pub(crate) prompt: f64,
     pub(crate) lag: (Nanos, Nanos),
@@ -640,8 +654,13 @@
         self.probes = ((self.probes.0 + rate * (now - self.probes.1) as f64).min(most), now);
     }
 
-    pub(crate) fn started(&mut self, at_once: bool) {
+    /// An execution started at once or did not, on a connection that had stood idle so long: it may have been
+    /// dropped unseen.
+    pub(crate) fn started(&mut self, at_once: bool, idled: Nanos) {
         self.prompt += (f64::from(u8::from(at_once)) - self.prompt) / 16.0;
+        if idled > 0 {
+            self.kept *= if at_once { 1.0 + 1.0 / 16.0 } else { 1.0 - 1.0 / 8.0 };
+        }
     }
 
     pub(crate) fn proved(&mut self, age: Nanos, now: Nanos) {
@@ -656,6 +675,6 @@
         let arrivals = Rate::default();
         let (lag, probes) = ((0, 0), (0.0, 0));
         let (in_flight, limit, stretch, memory_per_slot) = (0.0, 1.0, 1.0, 1.0);
-        Self { arrivals, in_flight, limit, stretch, memory_per_slot, work: 0.0, prompt: 1.0, lag, probes }
+        Self { arrivals, in_flight, limit, stretch, memory_per_slot, work: 0.0, kept: f64::MAX, prompt: 1.0, lag, probes }
     }
 }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -115,10 +115,12 @@
             }
             Event::Noted { submission, execution } => {
                 let held = self.held.get(submission as usize);
-                let worker = held.and_then(|h| h.tried.get(usize::from(execution)));
-                let waited = worker.and_then(|w| self.fleet[*w].noted(submission, execution, self.now));
+                let worker = held.and_then(|h| h.tried.get(usize::from(execution))).copied();
+                let waited = worker.and_then(|w| self.fleet[w].noted(submission, execution, self.now));
                 let patience = self.terms.connect_timeout / 5;
-                waited.into_iter().for_each(|waited| self.flow.started(waited <= patience));
+                if let (Some((waited, idled)), Some(worker)) = (waited, worker) {
+                    self.started(worker, waited <= patience, idled);
+                }
             }
             Event::Ended(ending) => {
                 self.ended(&ending);
@@ -160,11 +162,19 @@
         let Some(desk) = self.fleet.desks.get(worker as usize).filter(|d| d.out.is_empty()) else { return };
         let many = f64::from(self.terms.nodes) > CROWD * self.fleet.mean_slots(desk);
         let kept = if many { IDLE_BEARS * longest(&self.answers) } else { self.terms.idle as f64 };
-        if self.flow.arrivals.read(self.now) * kept < self.fleet.ready.len() as f64 {
+        let seldom = self.flow.arrivals.read(self.now) * kept < self.fleet.ready.len() as f64;
+        // Where a new one is priced, what is kept is used first.
+        if seldom && self.terms.connection_price <= 0.0 {
             self.todo.push(Order::Release { worker });
         }
     }
 
+    fn started(&mut self, worker: Worker, at_once: bool, idled: Nanos) {
+        self.flow.started(at_once, idled);
+        self.flow.kept = self.flow.kept.min(self.terms.idle as f64);
+        self.fleet[worker].prompt = at_once;
+    }
+
     fn listed(&mut self, kind: ListKind, entries: &[Listing]) {
         if let (Some(within), ListKind::Failed | ListKind::Cached) = (self.terms.ask_within, kind) {
             // A list not asked for would count as told of drains that were never heard of; but it is one
@@ -266,11 +276,12 @@
         let sparse = fleet.watched.len() < fleet.ready.len();
         let fresh = FRESH * longest(&self.answers) + self.flow.lag(self.now) as f64;
         let stale = |d: &Desk| d.reported.is_none_or(|r| (self.now - r) as f64 > fresh);
+        let linked = |d: &Desk| self.terms.connection_price > 0.0 && d.is_linked(self.now, self.flow.kept);
         let near = |d: &Desk| self.terms.crossing_price <= 0.0 || d.listing.zone == self.terms.zone;
         // What products bound to few places need is left to them, before a crossing if that costs little.
         let bound = |d: &Desk| self.terms.products.iter().any(|p| p.is_bound() && p.open_to(&d.listing));
         let scarce = |d: &Desk| u8::from(!product.is_bound() && bound(d));
-        let spared = if self.terms.crossing_price < CHEAP { 8 } else { 1 };
+        let spared = if self.terms.crossing_price < CHEAP { 16 } else { 1 };
         let terms = self.answers.iter().zip(&self.terms.products);
         let waits = terms.map(|(a, p)| p.agreed as f64 + (p.stretch - 1.0).max(0.0) * a.shortest);
         let bears = waits.fold(f64::INFINITY, f64::min) / usual(&self.answers);
@@ -287,7 +298,9 @@
             }
             let (fit, warm) = (self.fit(desk), self.trickle(desk).is_none());
             known += usize::from(fit);
-            let below = fit && self.below_threshold(desk, held, mean);
+            // What is linked and started the last job at once is believed to start the next one.
+            let known_good = linked(desk) && desk.prompt && stale(desk) && desk.out.is_empty();
+            let below = fit && (known_good || self.below_threshold(desk, held, mean));
             // One that lost its process is cold when it is back, though the list does not tell yet.
             aside.offer_if(warm && !fit && !desk.died, worker, 0, &mut chance);
             // A crossing costs less than an answer that comes late for sure.
@@ -302,8 +315,9 @@
             if below && warm {
                 roomy += 1;
                 let (far, slow) = (u8::from(!near(desk)), u8::from(pace > SLOW));
-                let rank = 16 * crawls + spared * scarce(desk) + 4 * far + 2 * slow;
-                members.offer_if(!sparse || !stale(desk), worker, rank, &mut chance);
+                let new = u8::from(self.terms.connection_price > 0.0 && !linked(desk));
+                let rank = 32 * crawls + spared * scarce(desk) + 8 * far + 4 * new + 2 * slow;
+                members.offer_if(!sparse || !stale(desk) || linked(desk), worker, rank, &mut chance);
             }
         }
         // Where many nodes read the same reports, all of them would send to the same few at once.
@@ -462,7 +476,17 @@
         let (now, held) = (self.now, &mut self.held[submission as usize]);
         let usual = self.answers[usize::from(held.job.product)].mean;
         self.flow.in_flight += held.job.slots;
-        self.fleet.watch(worker).send(held.send(submission, worker, now, self.terms.tells_start, usual));
+        let mut out = held.send(submission, worker, now, self.terms.tells_start, usual);
+        let desk = self.fleet.watch(worker);
+        if let Some(linked) = desk.linked.take() {
+            // It may have been dropped unseen, and a job sent on it is lost or late.
+            if ((now - linked) as f64) < self.flow.kept {
+                out.idled = now - linked;
+            } else {
+                self.todo.push(Order::Release { worker });
+            }
+        }
+        desk.send(out);
         let timeout = held.job.cut_off - now - self.terms.answer_slack / 2;
         self.todo.push(Order::Execute { submission, worker, timeout });
         self.pulse_at(now + self.terms.connect_timeout / 5);
@@ -516,7 +540,7 @@
         let Some(Some(kind)) = kind else { return };
         match outcome {
             Outcome::Satisfied => {
-                (desk.heard, desk.served) = (now, desk.served + 1);
+                (desk.heard, desk.served, desk.linked) = (now, desk.served + 1, Some(now));
                 desk.paced(now, self.terms.cold_for, took / self.answers[product].mean);
                 if desk.served >= RUN * 2 {
                     (desk.served, desk.strikes) = (0, desk.strikes.saturating_sub(1));
@@ -539,6 +563,10 @@
             Outcome::Error => set_aside(desk, false),
             // Set aside for it, workers would be out of reach while one client sends what none can use.
             Outcome::Unusable => held.executions = self.terms.max_executions,
+            // Dropped unseen while it stood idle, it says nothing of the worker.
+            Outcome::Reset if out.idled > 0 && out.waits && ending.took < self.terms.connect_timeout / 5 => {
+                self.flow.started(false, out.idled);
+            }
             Outcome::Reset | Outcome::ConnectFailed => set_aside(desk, true),
             Outcome::TimedOut if desk.heard <= out.sent => set_aside(desk, false),
             Outcome::TimedOut | Outcome::Stale | Outcome::Cancelled | Outcome::NotSent => {}
@@ -619,7 +647,7 @@
             full += counts * f64::from(desk.report.free_slots.is_none_or(|f| f < 1.0));
             if !desk.out.is_empty() || desk.aside > 0 || desk.probed.is_some() {
                 next = next.min(now + period);
-            } else if !told {
+            } else if !told && !(self.terms.connection_price > 0.0 && desk.is_linked(now, self.flow.kept)) {
                 desk.watched = false;
                 self.fleet.watched.swap_remove(i);
             }
@@ -678,7 +706,8 @@
             // Where no two may be out, it is called off first and goes on when that is known.
             let moves = !self.terms.may_duplicate;
             if moves {
-                self.flow.started(false);
+                let idled = self.fleet[worker].out[out].idled;
+                self.started(worker, false, idled);
             } else {
                 self.execute(submission, &choice);
             }
--- a/crates/dispatch/src/types.rs
+++ b/crates/dispatch/src/types.rs
@@ -89,6 +89,8 @@
     /// Points lost for each probe a submission, and for each crossing of zones.
     pub probe_price: f64,
     pub crossing_price: f64,
+    /// And for each new connection a submission.
+    pub connection_price: f64,
     pub max_executions: u16,
     pub may_duplicate: bool,
     pub may_probe: bool,
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -32,6 +32,7 @@
         excess_payoff: 0.1,
         probe_price: 0.0,
         crossing_price: 0.0,
+        connection_price: 0.0,
         max_executions: 3,
         may_duplicate: true,
         may_probe: true,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -94,6 +94,7 @@
 struct Deductions {
     probe: f64,
     cross_zone: f64,
+    handshake: f64,
 }
 
 #[derive(Default, Deserialize)]
@@ -327,6 +328,7 @@
         excess_payoff: info.excess_payoff,
         probe_price: info.deductions.probe,
         crossing_price: info.deductions.cross_zone,
+        connection_price: info.deductions.handshake,
         max_executions: limits.max_executions,
         may_duplicate: limits.may_duplicate,
         may_probe: limits.may_probe,
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -227,6 +227,7 @@
         answer_slack_ms: f64 = 16.0,
         excess_payoff: f64 = 1.0,
         crossing_price: f64 = 0.02,
+        connection_price: 0.0,
         probe_price: f64 = 0.002,
     }
 }
