--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -41,6 +41,8 @@
 const MOST_OWED: f64 = 8.0;
 const COLD_BEARS: f64 = 4.0;
 const PROMPT: f64 = 0.25;
+/// Drawn without knowing, room is found only by chance.
+const BLIND: f64 = 0.5;
 const STRANGER_DRAWS: usize = 16;
 /// Of its slots, what all nodes may send a worker with room, or a queue in time, while a report stands.
 const ROOM_BEARS: f64 = 0.25;
@@ -374,7 +376,8 @@
         // Those known just now are largely those that hold our jobs or turned some away; of the others, as many
         // will have room as had of all that were asked in turn.
         let more = strangers as f64;
-        let room = (roomy as f64 + more * fleet.roomy(self.now)) / (known as f64 + more).max(1.0);
+        let likely = if self.terms.tells_start { BLIND * self.flow.prompt } else { fleet.roomy(self.now) };
+        let room = (roomy as f64 + more * likely) / (known as f64 + more).max(1.0);
         let members = members.offered + usize::from(pick.is_some() && pick != others.pick);
         self.chance = chance;
         Choice { room, members, pick, open, mean }
