--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -227,7 +227,6 @@
         answer_slack_ms: f64 = 16.0,
         excess_payoff: f64 = 1.0,
         crossing_price: f64 = 0.02,
-        connection_price: 0.0,
         probe_price: f64 = 0.002,
     }
 }
@@ -437,6 +436,7 @@
             excess_payoff: limits.excess_payoff,
             probe_price: limits.probe_price,
             crossing_price: if self.zones > 1 { limits.crossing_price } else { 0.0 },
+            connection_price: 0.0,
             max_executions: limits.max_executions,
             may_duplicate: limits.may_duplicate,
             may_probe: limits.may_probe,
