--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -365,7 +365,7 @@
             let empty = if stale(desk) { desk.out.is_empty() } else { self.below_threshold(desk, held, mean) };
             let alike = (members.offered + strangers).max(1) as f64;
             let share = bears.min(fleet.size(desk) / fleet.mean_size / alike);
-            if empty && near(desk) && self.allowed(held, worker) {
+            if empty && (near(desk) || members.pick.is_none()) && self.allowed(held, worker) {
                 left_over -= share;
                 if left_over < 0.0 {
                     pick = Some(worker);
