--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -615,7 +615,7 @@
         let crowded = (MOST_WATCHED / self.fleet.watched.len() as f64).min(1.0);
         let remembered = (REMEMBERED * took + self.flow.lag(self.now) as f64) * crowded;
         // Asked less often where a probe is dear: no job costs more of them than refreshing may.
-        let dear = took * self.terms.probe_price / PROBE_SPEND;
+        let dear = took * self.terms.probe_price / self.probe_spend();
         let unheard = (2 * self.terms.connect_timeout).max(dear as Nanos);
         let owed = -self.flow.probes.0;
         let (mut known, mut full, mut next) = (0.0, 0.5, self.subscribe_at);
@@ -662,7 +662,8 @@
     /// Probes workers in turn, in proportion to how many look full. Returns when the next is due.
     fn refresh(&mut self, full: f64) -> f64 {
         let (now, ready) = (self.now, self.fleet.ready.len());
-        let bearable = PROBE_SPEND / self.terms.probe_price.max(PROBE_SPEND / 64.0);
+        let spend = self.probe_spend();
+        let bearable = spend / self.terms.probe_price.max(spend / 64.0);
         let rate = self.flow.arrivals.read(now) * bearable * full;
         // Asking more often than reports are renewed brings nothing new.
         let old = (ready as f64 / rate).max(self.flow.lag(self.now) as f64);
@@ -675,6 +676,11 @@
         (1.0 - self.flow.probes.0).max(0.0) / rate
     }
 
+    /// Where starts are told, they tell at once what reports tell late: less of those is worth its price.
+    fn probe_spend(&self) -> f64 {
+        if self.terms.tells_start { PROBE_SPEND / 4.0 } else { PROBE_SPEND }
+    }
+
     fn come_closer(&mut self, worker: Worker) {
         let desk = &mut self.fleet[worker];
         (desk.aside, desk.unanswered) = (desk.aside.saturating_sub(1), 0);
