--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -276,8 +276,6 @@
     /// Slots that its workers were seen to have, and how many workers were seen.
     pub(crate) slots: f64,
     pub(crate) seen: f64,
-    /// The largest weight that one of its workers had: it held nothing then, where weights are live.
-    pub(crate) idle_weight: f32,
 }
 
 impl Kind {
@@ -337,11 +335,6 @@
     pub(crate) young: Vec<Worker>,
     /// Some worker has reported.
     pub(crate) told: bool,
-    /// Of reports in a row: the time between those that were the same, and how many were not.
-    same: f64,
-    changed: f64,
-    /// When the list last told weights.
-    weighed: Nanos,
     /// Workers that answered probes lately, and those of them that had room.
     asked: Decaying,
     free: Decaying,
@@ -416,7 +409,6 @@
             run: 0,
             slots: 0.0,
             seen: 0.0,
-            idle_weight: 0.0,
         });
     }
 
@@ -431,8 +423,16 @@
         self.ready.clear();
     }
 
+    /// Sums up what the list has told: the mean size, and who is cold.
+    pub(crate) fn take_stock(&mut self, now: Nanos, cold_for: Nanos) {
+        let sizes = self.ready.iter().map(|w| self.size(&self[*w])).sum::<f64>();
+        self.mean_size = (sizes / self.ready.len().max(1) as f64).max(f64::MIN_POSITIVE);
+        let cold = |w: &&Worker| now < self[**w].listing.started.saturating_add(cold_for);
+        self.young = self.ready.iter().filter(cold).copied().collect();
+    }
+
     /// Follows a line of the list. True if it tells of a new start.
-    pub(crate) fn follow(&mut self, listing: Listing) -> bool {
+    pub(crate) fn follow(&mut self, listing: Listing, sized: bool) -> bool {
         let desk = at(&mut self.desks, listing.worker);
         match (desk.listing.health == Health::Ready, listing.health == Health::Ready) {
             (false, true) => self.ready.push(listing.worker),
@@ -441,9 +441,8 @@
         }
         let before = std::mem::replace(&mut desk.listing, listing).started;
         desk.listing.started = listing.started.max(before);
-        if let Some(Some(kind)) = self.kinds.get_mut(usize::from(listing.kind)) {
-            let told = if listing.weight.is_finite() { listing.weight } else { 0.0 };
-            kind.idle_weight = kind.idle_weight.max(told);
+        if sized && listing.weight.is_finite() {
+            self.largest = self.largest.max(listing.weight.into());
         }
         listing.started > before
     }
@@ -465,35 +464,6 @@
         desk
     }
 
-    /// Where the list's weights are live, they tell each worker's load, the same to all nodes and late: a report
-    /// that costs nothing. What is not named has not changed.
-    pub(crate) fn weigh(&mut self, now: Nanos) {
-        let gap = now - std::mem::replace(&mut self.weighed, now);
-        if gap == 0 {
-            return;
-        }
-        (self.same, self.changed) = (gap as f64, 1.0);
-        for i in 0..self.ready.len() {
-            let worker = self.ready[i];
-            let Some(kind) = self.kind(&self[worker]) else { continue };
-            let (weight, slots) = (self[worker].listing.weight, kind.mean().round() as f32);
-            if !(weight > 0.0 && weight.is_finite()) || slots < 1.0 || self[worker].probed.is_some() {
-                continue;
-            }
-            let held = slots * (kind.idle_weight / weight - 1.0).clamp(0.0, 64.0);
-            let (free_slots, waiting) = (Some((slots - held).max(0.0)), Some((held - slots).max(0.0)));
-            let desk = self.watch(worker);
-            // Memory is not told by it; what was told of it stands.
-            let report = Report { free_slots, waiting, in_hand: Some(held), ..desk.report };
-            desk.take_report(report, now);
-        }
-    }
-
-    /// How long a report stands before it is renewed, as far as was seen.
-    pub(crate) fn renewal(&self) -> f64 {
-        self.same / self.changed.max(1.0 / 64.0)
-    }
-
     /// Notes what a probe tells of all workers.
     pub(crate) fn surveyed(&mut self, report: Option<Report>, now: Nanos) {
         let Some((report, free)) = report.and_then(|r| Some((r, r.free_slots?))) else { return };
@@ -512,9 +482,7 @@
         let Some(report) = report.filter(|_| (worker as usize) < self.desks.len()) else { return 0 };
         self.told = true;
         let desk = self.watch(worker);
-        let (before, last) = (desk.slots, desk.reported);
-        // Figures carry noise: the same to the last digit, they are the same report.
-        let same = report == desk.report && report.in_hand.is_some_and(|n| n.fract() != 0.0);
+        let before = desk.slots;
         let age = desk.take_report(report, now);
         let (place, after) = (usize::from(desk.listing.kind), desk.slots);
         if let Some(Some(kind)) = self.kinds.get_mut(place) {
@@ -524,11 +492,6 @@
             kind.seen += f64::from(u8::from(before == 0.0 && after > 0.0));
             kind.threshold += kind.start() - start;
         }
-        if let Some(last) = last {
-            let (gap, changed) = if same { ((now - last) as f64, 0.0) } else { (0.0, 1.0) };
-            self.same += (gap - self.same) / 64.0;
-            self.changed += (changed - self.changed) / 64.0;
-        }
         age.unwrap_or(0)
     }
 }
@@ -631,6 +594,8 @@
     pub(crate) work: f64,
     /// For how long idle connections are good, as far as was seen.
     pub(crate) kept: f64,
+    /// And at most: the settings' time.
+    pub(crate) idle: f64,
     /// The part of the executions that started at once.
     pub(crate) prompt: f64,
     pub(crate) lag: (Nanos, Nanos),
@@ -656,10 +621,12 @@
 
     /// An execution started at once or did not, on a connection that had stood idle so long: it may have been
     /// dropped unseen.
-    pub(crate) fn started(&mut self, at_once: bool, idled: Nanos) {
+    pub(crate) fn started(&mut self, desk: &mut Desk, at_once: bool, idled: Nanos) {
+        desk.prompt = at_once;
         self.prompt += (f64::from(u8::from(at_once)) - self.prompt) / 16.0;
         if idled > 0 {
-            self.kept *= if at_once { 1.0 + 1.0 / 16.0 } else { 1.0 - 1.0 / 8.0 };
+            let kept = self.kept * if at_once { 1.0 + 1.0 / 16.0 } else { 1.0 - 1.0 / 8.0 };
+            self.kept = kept.min(self.idle);
         }
     }
 
@@ -675,6 +642,6 @@
         let arrivals = Rate::default();
         let (lag, probes) = ((0, 0), (0.0, 0));
         let (in_flight, limit, stretch, memory_per_slot) = (0.0, 1.0, 1.0, 1.0);
-        Self { arrivals, in_flight, limit, stretch, memory_per_slot, work: 0.0, kept: f64::MAX, prompt: 1.0, lag, probes }
+        Self { arrivals, in_flight, limit, stretch, memory_per_slot, work: 0.0, kept: 0.0, idle: 0.0, prompt: 1.0, lag, probes }
     }
 }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -31,29 +31,24 @@
 const SLOW: f64 = 1.1;
 /// And one that takes this many times, after those that cost a crossing too.
 const CRAWLS: f64 = 2.0;
-/// A price of a crossing below which it is no reason to take from others what they need.
-const CHEAP: f64 = 0.05;
 /// Answer times after which a report tells nothing, and in which it is fresh where not all are known.
 const REMEMBERED: f64 = 2.0;
 const FRESH: f64 = 0.25;
 /// Workers that may be known before reports are remembered for less, and probes that may be owed.
 const MOST_WATCHED: f64 = 64.0;
 const MOST_OWED: f64 = 8.0;
+/// Of what a cold worker bears in a window, one over the part that it is sent on average.
 const COLD_BEARS: f64 = 4.0;
+/// The part of the jobs that must start at once, at least, for one that waits to move.
 const PROMPT: f64 = 0.25;
 /// Drawn without knowing, room is found only by chance.
 const BLIND: f64 = 0.5;
 const STRANGER_DRAWS: usize = 16;
-/// Of its slots, what all nodes may send a worker with room, or a queue in time, while a report stands.
-const ROOM_BEARS: f64 = 0.25;
-const QUEUE_BEARS: f64 = 0.75;
-
-/// So many nodes for each of its slots are a crowd to a worker, and the answer times for which one of them may
-/// keep a connection to it that carries nothing.
-/// Deviations of chance by which a tenant may pass its share unnoticed.
+/// Deviations of chance by which a tenant may pass its share unnoticed, and submissions to judge shares by.
 const CHANCE: f64 = 1.0;
-/// Submissions over which tenants' shares are judged at least.
 const ENOUGH: f64 = 64.0;
+/// So many nodes for each of its slots are a crowd to a worker, and the answer times for which one of them may
+/// keep a connection to it that carries nothing.
 const CROWD: f64 = 4.0;
 const IDLE_BEARS: f64 = 2.0;
 
@@ -83,7 +78,7 @@
             held: Vec::new(),
             tenants: vec![Tenant::default(); terms.quotas.len()],
             answers: terms.products.iter().map(|p| AnswerTime::expected(p.agreed)).collect(),
-            flow: Flow::default(),
+            flow: Flow { kept: terms.idle as f64, idle: terms.idle as f64, ..Flow::default() },
             next_pulse: 0,
             subscribe_at: Nanos::MAX,
             unheard: 0,
@@ -119,9 +114,9 @@
                 let held = self.held.get(submission as usize);
                 let worker = held.and_then(|h| h.tried.get(usize::from(execution))).copied();
                 let waited = worker.and_then(|w| self.fleet[w].noted(submission, execution, self.now));
-                let patience = self.terms.connect_timeout / 5;
                 if let (Some((waited, idled)), Some(worker)) = (waited, worker) {
-                    self.started(worker, waited <= patience, idled);
+                    let at_once = waited <= self.terms.connect_timeout / 5;
+                    self.flow.started(&mut self.fleet[worker], at_once, idled);
                 }
             }
             Event::Ended(ending) => {
@@ -171,12 +166,6 @@
         }
     }
 
-    fn started(&mut self, worker: Worker, at_once: bool, idled: Nanos) {
-        self.flow.started(at_once, idled);
-        self.flow.kept = self.flow.kept.min(self.terms.idle as f64);
-        self.fleet[worker].prompt = at_once;
-    }
-
     fn listed(&mut self, kind: ListKind, entries: &[Listing]) {
         if let (Some(within), ListKind::Failed | ListKind::Cached) = (self.terms.ask_within, kind) {
             // A list not asked for would count as told of drains that were never heard of; but it is one
@@ -198,21 +187,11 @@
         let threshold = self.fleet.mean_threshold().unwrap_or(MODEST);
         for &listing in entries {
             self.fleet.meet(listing.kind, threshold);
-            if self.terms.listed_sizes && listing.weight.is_finite() {
-                self.fleet.largest = self.fleet.largest.max(listing.weight.into());
-            }
-            if self.fleet.follow(listing) {
+            if self.fleet.follow(listing, self.terms.listed_sizes) {
                 self.fleet[listing.worker].restarted();
             }
         }
-        let sizes = self.fleet.ready.iter().map(|w| self.fleet.size(&self.fleet[*w])).sum::<f64>();
-        self.fleet.mean_size = (sizes / self.fleet.ready.len().max(1) as f64).max(f64::MIN_POSITIVE);
-        let (now, span, desks) = (self.now, self.terms.cold_for, &self.fleet.desks);
-        let cold = |w: &Worker| now < desks[*w as usize].listing.started.saturating_add(span);
-        self.fleet.young = self.fleet.ready.iter().copied().filter(cold).collect();
-        if self.terms.live_weights && matches!(kind, ListKind::Changes | ListKind::Whole) {
-            self.fleet.weigh(self.now);
-        }
+        self.fleet.take_stock(self.now, self.terms.cold_for);
     }
 
     fn submitted(&mut self, submission: Submission) {
@@ -280,10 +259,6 @@
         let stale = |d: &Desk| d.reported.is_none_or(|r| (self.now - r) as f64 > fresh);
         let linked = |d: &Desk| self.terms.connection_price > 0.0 && d.is_linked(self.now, self.flow.kept);
         let near = |d: &Desk| self.terms.crossing_price <= 0.0 || d.listing.zone == self.terms.zone;
-        // What products bound to few places need is left to them, before a crossing if that costs little.
-        let bound = |d: &Desk| self.terms.products.iter().any(|p| p.is_bound() && p.open_to(&d.listing));
-        let scarce = |d: &Desk| u8::from(!product.is_bound() && bound(d));
-        let spared = if self.terms.crossing_price < CHEAP { 16 } else { 1 };
         let terms = self.answers.iter().zip(&self.terms.products);
         let waits = terms.map(|(a, p)| p.agreed as f64 + (p.stretch - 1.0).max(0.0) * a.shortest);
         let bears = waits.fold(f64::INFINITY, f64::min) / usual(&self.answers);
@@ -308,29 +283,15 @@
             // A crossing costs less than an answer that comes late for sure.
             let pace = desk.pace(self.now, self.terms.cold_for);
             let crawls = u8::from(pace > CRAWLS);
-            others.offer_if(
-                fit && warm && self.in_time(desk, bears),
-                worker,
-                2 * crawls + scarce(desk),
-                &mut chance,
-            );
+            others.offer_if(fit && warm && self.in_time(desk, bears), worker, crawls, &mut chance);
             if below && warm {
                 roomy += 1;
                 let (far, slow) = (u8::from(!near(desk)), u8::from(pace > SLOW));
                 let new = u8::from(self.terms.connection_price > 0.0 && !linked(desk));
-                let rank = 32 * crawls + spared * scarce(desk) + 8 * far + 4 * new + 2 * slow;
+                let rank = 8 * crawls + 4 * far + 2 * new + slow;
                 members.offer_if(!sparse || !stale(desk) || linked(desk), worker, rank, &mut chance);
             }
         }
-        // Where many nodes read the same reports, all of them would send to the same few at once.
-        let knowing = f64::from(self.terms.nodes) * (known as f64 / open.max(1) as f64);
-        let asked = knowing * self.flow.arrivals.read(self.now) * fleet.renewal();
-        for (draw, part) in [(&mut members, ROOM_BEARS), (&mut others, QUEUE_BEARS)] {
-            let slots = draw.pick.map_or(1.0, |w| fleet.mean_slots(&fleet[w]));
-            if knowing > 2.0 * slots && chance.f64() * asked > part * slots * draw.offered as f64 {
-                draw.pick = None;
-            }
-        }
         // With most workers set aside, the few left must not collapse under everybody's work; else a worker
         // set aside is no refuge from the queues of the others.
         let left = known + strangers;
@@ -481,13 +442,11 @@
         self.flow.in_flight += held.job.slots;
         let mut out = held.send(submission, worker, now, self.terms.tells_start, usual);
         let desk = self.fleet.watch(worker);
-        if let Some(linked) = desk.linked.take() {
-            // It may have been dropped unseen, and a job sent on it is lost or late.
-            if ((now - linked) as f64) < self.flow.kept {
-                out.idled = now - linked;
-            } else {
-                self.todo.push(Order::Release { worker });
-            }
+        // One that stood idle for too long may have been dropped unseen, and a job sent on it is lost or late.
+        match desk.linked.take().map(|since| now - since) {
+            Some(idled) if (idled as f64) < self.flow.kept => out.idled = idled,
+            Some(_) => self.todo.push(Order::Release { worker }),
+            None => {}
         }
         desk.send(out);
         let timeout = held.job.cut_off - now - self.terms.answer_slack / 2;
@@ -568,7 +527,7 @@
             Outcome::Unusable => held.executions = self.terms.max_executions,
             // Dropped unseen while it stood idle, it says nothing of the worker.
             Outcome::Reset if out.idled > 0 && out.waits && ending.took < self.terms.connect_timeout / 5 => {
-                self.flow.started(false, out.idled);
+                self.flow.started(desk, false, out.idled);
             }
             Outcome::Reset | Outcome::ConnectFailed => set_aside(desk, true),
             Outcome::TimedOut if desk.heard <= out.sent => set_aside(desk, false),
@@ -687,8 +646,7 @@
         if desk.aside == 0 && desk.take_death(!self.terms.may_probe) {
             // The list tells of the new start late; until then this is the best that is known of it.
             (desk.listing.started, desk.reported) = (self.now, None);
-            self.fleet.young.retain(|w| *w != worker);
-            self.fleet.young.push(worker);
+            self.fleet.take_stock(self.now, self.terms.cold_for);
         }
     }
 
@@ -715,8 +673,9 @@
             // Where no two may be out, it is called off first and goes on when that is known.
             let moves = !self.terms.may_duplicate;
             if moves {
-                let idled = self.fleet[worker].out[out].idled;
-                self.started(worker, false, idled);
+                let desk = &mut self.fleet[worker];
+                let idled = desk.out[out].idled;
+                self.flow.started(desk, false, idled);
             } else {
                 self.execute(submission, &choice);
             }
