Only what waits is moved; a tenth is spent on probes where starts are told

Seen: with no copies allowed, what was started on a worker set aside was counted as a job that did not start, and the share of prompt starts fell with it (rescue).

--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -219,7 +219,6 @@
     pub(crate) known: bool,
     pub(crate) open: bool,
     pub(crate) streaming: bool,
-    pub(crate) taken: Nanos,
     pub(crate) executions: Execution,
     pub(crate) out: u16,
     /// An ended execution may have run.
@@ -259,10 +258,10 @@
         }
     }
 
-    pub(crate) fn take(&mut self, job: Job, now: Nanos) {
+    pub(crate) fn take(&mut self, job: Job) {
         let mut tried = std::mem::take(&mut self.tried);
         tried.clear();
-        *self = Self { job, known: true, open: true, taken: now, tried, ..Self::default() };
+        *self = Self { job, known: true, open: true, tried, ..Self::default() };
     }
 }
 
@@ -404,12 +403,7 @@
     }
 
     pub(crate) fn meet(&mut self, kind: u16, threshold: f64) {
-        at(&mut self.kinds, kind.into()).get_or_insert(Kind {
-            threshold,
-            run: 0,
-            slots: 0.0,
-            seen: 0.0,
-        });
+        at(&mut self.kinds, kind.into()).get_or_insert(Kind { threshold, run: 0, slots: 0.0, seen: 0.0 });
     }
 
     /// The executions of a submission that have not ended, among the workers that it was sent to.
@@ -621,6 +615,13 @@
 
     /// An execution started at once or did not, on a connection that had stood idle so long: it may have been
     /// dropped unseen.
+    /// A submission has come that takes so much of a worker's slots.
+    pub(crate) fn pass(&mut self, now: Nanos, job: Job, work: f64) {
+        self.arrivals.add(now);
+        self.memory_per_slot += (job.memory / job.slots - self.memory_per_slot) / 16.0;
+        self.work += (work - self.work) / if self.work > 0.0 { 64.0 } else { 1.0 };
+    }
+
     pub(crate) fn started(&mut self, desk: &mut Desk, at_once: bool, idled: Nanos) {
         desk.prompt = at_once;
         self.prompt += (f64::from(u8::from(at_once)) - self.prompt) / 16.0;
@@ -642,6 +643,18 @@
         let arrivals = Rate::default();
         let (lag, probes) = ((0, 0), (0.0, 0));
         let (in_flight, limit, stretch, memory_per_slot) = (0.0, 1.0, 1.0, 1.0);
-        Self { arrivals, in_flight, limit, stretch, memory_per_slot, work: 0.0, kept: 0.0, idle: 0.0, prompt: 1.0, lag, probes }
+        Self {
+            arrivals,
+            in_flight,
+            limit,
+            stretch,
+            memory_per_slot,
+            work: 0.0,
+            kept: 0.0,
+            idle: 0.0,
+            prompt: 1.0,
+            lag,
+            probes,
+        }
     }
 }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -4,12 +4,14 @@
 //!
 //! The ordinary path is the design's: a random worker below threshold, else a random ready one. Beside it:
 //! 1. executor health: set aside on failure or silence, back after answered probes;
-//! 2. overdue executions: a copy elsewhere where the product bears a repeat;
+//! 2. overdue executions: a copy elsewhere where the product bears a repeat, or the same by way of a cancel;
 //! 3. cold budget: by chance, so that all nodes together stay below what a worker just started bears;
-//! 4. limits: in flight by shortest over present answer time; no late queue; no crowd on the same reports;
+//! 4. limits: in flight by shortest over present answer time, and no late queue;
 //! 5. fairness: room is kept from what a tenant sends beyond its share, and from what pays less;
 //! 6. following the list, refreshing reports by probes as far as their price bears, idle connections let go.
 
+use std::borrow::Cow;
+
 use crate::books::{
     AnswerTime, Choice, Desk, Draw, Fleet, Flow, Held, MODEST, Out, Tenant, at, longest, median, usual, whole,
 };
@@ -34,8 +36,7 @@
 /// Answer times after which a report tells nothing, and in which it is fresh where not all are known.
 const REMEMBERED: f64 = 2.0;
 const FRESH: f64 = 0.25;
-/// Workers that may be known before reports are remembered for less, and probes that may be owed.
-const MOST_WATCHED: f64 = 64.0;
+/// Probes that may be owed.
 const MOST_OWED: f64 = 8.0;
 /// Of what a cold worker bears in a window, one over the part that it is sent on average.
 const COLD_BEARS: f64 = 4.0;
@@ -44,8 +45,7 @@
 /// Drawn without knowing, room is found only by chance.
 const BLIND: f64 = 0.5;
 const STRANGER_DRAWS: usize = 16;
-/// Deviations of chance by which a tenant may pass its share unnoticed, and submissions to judge shares by.
-const CHANCE: f64 = 1.0;
+/// Submissions over which tenants' shares are judged at least.
 const ENOUGH: f64 = 64.0;
 /// So many nodes for each of its slots are a crowd to a worker, and the answer times for which one of them may
 /// keep a connection to it that carries nothing.
@@ -103,7 +103,7 @@
         match event {
             Event::Listed { kind, entries } => self.listed(kind, entries),
             Event::Submitted { submission, job } => {
-                at(&mut self.held, submission).take(job, self.now);
+                at(&mut self.held, submission).take(job);
                 self.submitted(submission);
             }
             Event::Left { submission } => self.close(submission),
@@ -195,22 +195,18 @@
     }
 
     fn submitted(&mut self, submission: Submission) {
-        self.flow.arrivals.add(self.now);
-        let job = self.held[submission as usize].job;
-        self.flow.memory_per_slot += (job.memory / job.slots - self.flow.memory_per_slot) / 16.0;
+        let held = &self.held[submission as usize];
+        let job = held.job;
+        self.flow.pass(self.now, job, held.work(&self.answers));
         if usize::from(job.product) >= self.terms.products.len() {
             return self.finish(submission, false);
         }
-        let work = self.held[submission as usize].work(&self.answers);
-        self.flow.work += (work - self.flow.work) / if self.flow.work > 0.0 { 64.0 } else { 1.0 };
         let excess = self.beyond_share(usize::from(job.tenant));
         let choice = self.choose(submission);
         // Room is kept for products that pay more, and for tenants inside their shares.
-        let behind = self.behind(job.product);
-        let reserve = (excess / 3.0).max(RESERVE * behind);
-        let (room_each, open) =
-            (self.fleet.room() / self.fleet.ready.len().max(1) as f64, choice.open as f64);
-        let limit = (self.flow.limit * room_each).max(1.0) * open;
+        let reserve = (excess / 3.0).max(RESERVE * self.behind(job.product));
+        let (ready, open) = (self.fleet.ready.len().max(1) as f64, choice.open as f64);
+        let limit = (self.flow.limit * self.fleet.room() / ready).max(1.0) * open;
         let full = choice.members == 0 && choice.mean * open + job.slots > limit;
         if choice.room < reserve || full {
             return self.finish(submission, excess > 0.0);
@@ -238,8 +234,8 @@
         let part = median(quotas, |t| sent[t].sent.read(now, span) / quotas[t].max(f64::MIN_POSITIVE));
         let part = part.max(span / 1e9 / f64::from(self.terms.nodes));
         let (share, sent) = (part * quotas[tenant], self.tenants[tenant].sent.read(now, span));
-        // Where a node sees few of a tenant, chance alone brings more than its share now and then.
-        if self.tenants[tenant].within.read(now, span) < share || sent < share + CHANCE * share.sqrt() {
+        // Where a node sees few of a tenant, chance alone brings a deviation more than its share now and then.
+        if self.tenants[tenant].within.read(now, span) < share || sent < share + share.sqrt() {
             self.tenants[tenant].within.add(now, span, 1.0);
             return 0.0;
         }
@@ -292,22 +288,22 @@
                 members.offer_if(!sparse || !stale(desk) || linked(desk), worker, rank, &mut chance);
             }
         }
-        // With most workers set aside, the few left must not collapse under everybody's work; else a worker
-        // set aside is no refuge from the queues of the others.
+        // With most workers set aside, the few left must not collapse under everybody's work.
         let left = known + strangers;
         if left < aside.offered && chance.usize(..left + aside.offered) >= left {
             others.pick = aside.pick;
         }
         // Of few that a repeat may go to, hardly one would come up among all.
         let few = held.anchor.is_some() && product.repeats.is_grouped();
-        let few = few.then(|| fleet.ready.iter().copied().filter(|w| self.allowed(held, *w)).collect::<Vec<_>>());
-        let ready = few.as_ref().unwrap_or(&fleet.ready);
+        let group = || fleet.ready.iter().copied().filter(|w| self.allowed(held, *w)).collect::<Vec<_>>();
+        let ready = &*if few { Cow::Owned(group()) } else { Cow::Borrowed(&fleet.ready) };
         let strangers = strangers.min(ready.len());
         let mut stranger = None;
         for _ in 0..if members.pick.is_some() || strangers == 0 { 0 } else { STRANGER_DRAWS } {
             let worker = ready[chance.usize(..ready.len())];
             let (desk, tried) = (&fleet[worker], held.tried.contains(&worker));
-            let unknown = desk.out.is_empty() && stale(desk) && self.fit(desk) && self.trickle(desk).is_none();
+            let unknown =
+                desk.out.is_empty() && stale(desk) && self.fit(desk) && self.trickle(desk).is_none();
             // Of what is not known the expected room is the chance to be drawn.
             if unknown && !tried && self.allowed(held, worker) && chance.f64() < fleet.size(desk) {
                 stranger = Some(worker);
@@ -320,18 +316,18 @@
         // A cold one is drawn by its own part and no more, and by the first execution alone: when all others are
         // full, each submission asks again and again, and what is left would get the part of all.
         let mut left_over = chance.f64();
-        for &worker in if held.executions == 0 { &fleet.young[..] } else { &[] } {
+        for &worker in fleet.young.iter().filter(|_| held.executions == 0) {
             let desk = &fleet[worker];
-            let Some(bears) = self.trickle(desk).filter(|_| self.fit(desk)) else { continue };
-            let empty = if stale(desk) { desk.out.is_empty() } else { self.below_threshold(desk, held, mean) };
+            let Some(bears) = self.trickle(desk) else { continue };
+            let empty =
+                if stale(desk) { desk.out.is_empty() } else { self.below_threshold(desk, held, mean) };
+            let wanted = self.fit(desk) && (near(desk) || members.pick.is_none());
             let alike = (members.offered + strangers).max(1) as f64;
             let share = bears.min(fleet.size(desk) / fleet.mean_size / alike);
-            if empty && (near(desk) || members.pick.is_none()) && self.allowed(held, worker) {
-                left_over -= share;
-                if left_over < 0.0 {
-                    pick = Some(worker);
-                    break;
-                }
+            left_over -= if empty && wanted && self.allowed(held, worker) { share } else { 0.0 };
+            if left_over < 0.0 {
+                pick = Some(worker);
+                break;
             }
         }
         // Those known just now are largely those that hold our jobs or turned some away; of the others, as many
@@ -351,10 +347,6 @@
         if own + job.slots > threshold || own > mean + job.slots || waits {
             return false;
         }
-        // Nobody else sends there, so what we hold is what it holds, however old its report.
-        if self.terms.nodes == 1 && desk.slots > 0.0 && !self.terms.counts_memory {
-            return own + job.slots <= desk.slots;
-        }
         // Reports older than the jobs they count say nothing of now; what we hold there ourselves does.
         if self.flow.lag(self.now) as f64 > longest(&self.answers) {
             return own <= mean;
@@ -426,8 +418,8 @@
         let window = self.terms.fall_window as f64;
         let bears = self.terms.fall_multiple * present * self.fleet.mean_slots(desk) * window;
         let jobs = bears / self.flow.work;
-        let mean = (jobs - 3.0 * jobs.sqrt()).max(jobs * (jobs / 2.0).min(1.0) / COLD_BEARS) / f64::from(self.terms.nodes);
-        Some(mean / (self.flow.arrivals.read(self.now) * window))
+        let mean = (jobs - 3.0 * jobs.sqrt()).max(jobs * (jobs / 2.0).min(1.0) / COLD_BEARS);
+        Some(mean / f64::from(self.terms.nodes) / (self.flow.arrivals.read(self.now) * window))
     }
 
     /// The only place that orders an execution; with none to order and none out, the submission is over.
@@ -504,9 +496,7 @@
             Outcome::Satisfied => {
                 (desk.heard, desk.served, desk.linked) = (now, desk.served + 1, Some(now));
                 desk.paced(now, self.terms.cold_for, took / self.answers[product].mean);
-                if desk.served >= RUN * 2 {
-                    (desk.served, desk.strikes) = (0, desk.strikes.saturating_sub(1));
-                }
+                desk.strikes -= u32::from(desk.strikes > 0 && desk.served % (2 * RUN) == 0);
                 kind.run += 1;
                 if kind.run >= RUN {
                     // Never past its start: what its workers have, for fewer would leave large ones idle.
@@ -549,10 +539,10 @@
 
     /// A further execution if there is a point, else the final answer.
     fn settle(&mut self, submission: Submission) {
-        let Some(held) = self.held.get(submission as usize).filter(|h| h.open && h.out == 0) else { return };
-        let product = &self.terms.products[usize::from(held.job.product)];
-        let pointless = product.late_payoff == 0.0 && self.now > held.taken + 4 * product.agreed;
-        let choice = if pointless { Choice::default() } else { self.choose(submission) };
+        if !self.held.get(submission as usize).is_some_and(|h| h.open && h.out == 0) {
+            return;
+        }
+        let choice = self.choose(submission);
         self.execute(submission, &choice);
     }
 
@@ -571,8 +561,7 @@
         }
         let (now, period, took) = (self.now, self.terms.connect_timeout / 5, longest(&self.answers));
         let silence = 2.0 * (self.terms.progress_every.unwrap_or(0) as f64 + took) + period as f64;
-        let crowded = (MOST_WATCHED / self.fleet.watched.len() as f64).min(1.0);
-        let remembered = (REMEMBERED * took + self.flow.lag(self.now) as f64) * crowded;
+        let remembered = REMEMBERED * took + self.flow.lag(self.now) as f64;
         // Asked less often where a probe is dear: no job costs more of them than refreshing may.
         let dear = took * self.terms.probe_price / self.probe_spend();
         let unheard = (2 * self.terms.connect_timeout).max(dear as Nanos);
@@ -637,7 +626,7 @@
 
     /// Where starts are told, they tell at once what reports tell late: less of those is worth its price.
     fn probe_spend(&self) -> f64 {
-        if self.terms.tells_start { PROBE_SPEND / 4.0 } else { PROBE_SPEND }
+        if self.terms.tells_start { PROBE_SPEND / 10.0 } else { PROBE_SPEND }
     }
 
     fn come_closer(&mut self, worker: Worker) {
@@ -655,7 +644,7 @@
     fn rescue(&mut self, worker: Worker, out: usize) {
         let (desk, now) = (&self.fleet[worker], self.now);
         let Some(job) = desk.out.get(out) else { return };
-        let &Out { submission, execution, waits, sent, looked, .. } = job;
+        let &Out { submission, execution, waits, sent, looked, idled, .. } = job;
         // Held for there, a lost job would fill a worker that is free, and make reports look as old as it.
         if self.terms.may_cancel && desk.lost(job, self.terms.progress_every, now) {
             self.flow.lag = (0, now);
@@ -663,23 +652,23 @@
         }
         let held = &self.held[submission as usize];
         let patience = self.terms.products[usize::from(held.job.product)].agreed / 2;
-        let stuck = waits && now - sent > patience && self.flow.prompt > PROMPT.max(self.behind(held.job.product));
-        if !held.open || held.out != 1 || (self.fit(desk) && !stuck) || now - looked < patience / 4 {
+        // Some go on where they were called off: what pays less moves only while the more start at once.
+        let prompt = self.flow.prompt > PROMPT.max(self.behind(held.job.product));
+        let stuck = waits && now - sent > patience && prompt;
+        // Where no two may be out, it is called off first, and goes on when that is known.
+        let moves = !self.terms.may_duplicate;
+        let elsewhere = if moves { stuck && self.terms.may_cancel } else { stuck || !self.fit(desk) };
+        if !held.open || held.out != 1 || !elsewhere || now - looked < patience / 4 {
             return;
         }
         self.fleet[worker].out[out].looked = now;
         let choice = self.choose(submission);
-        if choice.members > 0 {
-            // Where no two may be out, it is called off first and goes on when that is known.
-            let moves = !self.terms.may_duplicate;
-            if moves {
-                let desk = &mut self.fleet[worker];
-                let idled = desk.out[out].idled;
-                self.flow.started(desk, false, idled);
-            } else {
-                self.execute(submission, &choice);
-            }
-            if waits && self.terms.may_cancel && (moves || self.held[submission as usize].out > 1) {
+        if choice.members > 0 && moves {
+            self.flow.started(&mut self.fleet[worker], false, idled);
+            self.todo.push(Order::Cancel { submission, execution });
+        } else if choice.members > 0 {
+            self.execute(submission, &choice);
+            if waits && self.terms.may_cancel && self.held[submission as usize].out > 1 {
                 self.todo.push(Order::Cancel { submission, execution });
             }
         }
