--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -21,36 +21,22 @@
 };
 
 const THRESHOLD_FLOOR: f64 = 2.0;
-/// Served jobs in a row after which a kind's threshold regains a slot.
-const RUN: u32 = 4;
-/// How often set-asides in a row may double the probes asked for.
-const MAX_STRIKES: u32 = 6;
-/// Points of the result that refreshing reports may cost.
-const PROBE_SPEND: f64 = 0.015;
-/// The part of the workers kept for the products that pay best.
-const RESERVE: f64 = 0.2;
-/// A worker that takes this many times the workers' mean for the same jobs is drawn after the others.
-const SLOW: f64 = 1.1;
-/// And one that takes this many times, after those that cost a crossing too.
-const CRAWLS: f64 = 2.0;
-/// Answer times after which a report tells nothing, and in which it is fresh where not all are known.
-const REMEMBERED: f64 = 2.0;
-const FRESH: f64 = 0.25;
-/// Probes that may be owed.
-const MOST_OWED: f64 = 8.0;
-/// Of what a cold worker bears in a window, one over the part that it is sent on average.
-const COLD_BEARS: f64 = 4.0;
-/// The part of the jobs that must start at once, at least, for one that waits to move.
-const PROMPT: f64 = 0.25;
-/// Drawn without knowing, room is found only by chance.
-const BLIND: f64 = 0.5;
+const RUN: u32 = 4; // Served jobs in a row after which a kind's threshold regains a slot.
+const MAX_STRIKES: u32 = 6; // How often set-asides in a row may double the probes asked for.
+const PROBE_SPEND: f64 = 0.015; // Points of the result that refreshing reports may cost.
+const RESERVE: f64 = 0.2; // The part of the workers kept for the products that pay best.
+const SLOW: f64 = 1.1; // A worker that takes so many times the mean for the same jobs is drawn after others,
+const CRAWLS: f64 = 2.0; // and one that takes so many times, after those that cost a crossing too.
+const REMEMBERED: f64 = 2.0; // Answer times after which a report tells nothing,
+const FRESH: f64 = 0.25; // and in which it is fresh where not all are known.
+const MOST_OWED: f64 = 8.0; // Probes that may be owed.
+const COLD_BEARS: f64 = 4.0; // Of what a cold worker bears in a window, one over the part that it is sent.
+const PROMPT: f64 = 0.25; // The part of the jobs that must start at once for one that waits to move.
+const BLIND: f64 = 0.5; // Drawn without knowing, room is found only by chance.
 const STRANGER_DRAWS: usize = 16;
-/// Submissions over which tenants' shares are judged at least.
-const ENOUGH: f64 = 64.0;
-/// So many nodes for each of its slots are a crowd to a worker, and the answer times for which one of them may
-/// keep a connection to it that carries nothing.
-const CROWD: f64 = 4.0;
-const IDLE_BEARS: f64 = 2.0;
+const ENOUGH: f64 = 64.0; // Submissions over which tenants' shares are judged at least.
+const CROWD: f64 = 4.0; // So many nodes for each of its slots are a crowd to a worker,
+const IDLE_BEARS: f64 = 2.0; // and so many answer times one of them may keep an idle connection to it.
 
 pub struct Dispatcher {
     terms: StandingOrders,
@@ -65,6 +51,9 @@
     subscribe_at: Nanos,
     /// Calls for the list that failed, in a row.
     unheard: u32,
+    /// The best payoff, and the points that reports may cost: starts tell at once what reports tell late.
+    best: f64,
+    spend: f64,
     todo: Vec<Order>,
 }
 
@@ -82,6 +71,8 @@
             next_pulse: 0,
             subscribe_at: Nanos::MAX,
             unheard: 0,
+            best: terms.products.iter().map(|p| p.payoff).fold(f64::MIN_POSITIVE, f64::max),
+            spend: if terms.tells_start { PROBE_SPEND / 10.0 } else { PROBE_SPEND },
             todo: Vec::new(),
             terms,
         }
@@ -152,9 +143,8 @@
         &self.todo
     }
 
-    /// A worker takes only so many connections, and pays for each: many nodes would fill it with idle ones. So
-    /// one is kept only where it is likely to be used before it closes by itself; and where the nodes are many
-    /// for its slots, within two answer times, so that as many stand idle there in all as jobs keep busy.
+    /// Many nodes would fill a worker with idle connections, and it pays for each: one is kept only if it is
+    /// likely to be used before it closes by itself, and where nodes are a crowd, within two answer times.
     fn let_go(&mut self, worker: Worker) {
         let Some(desk) = self.fleet.desks.get(worker as usize).filter(|d| d.out.is_empty()) else { return };
         let many = f64::from(self.terms.nodes) > CROWD * self.fleet.mean_slots(desk);
@@ -168,12 +158,10 @@
 
     fn listed(&mut self, kind: ListKind, entries: &[Listing]) {
         if let (Some(within), ListKind::Failed | ListKind::Cached) = (self.terms.ask_within, kind) {
-            // A list not asked for would count as told of drains that were never heard of; but it is one
-            // service for all nodes, and what they ask together, or again at once, fails together. It goes on
-            // working on calls that were given up, so that a herd of them keeps the changes from all nodes.
+            // A list not asked for would count as told of drains that were never heard of; but what all nodes
+            // ask together, or again at once, fails together, and a herd of calls keeps the changes from all.
             self.unheard = if kind == ListKind::Failed { (self.unheard + 1).min(MAX_STRIKES) } else { 0 };
             let each = (self.terms.connect_timeout / 4) << self.unheard;
-            // Settings may tell any number of nodes.
             let spread = each.saturating_mul(self.terms.nodes.into());
             let wait = if kind == ListKind::Failed { within / 10 } else { 0 };
             self.subscribe_at = self.now + wait + self.chance.u64(..spread.clamp(1, within / 2 + 1));
@@ -204,7 +192,8 @@
         let excess = self.beyond_share(usize::from(job.tenant));
         let choice = self.choose(submission);
         // Room is kept for products that pay more, and for tenants inside their shares.
-        let reserve = (excess / 3.0).max(RESERVE * self.behind(job.product));
+        let behind = 1.0 - self.terms.products[usize::from(job.product)].payoff / self.best;
+        let reserve = (excess / 3.0).max(RESERVE * behind);
         let (ready, open) = (self.fleet.ready.len().max(1) as f64, choice.open as f64);
         let limit = (self.flow.limit * self.fleet.room() / ready).max(1.0) * open;
         let full = choice.members == 0 && choice.mean * open + job.slots > limit;
@@ -214,19 +203,12 @@
         self.execute(submission, &choice);
     }
 
-    /// By how far a product's payoff is below the best.
-    fn behind(&self, product: u8) -> f64 {
-        let best = self.terms.products.iter().map(|p| p.payoff).fold(f64::MIN_POSITIVE, f64::max);
-        1.0 - self.terms.products[usize::from(product)].payoff / best
-    }
-
     /// How far a tenant sends past its share here, up to twice it. This node's part of all traffic is not
     /// told: it is taken from the median tenant, lest one that sends far too much widens its own share.
     fn beyond_share(&mut self, tenant: usize) -> f64 {
         if tenant >= self.tenants.len() || self.terms.excess_payoff >= 1.0 {
             return 0.0;
         }
-        // Over so long that enough of all tenants is seen to tell them apart.
         let now = self.now;
         let span = f64::max(2e9, ENOUGH / self.flow.arrivals.read(now));
         self.tenants[tenant].sent.add(now, span, 1.0);
@@ -234,7 +216,7 @@
         let part = median(quotas, |t| sent[t].sent.read(now, span) / quotas[t].max(f64::MIN_POSITIVE));
         let part = part.max(span / 1e9 / f64::from(self.terms.nodes));
         let (share, sent) = (part * quotas[tenant], self.tenants[tenant].sent.read(now, span));
-        // Where a node sees few of a tenant, chance alone brings a deviation more than its share now and then.
+        // Where a node sees few of a tenant, chance alone brings more than its share now and then.
         if self.tenants[tenant].within.read(now, span) < share || sent < share + share.sqrt() {
             self.tenants[tenant].within.add(now, span, 1.0);
             return 0.0;
@@ -313,7 +295,7 @@
             }
         }
         let mut pick = members.pick.or(stranger).or(others.pick);
-        // A cold one is drawn by its own part and no more, and by the first execution alone: when all others are
+        // A cold one is drawn by its own part and no more, and by first executions alone: when all others are
         // full, each submission asks again and again, and what is left would get the part of all.
         let mut left_over = chance.f64();
         for &worker in fleet.young.iter().filter(|_| held.executions == 0) {
@@ -330,8 +312,7 @@
                 break;
             }
         }
-        // Those known just now are largely those that hold our jobs or turned some away; of the others, as many
-        // will have room as had of all that were asked in turn.
+        // Those known just now are largely those that hold our jobs or turned some away.
         let more = strangers as f64;
         let likely = if self.terms.tells_start { BLIND * self.flow.prompt } else { fleet.roomy(self.now) };
         let room = (roomy as f64 + more * likely) / (known as f64 + more).max(1.0);
@@ -351,13 +332,11 @@
         if self.flow.lag(self.now) as f64 > longest(&self.answers) {
             return own <= mean;
         }
-        // Nothing is known of a worker before its first report: one job at a time is the feeler.
-        // Where answers come and never a report, none will: threshold and mean are all there is to go by.
+        // Before its first report one job is the feeler; where answers come and never a report, none will.
         if desk.reported.is_none() {
             return desk.out.is_empty() || (!self.fleet.told && self.answers.iter().any(|a| a.seen > 0.0));
         }
-        // A late report misses jobs that were sent before it came: what is younger than the reports' known
-        // age counts as sent since, and what we hold is never free.
+        // A late report misses what was sent before it came, and what we hold is never free.
         let (free, waiting) = (desk.report.free_slots.map(whole), desk.report.waiting.map_or(0.0, whole));
         let since = desk.since(self.flow.lag(self.now), |o| o.slots);
         if free.is_some_and(|f| (f - waiting - since).min(desk.slots - own) < job.slots) {
@@ -368,9 +347,8 @@
         !self.terms.counts_memory || left >= job.memory || free.is_some_and(|f| f >= desk.slots)
     }
 
-    /// Whether the jobs ahead there leave the agreed time. Where work piles up faster than it is done, queues
-    /// would fill until every answer is late; and if each product waited for as long as its own agreed time
-    /// bears, the most patient would fill them until the others get nothing.
+    /// Whether the jobs ahead there leave the least agreed time: else queues would fill until every answer is
+    /// late, or the most patient product would fill them until the others get nothing.
     fn in_time(&self, desk: &Desk, bears: f64) -> bool {
         let since = desk.since(self.flow.lag(self.now), |o| o.slots);
         let (free, waiting) = (desk.report.free_slots, desk.report.waiting);
@@ -406,8 +384,7 @@
     }
 
     /// The jobs that a cold worker may be sent from here for each submission. All nodes hear of its start at
-    /// once, and would spend at once what they saved up: so this node's part is spent by chance, and the mean
-    /// of all nodes kept so far below what it bears in a window that chance does not push it over.
+    /// once: the part of each is spent by chance, and their mean kept far below what it bears in a window.
     fn trickle(&self, desk: &Desk) -> Option<f64> {
         let age = self.now.saturating_sub(desk.listing.started);
         if desk.listing.started == 0 || age >= self.terms.cold_for {
@@ -434,7 +411,7 @@
         self.flow.in_flight += held.job.slots;
         let mut out = held.send(submission, worker, now, self.terms.tells_start, usual);
         let desk = self.fleet.watch(worker);
-        // One that stood idle for too long may have been dropped unseen, and a job sent on it is lost or late.
+        // One that stood idle for too long may have been dropped unseen, and a job sent on it is lost.
         match desk.linked.take().map(|since| now - since) {
             Some(idled) if (idled as f64) < self.flow.kept => out.idled = idled,
             Some(_) => self.todo.push(Order::Release { worker }),
@@ -509,8 +486,7 @@
                     (kind.run, kind.threshold) = (0, (kind.threshold - out.slots).max(THRESHOLD_FLOOR));
                 }
             }
-            // A fast-failing worker looks empty and would draw all the work; but where a repeat makes good
-            // for an error, to miss the part that it still does would cost more.
+            // It looks empty and would draw all the work; but where a repeat makes good, it still does some.
             Outcome::Error if harmless => desk.aside = desk.aside.max(1),
             Outcome::Error => set_aside(desk, false),
             // Set aside for it, workers would be out of reach while one client sends what none can use.
@@ -527,7 +503,6 @@
             self.close(ending.submission);
         }
         if outcome == Outcome::Satisfied {
-            // The limit follows the shortest answer time over the present one.
             self.answers[product].add(took);
             self.flow.stretch += (took / self.answers[product].shortest - self.flow.stretch) / 32.0;
             let most = self.fleet.room();
@@ -563,7 +538,7 @@
         let silence = 2.0 * (self.terms.progress_every.unwrap_or(0) as f64 + took) + period as f64;
         let remembered = REMEMBERED * took + self.flow.lag(self.now) as f64;
         // Asked less often where a probe is dear: no job costs more of them than refreshing may.
-        let dear = took * self.terms.probe_price / self.probe_spend();
+        let dear = took * self.terms.probe_price / self.spend;
         let unheard = (2 * self.terms.connect_timeout).max(dear as Nanos);
         let owed = -self.flow.probes.0;
         let (mut known, mut full, mut next) = (0.0, 0.5, self.subscribe_at);
@@ -598,7 +573,7 @@
             full += counts * f64::from(desk.report.free_slots.is_none_or(|f| f < 1.0));
             if !desk.out.is_empty() || desk.aside > 0 || desk.probed.is_some() {
                 next = next.min(now + period);
-            } else if !told && !(self.terms.connection_price > 0.0 && desk.is_linked(now, self.flow.kept)) {
+            } else if !(told || self.terms.connection_price > 0.0 && desk.is_linked(now, self.flow.kept)) {
                 desk.watched = false;
                 self.fleet.watched.swap_remove(i);
             }
@@ -610,10 +585,8 @@
     /// Probes workers in turn, in proportion to how many look full. Returns when the next is due.
     fn refresh(&mut self, full: f64) -> f64 {
         let (now, ready) = (self.now, self.fleet.ready.len());
-        let spend = self.probe_spend();
-        let bearable = spend / self.terms.probe_price.max(spend / 64.0);
+        let bearable = self.spend / self.terms.probe_price.max(self.spend / 64.0);
         let rate = self.flow.arrivals.read(now) * bearable * full;
-        // Asking more often than reports are renewed brings nothing new.
         let old = (ready as f64 / rate).max(self.flow.lag(self.now) as f64);
         self.flow.save(now, rate, 1.0 + rate * (2 * self.terms.connect_timeout / 5) as f64);
         while self.flow.probes.0 >= 1.0 {
@@ -624,11 +597,6 @@
         (1.0 - self.flow.probes.0).max(0.0) / rate
     }
 
-    /// Where starts are told, they tell at once what reports tell late: less of those is worth its price.
-    fn probe_spend(&self) -> f64 {
-        if self.terms.tells_start { PROBE_SPEND / 10.0 } else { PROBE_SPEND }
-    }
-
     fn come_closer(&mut self, worker: Worker) {
         let desk = &mut self.fleet[worker];
         (desk.aside, desk.unanswered) = (desk.aside.saturating_sub(1), 0);
@@ -639,8 +607,8 @@
         }
     }
 
-    /// A copy of what a silent worker holds, or has not started in time, where the product bears a repeat and
-    /// another has room.
+    /// What a silent worker holds is copied, and what was not started in time called off, to be sent on when
+    /// that is known, where the product bears a repeat and another has room.
     fn rescue(&mut self, worker: Worker, out: usize) {
         let (desk, now) = (&self.fleet[worker], self.now);
         let Some(job) = desk.out.get(out) else { return };
@@ -651,26 +619,22 @@
             return self.todo.push(Order::Cancel { submission, execution });
         }
         let held = &self.held[submission as usize];
-        let patience = self.terms.products[usize::from(held.job.product)].agreed / 2;
+        let product = &self.terms.products[usize::from(held.job.product)];
+        let patience = product.agreed / 2;
         // Some go on where they were called off: what pays less moves only while the more start at once.
-        let prompt = self.flow.prompt > PROMPT.max(self.behind(held.job.product));
-        let stuck = waits && now - sent > patience && prompt;
-        // Where no two may be out, it is called off first, and goes on when that is known.
-        let moves = !self.terms.may_duplicate;
-        let elsewhere = if moves { stuck && self.terms.may_cancel } else { stuck || !self.fit(desk) };
-        if !held.open || held.out != 1 || !elsewhere || now - looked < patience / 4 {
+        let prompt = self.flow.prompt > PROMPT.max(1.0 - product.payoff / self.best);
+        let stuck = waits && now - sent > patience && prompt && self.terms.may_cancel;
+        let copied = !self.fit(desk) && self.terms.may_duplicate;
+        if !held.open || held.out != 1 || !(stuck || copied) || now - looked < patience / 4 {
             return;
         }
         self.fleet[worker].out[out].looked = now;
         let choice = self.choose(submission);
-        if choice.members > 0 && moves {
+        if choice.members > 0 && stuck {
             self.flow.started(&mut self.fleet[worker], false, idled);
             self.todo.push(Order::Cancel { submission, execution });
         } else if choice.members > 0 {
             self.execute(submission, &choice);
-            if waits && self.terms.may_cancel && self.held[submission as usize].out > 1 {
-                self.todo.push(Order::Cancel { submission, execution });
-            }
         }
     }
 }
--- a/crates/dispatch/src/types.rs
+++ b/crates/dispatch/src/types.rs
@@ -110,9 +110,6 @@
     /// Time between progress notes, where workers send them.
     pub progress_every: Option<Nanos>,
     pub tells_start: bool,
-    /// Reports cost a probe each, and the list's weights tell the load for nothing: they are the workers' sizes
-    /// over one more than the jobs that each core holds.
-    pub live_weights: bool,
     /// The list's weights are the workers' sizes.
     pub listed_sizes: bool,
     pub counts_memory: bool,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -345,8 +345,6 @@
         ask_within: some(nanos(rules.must_ask_in_ms)).filter(|_| info.discovery == "on_request"),
         progress_every: some(nanos(family.progress_ms)),
         tells_start: family.tells_start,
-        // What answers tell is fresher, and looking at all workers for each submission would cost more than it.
-        live_weights: info.weights == "live" && info.report.how == "pull",
         listed_sizes: matches!(info.weights.as_str(), "nominal" | "rough"),
         counts_memory: family.memory_unit.as_ref().is_some_and(|unit| !unit.is_empty()),
     };
