A running node takes other terms whole or refuses them by key, and keeps what it holds

Dispatcher::go_on_under carries over who is there, starts, drains, deaths, set-asides, slots seen, what is held and out; reports, shares, limits, thresholds and answer times start afresh. The reducer notices a probe or a second execution where none may be.

--- a/crates/core/src/executions.rs
+++ b/crates/core/src/executions.rs
@@ -12,6 +12,8 @@
         let at = Listing { kind: place.kind, zone: place.zone, ..Listing::default() };
         let open = self.products.get(usize::from(taken.product)).is_none_or(|p| p.open_to(&at));
         must!(self, open, "an execution where its product may not go");
+        let alone = self.may_duplicate || taken.executions.iter().all(|sent| sent.link.is_none());
+        must!(self, alone, "a second execution out where no two may be");
         let execution = taken.executions.len() as Execution;
         let until = self.now + timeout;
         taken.executions.push(Sent { worker, at: self.now, until, link: None });
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use linestack_dispatch::types::{Health, ListKind, Nanos, Outcome, Report};
+use linestack_settings::Settings;
 
 /// A client's connection, numbered by the node and never again.
 pub type Client = u64;
@@ -72,6 +73,10 @@
 
 #[derive(Debug)]
 pub enum Input {
+    /// Other settings hold from now on; [`Settings::restart_for`] has found nothing against it.
+    Terms {
+        settings: Box<Settings>,
+    },
     Listed {
         kind: ListKind,
         endpoints: Vec<Endpoint>,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -195,6 +195,8 @@
     /// How long a connection may have been idle and still get a job, as far as was seen.
     kept: Nanos,
     asks: bool,
+    may_probe: bool,
+    may_duplicate: bool,
     products: Vec<Product>,
     longest_wait: Nanos,
     /// How long it may go on after it was told to stop.
@@ -262,6 +264,8 @@
             idle: if orders.idle > 0 { orders.idle / 2 } else { SECOND },
             kept: if orders.idle > 0 { orders.idle / 2 } else { SECOND },
             asks: orders.ask_within.is_some(),
+            may_probe: orders.may_probe,
+            may_duplicate: orders.may_duplicate,
             products: orders.products,
             last_span,
             longest_wait: if settings.longest_cut_off > 0 { settings.longest_cut_off * LONGER } else { DAY },
@@ -301,6 +305,20 @@
         core
     }
 
+    /// What is held, in flight and known stays; see the dispatcher's `go_on_under`.
+    fn go_on_under(&mut self, settings: Settings) {
+        let orders = settings.orders;
+        self.dispatcher.go_on_under(orders.clone());
+        (self.connect_timeout, self.may_probe) = (orders.connect_timeout, orders.may_probe);
+        self.may_duplicate = orders.may_duplicate;
+        self.idle = if orders.idle > 0 { orders.idle / 2 } else { SECOND };
+        self.kept = self.kept.min(self.idle);
+        self.products = orders.products;
+        if settings.longest_cut_off > 0 {
+            self.longest_wait = settings.longest_cut_off * LONGER;
+        }
+    }
+
     /// Whether clients should come.
     #[must_use]
     pub fn ready(&self) -> bool {
@@ -328,6 +346,7 @@
     pub fn take(&mut self, now: Nanos, input: Input, effects: &mut Vec<Effect>) {
         self.now = self.now.max(now);
         match input {
+            Input::Terms { settings } => self.go_on_under(*settings),
             Input::Listed { kind, endpoints } => self.listed(kind, endpoints),
             Input::ClientUp { client } => self.client_up(client),
             Input::ClientPhase { client, phase } => self.client_phase(client, phase),
@@ -410,6 +429,10 @@
             }
             Order::Abort { submission } => self.answer(submission, Answer::Aborted),
             Order::Probe { worker } => {
+                must!(self, self.may_probe, "a probe where none may be sent");
+                if !self.may_probe {
+                    return;
+                }
                 self.stats.probes += 1;
                 match self.pooled(worker, Load::Probe) {
                     Some(link) => self.hand(link, Load::Probe),
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -614,6 +614,8 @@
 struct Heedless;
 
 impl linestack_dispatch::types::Decide for Heedless {
+    fn go_on_under(&mut self, _: linestack_dispatch::types::StandingOrders) {}
+
     fn decide(&mut self, _: Nanos, event: Event<'_>) -> &[Order] {
         match event {
             Event::Submitted { .. } => &[Order::Execute { submission: 0, worker: 0, timeout: 1_000 * MS }],
@@ -647,3 +649,47 @@
     // A debug build ends there, a release build counts it.
     assert_eq!(noticed.unwrap_or(true), !open);
 }
+
+fn terms(changes: &[(&str, &str)]) -> Input {
+    let text = changes.iter().fold(common::SETTINGS.to_owned(), |text, (from, to)| text.replace(from, to));
+    Input::Terms { settings: Box::new(linestack_settings::read(text.as_bytes(), 7).unwrap()) }
+}
+
+const STRICT: &[(&str, &str)] = &[
+    ("\"mayProbe\": true", "\"mayProbe\": false"),
+    ("\"mayDuplicate\": true", "\"mayDuplicate\": false"),
+    ("\"excessPayoff\": 0.2", "\"excessPayoff\": 0.1, \"deductions\": {\"handshake\": 0.08}"),
+];
+
+// The first seconds after a switch: one answer each, no one-shot twice, nothing to what drains, no copy, no
+// probe; and back again.
+#[rstest]
+#[case::there(&[STRICT])]
+#[case::and_back(&[STRICT, &[]])]
+fn a_switch_of_terms_keeps_what_is_held_and_who_is_there(#[case] switches: &[&[(&str, &str)]]) {
+    let mut node = Node::new(4);
+    let (pay, at) = node.under_way(PAY);
+    let (look, other) = node.under_way(LOOK);
+    let drains = node.core.stats().workers - 1;
+    node.list(ListKind::Changes, vec![endpoint(drains, Health::Draining)]);
+    let there = endpoint(drains, Health::Ready).address;
+    for changes in switches {
+        node.feed(terms(changes));
+        assert!(node.answers().is_empty(), "a switch answers nothing");
+    }
+    node.feed(Input::LinkDown { link: at, broken: WHOLE });
+    assert_eq!(node.answers(), [(pay, Answer::Aborted)], "it may have run");
+    assert!(node.opened().is_none() && node.sent().is_none());
+    node.end(other, Outcome::Satisfied);
+    assert!(matches!(node.answers()[..], [(client, Answer::Satisfied(_))] if client == look));
+    let probes = node.core.stats().probes;
+    for _ in 0..40 {
+        node.submit(PAY, 5_000 * MS);
+        assert!(node.opened().is_none_or(|(_, address)| address != there));
+        node.pass(50 * MS);
+        let probed = node.core.stats().probes > probes;
+        assert!(!probed || switches.len() == 2, "no probe where none may be sent");
+    }
+    node.pass(6_000 * MS);
+    assert_eq!((node.core.stats().open, node.core.stats().broken), (0, 0), "all is answered");
+}
--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -75,9 +75,8 @@
     /// Its answers lately, and their times as multiples of what was usual.
     pub(crate) answers: Decaying,
     pub(crate) paces: Decaying,
-    /// Since when a connection stands idle there, and that the last job there started at once.
+    /// Since when a connection stands idle there.
     pub(crate) linked: Option<Nanos>,
-    pub(crate) prompt: bool,
     /// The probe that is out.
     pub(crate) probed: Option<Nanos>,
     /// It is among the workers of which something is known now.
@@ -622,8 +621,7 @@
         self.work += (work - self.work) / if self.work > 0.0 { 64.0 } else { 1.0 };
     }
 
-    pub(crate) fn started(&mut self, desk: &mut Desk, at_once: bool, idled: Nanos) {
-        desk.prompt = at_once;
+    pub(crate) fn started(&mut self, at_once: bool, idled: Nanos) {
         self.prompt += (f64::from(u8::from(at_once)) - self.prompt) / 16.0;
         if idled > 0 {
             let kept = self.kept * if at_once { 1.0 + 1.0 / 16.0 } else { 1.0 - 1.0 / 8.0 };
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -39,18 +39,18 @@
 const IDLE_BEARS: f64 = 2.0; // and so many answer times one of them may keep an idle connection to it.
 
 pub struct Dispatcher {
-    terms: StandingOrders,
-    chance: fastrand::Rng,
-    now: Nanos,
-    fleet: Fleet,
-    held: Vec<Held>,
+    pub(crate) terms: StandingOrders,
+    pub(crate) chance: fastrand::Rng,
+    pub(crate) now: Nanos,
+    pub(crate) fleet: Fleet,
+    pub(crate) held: Vec<Held>,
     tenants: Vec<Tenant>,
     answers: Vec<AnswerTime>,
-    flow: Flow,
-    next_pulse: Nanos,
-    subscribe_at: Nanos,
+    pub(crate) flow: Flow,
+    pub(crate) next_pulse: Nanos,
+    pub(crate) subscribe_at: Nanos,
     /// Calls for the list that failed, in a row.
-    unheard: u32,
+    pub(crate) unheard: u32,
     /// The best payoff, and the points that reports may cost: starts tell at once what reports tell late.
     best: f64,
     spend: f64,
@@ -104,10 +104,11 @@
             Event::Noted { submission, execution } => {
                 let held = self.held.get(submission as usize);
                 let worker = held.and_then(|h| h.tried.get(usize::from(execution))).copied();
-                let waited = worker.and_then(|w| self.fleet[w].noted(submission, execution, self.now));
-                if let (Some((waited, idled)), Some(worker)) = (waited, worker) {
+                if let Some((waited, idled)) =
+                    worker.and_then(|w| self.fleet[w].noted(submission, execution, self.now))
+                {
                     let at_once = waited <= self.terms.connect_timeout / 5;
-                    self.flow.started(&mut self.fleet[worker], at_once, idled);
+                    self.flow.started(at_once, idled);
                 }
             }
             Event::Ended(ending) => {
@@ -253,9 +254,9 @@
             }
             let (fit, warm) = (self.fit(desk), self.trickle(desk).is_none());
             known += usize::from(fit);
-            // What is linked and started the last job at once is believed to start the next one.
-            let known_good = linked(desk) && desk.prompt && stale(desk) && desk.out.is_empty();
-            let below = fit && (known_good || self.below_threshold(desk, held, mean));
+            // What is linked costs nothing new to try, and a job that does not start there moves.
+            let good = linked(desk) && desk.out.is_empty();
+            let below = fit && (good && stale(desk) || self.below_threshold(desk, held, mean));
             // One that lost its process is cold when it is back, though the list does not tell yet.
             aside.offer_if(warm && !fit && !desk.died, worker, 0, &mut chance);
             // A crossing costs less than an answer that comes late for sure.
@@ -267,7 +268,7 @@
                 let (far, slow) = (u8::from(!near(desk)), u8::from(pace > SLOW));
                 let new = u8::from(self.terms.connection_price > 0.0 && !linked(desk));
                 let rank = 8 * crawls + 4 * far + 2 * new + slow;
-                members.offer_if(!sparse || !stale(desk) || linked(desk), worker, rank, &mut chance);
+                members.offer_if(!sparse || !stale(desk) || good, worker, rank, &mut chance);
             }
         }
         // With most workers set aside, the few left must not collapse under everybody's work.
@@ -493,7 +494,7 @@
             Outcome::Unusable => held.executions = self.terms.max_executions,
             // Dropped unseen while it stood idle, it says nothing of the worker.
             Outcome::Reset if out.idled > 0 && out.waits && ending.took < self.terms.connect_timeout / 5 => {
-                self.flow.started(desk, false, out.idled);
+                self.flow.started(false, out.idled);
             }
             Outcome::Reset | Outcome::ConnectFailed => set_aside(desk, true),
             Outcome::TimedOut if desk.heard <= out.sent => set_aside(desk, false),
@@ -631,7 +632,7 @@
         self.fleet[worker].out[out].looked = now;
         let choice = self.choose(submission);
         if choice.members > 0 && stuck {
-            self.flow.started(&mut self.fleet[worker], false, idled);
+            self.flow.started(false, idled);
             self.todo.push(Order::Cancel { submission, execution });
         } else if choice.members > 0 {
             self.execute(submission, &choice);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`types`] is the interface, [`decide`] the decisions.
 
 mod books;
+mod carry;
 pub mod decide;
 pub mod types;
 
@@ -10,4 +11,8 @@
     fn decide(&mut self, now: types::Nanos, event: types::Event<'_>) -> &[types::Order] {
         Self::decide(self, now, event)
     }
+
+    fn go_on_under(&mut self, terms: types::StandingOrders) {
+        Self::go_on_under(self, terms);
+    }
 }
--- a/crates/dispatch/src/types.rs
+++ b/crates/dispatch/src/types.rs
@@ -290,4 +290,7 @@
 /// Who decides: what happened goes in, in the order in which it happened; what is to be done comes out.
 pub trait Decide {
     fn decide(&mut self, now: Nanos, event: Event<'_>) -> &[Order];
+
+    /// Other terms hold from now on; what was learned and is held stays, as far as it means the same.
+    fn go_on_under(&mut self, terms: StandingOrders);
 }
--- a/crates/lab/src/policies.rs
+++ b/crates/lab/src/policies.rs
@@ -239,6 +239,10 @@
 }
 
 impl Decide for Plain {
+    fn go_on_under(&mut self, terms: StandingOrders) {
+        self.terms = terms;
+    }
+
     fn decide(&mut self, now: Nanos, event: Event<'_>) -> &[Order] {
         self.orders.clear();
         self.now = now;
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -37,19 +37,30 @@
 }
 
 impl Config {
+    /// Whether a newer reading has other settings.
+    #[must_use]
+    pub fn differs_in_settings(&self, newer: &Self) -> bool {
+        let value = |text: &str| serde_json::from_str::<serde_json::Value>(text).ok();
+        self.text != newer.text && value(&self.text) != value(&newer.text)
+    }
+
+    /// Goes on with the settings of a newer reading.
+    pub fn take_settings(&mut self, newer: &Self) {
+        (self.settings, self.text) = (newer.settings.clone(), newer.text.clone());
+    }
+
     /// The keys of a newer reading that differ and are read at the start only.
     #[must_use]
     pub fn restart_for(&self, newer: &Self) -> Vec<&'static str> {
-        let value = |text: &str| serde_json::from_str::<serde_json::Value>(text).ok();
         let differ = [
             ("name", self.name != newer.name),
             ("listen", self.listen != newer.listen),
             ("seed", self.seed != newer.seed),
             ("limits", (self.sockets, self.memory_mb) != (newer.sockets, newer.memory_mb)),
             ("known", self.known != newer.known),
-            ("settings", self.text != newer.text && value(&self.text) != value(&newer.text)),
         ];
-        differ.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect()
+        let kept = differ.into_iter().filter_map(|(key, differs)| differs.then_some(key));
+        kept.chain(self.settings.restart_for(&newer.settings)).collect()
     }
 }
 
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -93,6 +93,7 @@
     let timed = Arc::clone(&node);
     spawn(move || timed.keep_time());
     tracing::info!(name, %listen, %discovery, sockets, memory_mb, "started");
+    untold(&config);
     let mut config = config;
     while let Some(signal) = signals.forever().next() {
         if signal == SIGHUP {
@@ -115,12 +116,30 @@
     ExitCode::SUCCESS
 }
 
+/// No page gives a protocol for messages between nodes.
+fn untold(config: &Config) {
+    if config.settings.may_tell {
+        tracing::warn!("mayTell: nodes on sockets have no messages, so this one works as if all were lost");
+    }
+}
+
 /// Reads the configuration again. A file with a fault changes nothing; what is right is taken over, as far as
 /// that can be done in a running node.
 fn reload(node: &Arc<Node>, present: &mut Config, variable: impl Fn(&str) -> Option<String>) {
     match config::again(present, variable, |path| std::fs::read_to_string(path)) {
         Ok(newer) => {
             let keys = present.restart_for(&newer);
+            if let Some(key) = keys.iter().find(|key| key.starts_with("settings.")) {
+                // Half of a change would be neither the old terms nor the new ones.
+                tracing::error!(key, "configuration read again: wants a restart, so the old one stays whole");
+                return;
+            }
+            if present.differs_in_settings(&newer) {
+                present.take_settings(&newer);
+                node.feed(Input::Terms { settings: Box::new(newer.settings.clone()) });
+                tracing::info!("settings taken over; reports, shares, limits and answer times start afresh");
+                untold(&newer);
+            }
             if !keys.is_empty() {
                 tracing::warn!(?keys, "changed, and read at the start only: they want a restart");
             }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,7 +2,8 @@
 //! them at the start of an instance; a node on sockets finds the same object in its configuration.
 
 use linestack_dispatch::types::{Group, Nanos, Product, Repeats, Report, StandingOrders};
-use serde::Deserialize;
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer};
 
 /// What a node is started with.
 #[derive(Clone, Debug)]
@@ -12,6 +13,29 @@
     pub names: Names,
     /// The longest that a client of any product waits.
     pub longest_cut_off: Nanos,
+    /// Nodes may send each other messages. This one sends none, and takes none.
+    pub may_tell: bool,
+}
+
+impl Settings {
+    /// The first key that a running node can't take over, since what it holds is known by places in these lists,
+    /// or was promised by these terms.
+    #[must_use]
+    pub fn restart_for(&self, newer: &Self) -> Option<&'static str> {
+        let (names, others) = (&self.names, &newer.names);
+        let promised = |s: &Self| s.orders.products.iter().map(|p| p.repeats).collect::<Vec<_>>();
+        let differ = [
+            ("settings.products", names.products != others.products || promised(self) != promised(newer)),
+            ("settings.tenants", names.tenants != others.tenants),
+            ("settings.kinds", names.kinds != others.kinds),
+            ("settings.zones", names.zones != others.zones),
+            ("settings.report", names.figures != others.figures || self.layout != newer.layout),
+            // Its own place, and the way the list is followed.
+            ("settings.az", self.orders.zone != newer.orders.zone),
+            ("settings.discovery", self.orders.ask_within.is_some() != newer.orders.ask_within.is_some()),
+        ];
+        differ.into_iter().find_map(|(key, differs)| differs.then_some(key))
+    }
 }
 
 /// What the settings name; everywhere else the place in these lists stands for the name.
@@ -56,6 +80,7 @@
     balancers: u32,
     deductions: Deductions,
     discovery: String,
+    #[serde(deserialize_with = "part")]
     excess_payoff: f64,
     family_info: FamilyInfo,
     invariants: Invariants,
@@ -89,20 +114,47 @@
     }
 }
 
+/// Points of the result for each, as parts of the whole.
 #[derive(Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Deductions {
+    #[serde(deserialize_with = "part")]
     probe: f64,
+    #[serde(deserialize_with = "part")]
     cross_zone: f64,
+    #[serde(deserialize_with = "part")]
     handshake: f64,
 }
 
+/// A number within these limits, or a fault that names them: what is refused at the door needs no care inside.
+fn within<'de, D: Deserializer<'de>>(from: D, least: f64, most: f64) -> Result<f64, D::Error> {
+    let figure = f64::deserialize(from)?;
+    let holds = (least..=most).contains(&figure);
+    if holds { Ok(figure) } else { Err(D::Error::custom(format!("{figure} is not from {least} to {most}"))) }
+}
+
+/// A price or a share.
+fn part<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    within(from, 0.0, 1.0)
+}
+
+/// Milliseconds, a year at most.
+fn span<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    within(from, 0.0, 366.0 * 86_400_000.0)
+}
+
+/// A rate, a payoff or a multiple.
+fn amount<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    within(from, 0.0, 1e12)
+}
+
 #[derive(Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct FamilyInfo {
     class_kind: Vec<i32>,
     class_stretch: Vec<f64>,
     memory_unit: Option<String>,
+    #[serde(deserialize_with = "span")]
     progress_ms: f64,
     report_x0: String,
     report_x1: String,
@@ -112,12 +164,19 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Invariants {
+    #[serde(deserialize_with = "span")]
     answer_slack_ms: f64,
+    #[serde(deserialize_with = "part")]
     cold_from: f64,
+    #[serde(deserialize_with = "span")]
     cold_ms: f64,
+    #[serde(deserialize_with = "span")]
     drain_grace_ms: f64,
+    #[serde(deserialize_with = "span")]
     fall_ms: f64,
+    #[serde(deserialize_with = "amount")]
     fall_multiple: f64,
+    #[serde(deserialize_with = "span")]
     must_ask_in_ms: f64,
 }
 
@@ -139,12 +198,16 @@
 #[serde(rename_all = "camelCase", default)]
 struct Limits {
     cancel: bool,
+    #[serde(deserialize_with = "span")]
     conn_idle_ms: f64,
+    #[serde(deserialize_with = "span")]
     connect_timeout_ms: f64,
     max_executions: u16,
+    #[serde(deserialize_with = "span")]
     max_retry_after_ms: f64,
     may_duplicate: bool,
     may_probe: bool,
+    may_tell: bool,
     retry_after: bool,
 }
 
@@ -158,6 +221,7 @@
             max_retry_after_ms: 0.0,
             may_duplicate: false,
             may_probe: false,
+            may_tell: false,
             retry_after: false,
         }
     }
@@ -166,15 +230,20 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Class {
+    #[serde(deserialize_with = "span")]
     agreed_time_ms: f64,
     aim_stretch: Option<f64>,
     bound_to: Option<Places>,
+    #[serde(deserialize_with = "span")]
     cut_off_ms: f64,
     dedup_scope: String,
     effect: String,
+    #[serde(deserialize_with = "part")]
     late_payoff: f64,
+    #[serde(deserialize_with = "span")]
     memory_span_ms: f64,
     name: String,
+    #[serde(deserialize_with = "amount")]
     payoff: f64,
     stays_in: Option<Places>,
 }
@@ -257,6 +326,7 @@
 #[serde(rename_all = "camelCase", default)]
 struct Tenant {
     name: String,
+    #[serde(deserialize_with = "amount")]
     quota_per_s: f64,
 }
 
@@ -349,6 +419,7 @@
         counts_memory: family.memory_unit.as_ref().is_some_and(|unit| !unit.is_empty()),
     };
     let longest_cut_off = nanos(info.products.iter().map(|p| p.cut_off_ms).fold(0.0, f64::max));
+    let may_tell = info.limits.may_tell;
     let names = Names {
         products: info.products.into_iter().map(|p| p.name).collect(),
         tenants: info.tenants.into_iter().map(|t| t.name).collect(),
@@ -356,5 +427,5 @@
         zones: info.zones,
         figures: info.report.fields,
     };
-    Ok(Settings { orders, layout, names, longest_cut_off })
+    Ok(Settings { orders, layout, names, longest_cut_off, may_tell })
 }
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -465,6 +465,6 @@
         };
         let layout =
             ReportLayout { free_slots: Some(0), free_memory: None, waiting: Some(1), in_hand: Some(2) };
-        Settings { orders, layout, names, longest_cut_off: millis(longest) }
+        Settings { orders, layout, names, longest_cut_off: millis(longest), may_tell: false }
     }
 }
