--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -395,9 +395,14 @@
     let mut held = node.client();
     held.get_mut().write_all(job(1, "pay", "").as_bytes()).unwrap();
     old_jobs.recv().unwrap();
-    let changed = text.replace(&first.to_string(), &second.to_string());
-    // One at fault, in its last key, changes nothing; nor does one that tells nothing new.
-    for text in [&changed.replace("\"w0\"", "7}"), &changed.replace("\"pay\"", "7"), &text] {
+    let terms = r#""excessPayoff": 0.1, "deductions": {"handshake": 0.08}"#;
+    let changed =
+        text.replace(&first.to_string(), &second.to_string()).replace(r#""excessPayoff": 0.2"#, terms);
+    assert!(changed.contains(terms));
+    // One at fault, in its last key, changes nothing; nor does one that wants a restart, or tells nothing new.
+    let (torn, faulty) = (changed.replace("\"w0\"", "7}"), changed.replace("\"pay\"", "7"));
+    let (out_of_range, others) = (changed.replace("0.08", "8"), changed.replace("\"look\"", "\"see\""));
+    for text in [&torn, &faulty, &out_of_range, &others, &text] {
         node.reload(text);
         assert!(ask(&mut node.client(), "GET /healthz HTTP/1.1\r\n\r\n").unwrap().0.contains(" 200 "));
     }
