--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -30,7 +30,6 @@
 const REMEMBERED: f64 = 2.0; // Answer times after which a report tells nothing,
 const FRESH: f64 = 0.25; // and in which it is fresh where not all are known.
 const MOST_OWED: f64 = 8.0; // Probes that may be owed.
-const COLD_BEARS: f64 = 4.0; // Of what a cold worker bears in a window, one over the part that it is sent.
 const PROMPT: f64 = 0.25; // The part of the jobs that must start at once for one that waits to move.
 const BLIND: f64 = 0.5; // Drawn without knowing, room is found only by chance.
 const STRANGER_DRAWS: usize = 16;
@@ -396,7 +395,8 @@
         let window = self.terms.fall_window as f64;
         let bears = self.terms.fall_multiple * present * self.fleet.mean_slots(desk) * window;
         let jobs = bears / self.flow.work;
-        let mean = (jobs - 3.0 * jobs.sqrt()).max(jobs * (jobs / 2.0).min(1.0) / COLD_BEARS);
+        // The mean that stays below it with three deviations of chance.
+        let mean = ((jobs + 2.25).sqrt() - 1.5).powi(2);
         Some(mean / f64::from(self.terms.nodes) / (self.flow.arrivals.read(self.now) * window))
     }
 
