--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -32,6 +32,7 @@
 const MOST_OWED: f64 = 8.0; // Probes that may be owed.
 const PROMPT: f64 = 0.25; // The part of the jobs that must start at once for one that waits to move.
 const BLIND: f64 = 0.5; // Drawn without knowing, room is found only by chance.
+const LEAST: f64 = 0.1; // The room below which any may be turned away.
 const STRANGER_DRAWS: usize = 16;
 const ENOUGH: f64 = 64.0; // Submissions over which tenants' shares are judged at least.
 const CROWD: f64 = 4.0; // So many nodes for each of its slots are a crowd to a worker,
@@ -191,13 +192,14 @@
         }
         let excess = self.beyond_share(usize::from(job.tenant));
         let choice = self.choose(submission);
-        // Room is kept for products that pay more, and for tenants inside their shares.
         let behind = 1.0 - self.terms.products[usize::from(job.product)].payoff / self.best;
         let reserve = (excess / 3.0).max(RESERVE * behind);
         let (ready, open) = (self.fleet.ready.len().max(1) as f64, choice.open as f64);
         let limit = (self.flow.limit * self.fleet.room() / ready).max(1.0) * open;
         let full = choice.members == 0 && choice.mean * open + job.slots > limit;
-        if choice.room < reserve || full {
+        // While hardly any job starts at once, all would wait till all are late: some are turned away, by chance.
+        let least = if self.terms.tells_start { LEAST * self.chance.f64() } else { 0.0 };
+        if choice.room < reserve.max(least) || full {
             return self.finish(submission, excess > 0.0);
         }
         self.execute(submission, &choice);
@@ -490,7 +492,6 @@
             // It looks empty and would draw all the work; but where a repeat makes good, it still does some.
             Outcome::Error if harmless => desk.aside = desk.aside.max(1),
             Outcome::Error => set_aside(desk, false),
-            // Set aside for it, workers would be out of reach while one client sends what none can use.
             Outcome::Unusable => held.executions = self.terms.max_executions,
             // Dropped unseen while it stood idle, it says nothing of the worker.
             Outcome::Reset if out.idled > 0 && out.waits && ending.took < self.terms.connect_timeout / 5 => {
@@ -602,7 +603,6 @@
         let desk = &mut self.fleet[worker];
         (desk.aside, desk.unanswered) = (desk.aside.saturating_sub(1), 0);
         if desk.aside == 0 && desk.take_death(!self.terms.may_probe) {
-            // The list tells of the new start late; until then this is the best that is known of it.
             (desk.listing.started, desk.reported) = (self.now, None);
             self.fleet.take_stock(self.now, self.terms.cold_for);
         }
