--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -197,7 +197,7 @@
         let (ready, open) = (self.fleet.ready.len().max(1) as f64, choice.open as f64);
         let limit = (self.flow.limit * self.fleet.room() / ready).max(1.0) * open;
         let full = choice.members == 0 && choice.mean * open + job.slots > limit;
-        // While hardly any job starts at once, all would wait till all are late: some are turned away, by chance.
+        // While hardly any job starts at once all would come late: some are turned away, by chance.
         let least = if self.terms.tells_start { LEAST * self.chance.f64() } else { 0.0 };
         if choice.room < reserve.max(least) || full {
             return self.finish(submission, excess > 0.0);
