--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -291,6 +291,9 @@
     NodeSlow,
     /// Silent clients connect to the nodes, `size` a second.
     Flood,
+    /// Nodes go on under other terms (no copies, no probes, connections priced), all at once, and back when it
+    /// is over.
+    Switch,
 }
 
 table! {
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -1365,7 +1365,12 @@
         let t = &self.s.troubles[which];
         let of_nodes = matches!(
             t.kind,
-            Fault::NodeKill | Fault::NodeRoll | Fault::NodePause | Fault::NodeSlow | Fault::Flood
+            Fault::NodeKill
+                | Fault::NodeRoll
+                | Fault::NodePause
+                | Fault::NodeSlow
+                | Fault::Flood
+                | Fault::Switch
         );
         let mut all: Vec<usize> = if of_nodes {
             (0..self.nodes.len()).collect()
@@ -1444,6 +1449,17 @@
                     }
                 }
             }
+            Fault::Switch => {
+                for node in victims {
+                    let (life, seed) = (self.nodes[node].life, self.rng.random());
+                    let mut settings = Box::new(self.s.settings(self.nodes[node].zone, seed));
+                    if begins {
+                        (settings.orders.may_probe, settings.orders.may_duplicate) = (false, false);
+                        settings.orders.connection_price = 0.08;
+                    }
+                    self.feed(node, life, Input::Terms { settings });
+                }
+            }
             Fault::NodePause if begins => {
                 for node in victims {
                     let until = self.now + seconds(t.for_s);
--- a/crates/world/tests/judge.rs
+++ b/crates/world/tests/judge.rs
@@ -81,7 +81,8 @@
         Fault::NodeRoll,
         Fault::NodePause,
         Fault::NodeSlow,
-        Fault::Flood
+        Fault::Flood,
+        Fault::Switch
     )]
     kind: Fault,
     #[values(1, 2, 3)] seed: u64,
@@ -93,6 +94,23 @@
     assert!(part > 0.4, "{kind:?}: only {part:.2} satisfied of {}", outcome.asked);
 }
 
+// All nodes at once, with executors that come cold or leave meanwhile: no rule broken in the seconds after it or
+// after the way back, and no more lost than without.
+#[rstest]
+fn a_switch_of_terms_under_a_trouble_breaks_no_rule(
+    #[values(Fault::Grow, Fault::Drain, Fault::Crash, Fault::Roll)] kind: Fault,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut s = Scenario { seed, zones: 2, ..world(kind, 0.3, 0.5) };
+    let without = run(&s, &linestack);
+    let (at_s, for_s) = (s.troubles[0].at_s + 1.0, 4.0);
+    s.troubles.push(Trouble { kind: Fault::Switch, at_s, for_s, part: 1.0, size: 0.0, zone: None });
+    let with = run(&s, &linestack);
+    assert_eq!(with.breaches, []);
+    let kept = with.goodput / without.goodput;
+    assert!(kept > 0.9, "{kept:.2} of what is won without a switch");
+}
+
 #[rstest]
 #[case::nobody("executors = []", "executors: no executor")]
 #[case::no_load("[load]\nof_capacity = 0", "load: empty")]
