--- a/crates/world/tests/judge.rs
+++ b/crates/world/tests/judge.rs
@@ -109,6 +109,11 @@
     assert_eq!(with.breaches, []);
     let kept = with.goodput / without.goodput;
     assert!(kept > 0.9, "{kept:.2} of what is won without a switch");
+    s.troubles[1].kind = Fault::NodeRoll;
+    let fresh = run(&s, &linestack);
+    // Those go on with copies and probes, which the other terms forbid.
+    let kept = with.goodput / fresh.goodput;
+    assert!(kept > 0.95, "{kept:.2} of what nodes started afresh win");
 }
 
 #[rstest]
