--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -234,6 +234,17 @@
     leaving: bool,
 }
 
+/// How long a connection may stand idle, how long a node told to stop may go on, and how long a client may say
+/// that it waits.
+fn spans(idle: Nanos, longest_cut_off: Nanos) -> (Nanos, Nanos, Nanos) {
+    // The executor closes it after that, and what is written to it from then on is lost.
+    let idle = if idle > 0 { idle / 2 } else { SECOND };
+    // Where they name none, it may be any.
+    let longest = Some(longest_cut_off).filter(|l| *l > 0);
+    let last = longest.unwrap_or(KILLED_AT_MOST).min(KILLED_AT_MOST) + KILLED_AFTER - KILL_MARGIN;
+    (idle, last, longest.map_or(DAY, |l| l * LONGER))
+}
+
 impl Core {
     /// `sockets` is the limit on descriptors, `memory` that on bytes.
     #[must_use]
@@ -251,24 +262,21 @@
         memory: usize,
     ) -> Self {
         let (orders, names) = (settings.orders, settings.names);
-        // Where they name none, it may be any.
-        let longest = Some(settings.longest_cut_off).filter(|l| *l > 0).unwrap_or(KILLED_AT_MOST);
-        let last_span = longest.min(KILLED_AT_MOST) + KILLED_AFTER - KILL_MARGIN;
+        let (idle, last_span, longest_wait) = spans(orders.idle, settings.longest_cut_off);
         // The rest is for the listener, the watch, the signals, and what is just being closed.
         let spare = sockets.saturating_sub(16);
         // An eighth of the memory for what each client's connection takes, as much for executors'.
         let most = memory / 8 / CONNECTION;
         let mut core = Self {
             connect_timeout: orders.connect_timeout,
-            // The executor closes it after this, and what is written to it from then on is lost.
-            idle: if orders.idle > 0 { orders.idle / 2 } else { SECOND },
-            kept: if orders.idle > 0 { orders.idle / 2 } else { SECOND },
+            idle,
+            kept: idle,
             asks: orders.ask_within.is_some(),
             may_probe: orders.may_probe,
             may_duplicate: orders.may_duplicate,
             products: orders.products,
             last_span,
-            longest_wait: if settings.longest_cut_off > 0 { settings.longest_cut_off * LONGER } else { DAY },
+            longest_wait,
             last_call: Nanos::MAX,
             most_clients: most.min(spare / 2),
             most_links: most.min(spare * 3 / 8),
@@ -311,12 +319,9 @@
         self.dispatcher.go_on_under(orders.clone());
         (self.connect_timeout, self.may_probe) = (orders.connect_timeout, orders.may_probe);
         self.may_duplicate = orders.may_duplicate;
-        self.idle = if orders.idle > 0 { orders.idle / 2 } else { SECOND };
+        (self.idle, self.last_span, self.longest_wait) = spans(orders.idle, settings.longest_cut_off);
         self.kept = self.kept.min(self.idle);
         self.products = orders.products;
-        if settings.longest_cut_off > 0 {
-            self.longest_wait = settings.longest_cut_off * LONGER;
-        }
     }
 
     /// Whether clients should come.
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -693,3 +693,43 @@
     node.pass(6_000 * MS);
     assert_eq!((node.core.stats().open, node.core.stats().broken), (0, 0), "all is answered");
 }
+
+/// Decisions that order the same twice, whatever is allowed.
+struct Twice(Order);
+
+impl linestack_dispatch::types::Decide for Twice {
+    fn go_on_under(&mut self, _: linestack_dispatch::types::StandingOrders) {}
+
+    fn decide(&mut self, _: Nanos, event: Event<'_>) -> &[Order] {
+        if matches!(event, Event::Submitted { .. }) { std::slice::from_ref(&self.0) } else { &[] }
+    }
+}
+
+#[rstest]
+#[case::copies("mayDuplicate", "a second execution")]
+#[case::probes("mayProbe", "a probe where none")]
+fn what_the_settings_forbid_is_noticed(
+    #[case] key: &str,
+    #[case] fault: &str,
+    #[values(true, false)] allowed: bool,
+) {
+    let text = common::SETTINGS.replace(&format!("\"{key}\": true"), &format!("\"{key}\": {allowed}"));
+    let order = match key {
+        "mayProbe" => Order::Probe { worker: 0 },
+        _ => Order::Execute { submission: 0, worker: 0, timeout: 1_000 * MS },
+    };
+    let settings = linestack_settings::read(text.as_bytes(), 7).unwrap();
+    let core = Core::with(Box::new(Twice(order)), settings, 64, 32 << 20);
+    let mut node = Node { core, now: 1_000_000 * MS, effects: Vec::new(), clients: 0 };
+    node.list(ListKind::Cached, vec![endpoint(0, Health::Ready)]);
+    let noticed = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+        let told =
+            |node: &Node| node.effects.iter().any(|e| matches!(e, Effect::Fault(w) if w.contains(fault)));
+        node.submit(LOOK, 5_000 * MS);
+        let first = told(&node);
+        node.submit(LOOK, 5_000 * MS);
+        first || told(&node)
+    }));
+    // A debug build ends there, a release build counts it.
+    assert_eq!(noticed.unwrap_or(true), !allowed);
+}
--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -334,8 +334,8 @@
     /// Some worker has reported.
     pub(crate) told: bool,
     /// Workers that answered probes lately, and those of them that had room.
-    asked: Decaying,
-    free: Decaying,
+    pub(crate) asked: Decaying,
+    pub(crate) free: Decaying,
 }
 
 impl Fleet {
@@ -612,8 +612,6 @@
         self.probes = ((self.probes.0 + rate * (now - self.probes.1) as f64).min(most), now);
     }
 
-    /// An execution started at once or did not, on a connection that had stood idle so long: it may have been
-    /// dropped unseen.
     /// A submission has come that takes so much of a worker's slots.
     pub(crate) fn pass(&mut self, now: Nanos, job: Job, work: f64) {
         self.arrivals.add(now);
@@ -621,6 +619,8 @@
         self.work += (work - self.work) / if self.work > 0.0 { 64.0 } else { 1.0 };
     }
 
+    /// An execution started at once or did not, on a connection that had stood idle so long: it may have been
+    /// dropped unseen.
     pub(crate) fn started(&mut self, at_once: bool, idled: Nanos) {
         self.prompt += (f64::from(u8::from(at_once)) - self.prompt) / 16.0;
         if idled > 0 {
--- a/crates/dispatch/src/carry.rs
+++ b/crates/dispatch/src/carry.rs
@@ -37,7 +37,7 @@
     }
     let listed = fleet.desks.iter().map(|d| f64::from(d.listing.weight)).filter(|w| w.is_finite());
     fleet.largest = if sized { listed.fold(0.0, f64::max) } else { 0.0 };
-    fleet.told = false;
+    (fleet.told, fleet.asked, fleet.free) = Default::default();
     fleet.take_stock(now, cold_for);
     fleet
 }
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -111,6 +111,7 @@
 #[case::share_out_of_range(Some("there"), None, ("\"excessPayoff\": 0.2", "\"excessPayoff\": 2"), "settings.excessPayoff")]
 #[case::cold_part(Some("there"), None, ("\"coldFrom\": 0.3", "\"coldFrom\": -0.3"), "settings.invariants.coldFrom")]
 #[case::negative_span(Some("there"), None, ("\"connIdleMs\": 60000.0", "\"connIdleMs\": -1"), "settings.limits.connIdleMs")]
+#[case::negative_stretch(Some("there"), None, ("[1, 1, 1]", "[1, -1, 1]"), "settings.familyInfo.classStretch")]
 #[case::no_number(Some("there"), None, ("\"coldMs\": 9000.0", "\"coldMs\": \"NaN\""), "settings.invariants.coldMs")]
 #[case::huge(Some("there"), None, ("\"coldMs\": 9000.0", "\"coldMs\": 1e300"), "settings.invariants.coldMs")]
 #[case::no_products(Some("there"), None, ("\"products\"", "\"other\""), "settings.products")]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -143,6 +143,17 @@
     within(from, 0.0, 366.0 * 86_400_000.0)
 }
 
+/// Multiples of the running time.
+fn stretches<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<f64>, D::Error> {
+    let all = Vec::<f64>::deserialize(from)?;
+    let odd = all.iter().find(|s| !(0.0..=1e12).contains(*s));
+    odd.map_or(Ok(all.clone()), |s| Err(D::Error::custom(format!("{s} is not from 0 to 1e12"))))
+}
+
+fn stretch<'de, D: Deserializer<'de>>(from: D) -> Result<Option<f64>, D::Error> {
+    amount(from).map(Some)
+}
+
 /// A rate, a payoff or a multiple.
 fn amount<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
     within(from, 0.0, 1e12)
@@ -152,6 +163,7 @@
 #[serde(rename_all = "camelCase", default)]
 struct FamilyInfo {
     class_kind: Vec<i32>,
+    #[serde(deserialize_with = "stretches")]
     class_stretch: Vec<f64>,
     memory_unit: Option<String>,
     #[serde(deserialize_with = "span")]
@@ -232,6 +244,7 @@
 struct Class {
     #[serde(deserialize_with = "span")]
     agreed_time_ms: f64,
+    #[serde(deserialize_with = "stretch")]
     aim_stretch: Option<f64>,
     bound_to: Option<Places>,
     #[serde(deserialize_with = "span")]
