--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,10 +2,10 @@
 
 pub mod draw;
 pub mod file;
+pub mod fleet;
 pub mod hunt;
 pub mod play;
 pub mod policies;
 pub mod report;
-pub mod sockets;
 pub mod starts;
 pub mod sweep;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,13 +8,16 @@
 
 use clap::{Parser, Subcommand};
 use linestack_lab::file;
+use linestack_lab::fleet;
 use linestack_lab::hunt::{Prey, search, shrink, to_file};
 use linestack_lab::play::{Played, mean, play_all, seeds};
 use linestack_lab::policies::Policy;
 use linestack_lab::report::page;
-use linestack_lab::sockets::{self, Fleet, Loaded, Plan, Started};
 use linestack_lab::starts;
 use linestack_lab::sweep::{Axis, grid};
+use linestack_rig::load::{self, Loaded, Plan};
+use linestack_rig::stand::Fleet;
+use linestack_rig::started::Started;
 use linestack_world::{Executors, Fault, Product, Repeats, Scenario, Trouble};
 
 /// Plays worlds of whole nodes in simulated time, and loads real nodes on loopback.
@@ -157,6 +160,11 @@
     },
     /// Two real nodes and a small fleet, loaded through a fault for some seconds.
     Demo,
+    /// Several processes of the program, with faults between them.
+    Fleet {
+        #[command(subcommand)]
+        command: fleet::Command,
+    },
     /// Play scenario files again, as they are. Exits with 1 if a rule was broken.
     Replay { scenarios: Vec<PathBuf> },
 }
@@ -245,7 +253,7 @@
         Command::Load { scenario, to, clients, rate, span, ramp } => {
             let s = file::read(scenario)?;
             let plan = plan(*clients, *rate, *span, *ramp)?;
-            let loaded = sockets::load(&s, to, &plan, seed_now())?;
+            let loaded = load::load(&s, to, &plan, seed_now())?;
             println!("{HEAD}\n{}", row("load", &loaded));
             Ok(ExitCode::SUCCESS)
         }
@@ -255,8 +263,8 @@
             let plan = plan(*clients, None, *span, *ramp)?;
             let fleet = Fleet::start(&s)?;
             let node = Started::start(&Started::program()?, &fleet.configuration("n0", 1))?;
-            let direct = sockets::load(&s, &fleet.executors, &plan, seed_now())?;
-            let through = sockets::load(&s, &[node.address], &plan, seed_now())?;
+            let direct = load::load(&s, &fleet.executors, &plan, seed_now())?;
+            let through = load::load(&s, &[node.address], &plan, seed_now())?;
             println!("{HEAD}\n{}\n{}", row("direct", &direct), row("through a node", &through));
             println!("{:.3} of the direct rate", through.rate() / direct.rate());
             Ok(ExitCode::SUCCESS)
@@ -274,6 +282,7 @@
             many_starts(&program, &plan)
         }
         Command::Demo => demo(),
+        Command::Fleet { command } => fleet::go(command, arguments.json),
         Command::Replay { scenarios } => {
             let all = scenarios.iter().map(|p| file::read(p)).collect::<Result<Vec<_>, _>>()?;
             let played = play_all(&all, &[Policy::Linestack], arguments.quiet);
@@ -378,7 +387,7 @@
     fleet.play();
     let mut failed = false;
     for (name, span) in [("before (3 s)", 3.0), ("hanging (2 s)", 2.0), ("after (3 s)", 3.0)] {
-        let loaded = sockets::load(&s, &to, &plan(40, Some(150.0), span, 0.0)?, seed_now())?;
+        let loaded = load::load(&s, &to, &plan(40, Some(150.0), span, 0.0)?, seed_now())?;
         println!("{}", row(name, &loaded));
         failed |= loaded.satisfied == 0;
     }
--- a/crates/lab/src/starts.rs
+++ b/crates/lab/src/starts.rs
@@ -9,7 +9,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use crate::sockets::Fleet;
+use linestack_rig::stand::Fleet;
 
 /// The most nodes that are alive at a time.
 pub const MOST_AT_ONCE: usize = 512;
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -10,8 +10,9 @@
 use linestack_lab::play::{mean, play, play_all, seeds};
 use linestack_lab::policies::Policy;
 use linestack_lab::report::page;
-use linestack_lab::sockets::{Fleet, Plan, load};
 use linestack_lab::sweep::{Axis, grid};
+use linestack_rig::load::{Plan, load};
+use linestack_rig::stand::Fleet;
 use linestack_world::{Executors, Fault, Product, Scenario, Trouble};
 use rstest::rstest;
 
--- a/crates/node/tests/starts.rs
+++ b/crates/node/tests/starts.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use linestack_lab::sockets::{self, Fleet};
 use linestack_lab::starts::{Plan, starts};
+use linestack_rig::load;
+use linestack_rig::stand::Fleet;
 use linestack_world::{Product, Scenario};
 
 #[test]
@@ -20,8 +21,8 @@
     };
     let (executors, span) = (fleet.executors.clone(), Duration::from_secs(5));
     let load = std::thread::spawn(move || {
-        let plan = sockets::Plan { clients: 32, rate: None, span, ramp: Duration::ZERO };
-        sockets::load(&scenario, &executors, &plan, 1)
+        let plan = load::Plan { clients: 32, rate: None, span, ramp: Duration::ZERO };
+        load::load(&scenario, &executors, &plan, 1)
     });
     let counted = starts(env!("CARGO_BIN_EXE_linestack").as_ref(), &fleet, &plan).unwrap();
     assert!(counted.sound(), "{counted:?}");
--- /dev/null
+++ b/crates/rig/src/http.rs
@@ -0,0 +1,73 @@
+//! HTTP messages as the stand-ins read them: bounded, and no more than they need.
+
+use std::io::{self, BufRead, BufReader, Read};
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// No stand-in reads more of a head or a body, nor waits longer for a peer.
+pub const LARGEST: usize = 80 * 1024;
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A message's head, and what its body holds. None at the end of the connection.
+pub fn message(socket: &mut BufReader<TcpStream>) -> io::Result<Option<(String, Vec<u8>)>> {
+    let mut head = String::new();
+    loop {
+        let before = head.len();
+        if socket.by_ref().take(LARGEST as u64).read_line(&mut head)? == 0 {
+            return Ok(None);
+        }
+        if head.len() > LARGEST {
+            return Err(io::Error::other("head too large"));
+        }
+        if head.len() - before <= 2 {
+            break;
+        }
+    }
+    let mut body = Vec::new();
+    if let Some(length) = header(&head, "content-length") {
+        let length = length.parse::<usize>().map_err(io::Error::other)?;
+        if length > LARGEST {
+            return Err(io::Error::other("body too large"));
+        }
+        body.resize(length, 0);
+        socket.read_exact(&mut body)?;
+    } else if header(&head, "transfer-encoding").is_some() {
+        loop {
+            let mut line = String::new();
+            socket.by_ref().take(64).read_line(&mut line)?;
+            let length = usize::from_str_radix(line.trim(), 16).map_err(io::Error::other)?;
+            if length > LARGEST {
+                return Err(io::Error::other("chunk too large"));
+            }
+            let start = body.len();
+            body.resize(start + length + 2, 0);
+            socket.read_exact(&mut body[start..])?;
+            body.truncate(start + length);
+            if length == 0 {
+                break;
+            }
+        }
+    }
+    Ok(Some((head, body)))
+}
+
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().skip(1).find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.trim().eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
+/// The status of a GET over a connection of its own.
+///
+/// # Errors
+///
+/// Nobody answers in time, or not in HTTP.
+pub fn get(to: std::net::SocketAddr, path: &str, within: Duration) -> io::Result<u16> {
+    use std::io::Write as _;
+    let mut socket = TcpStream::connect_timeout(&to, within)?;
+    socket.set_read_timeout(Some(within))?;
+    write!(socket, "GET {path} HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n")?;
+    let (head, _) = message(&mut BufReader::new(socket))?.ok_or(io::Error::other("no answer"))?;
+    head.split(' ').nth(1).and_then(|s| s.parse().ok()).ok_or(io::Error::other("no status"))
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,28 @@
+//! The rig: many processes of the real program on loopback, among stand-in executors, discovery and clients,
+//! with a proxy on every way between them that can be told to fail.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+pub mod check;
+pub mod clients;
+pub mod draw;
+pub mod http;
+pub mod load;
+pub mod plan;
+pub mod process;
+pub mod run;
+pub mod stand;
+pub mod started;
+pub mod way;
+
+/// Locks a mutex whose holders keep it consistent between statements.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The machine's monotonic clock, in nanoseconds: all processes on it read the same.
+#[must_use]
+pub fn monotonic() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    now.tv_sec.unsigned_abs() * 1_000_000_000 + now.tv_nsec.unsigned_abs()
+}
--- /dev/null
+++ b/crates/rig/src/plan.rs
@@ -0,0 +1,250 @@
+//! What is started, and what is done to it in which order. A plan is a TOML file, checked as a whole.
+
+use linestack_frames::kind;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::way::Side;
+
+macro_rules! table {
+    ($(#[$doc:meta])* $name:ident { $($(#[$fdoc:meta])* $field:ident: $kind:ty = $default:expr,)* }) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+        #[serde(deny_unknown_fields, default, rename_all = "kebab-case")]
+        pub struct $name { $($(#[$fdoc])* pub $field: $kind,)* }
+
+        impl Default for $name {
+            fn default() -> Self {
+                Self { $($field: $default,)* }
+            }
+        }
+    };
+}
+
+table! {
+    Plan {
+        name: String = "plan".into(),
+        seed: u64 = 1,
+        nodes: usize = 3,
+        /// None: the nodes are told their terms by their files alone.
+        coordinators: usize = 0,
+        /// Whether a node that can't prove its terms current stops taking submissions.
+        strict: bool = true,
+        lease_ms: u64 = 1500,
+        executors: u32 = 4,
+        slots: u32 = 8,
+        work_ms: f64 = 20.0,
+        load: Load = Load::default(),
+        steps: Vec<Step> = Vec::new(),
+        /// The load goes on for so long after the last step.
+        tail_ms: u64 = 1000,
+    }
+}
+
+table! {
+    Load {
+        /// Submissions a second of all clients together.
+        rate: f64 = 200.0,
+        clients: usize = 16,
+        /// How long a client waits for an answer, and how often it asks again.
+        cut_off_ms: u64 = 2000,
+        tries: u32 = 3,
+        /// Ask again also when the first try may have run. Off: only when it can't have.
+        ask_when_unknown: bool = false,
+        one_shot_share: f64 = 0.5,
+    }
+}
+
+table! {
+    /// What is waited for, and then done. With nothing to wait for it is done at once.
+    Step {
+        /// A line of a history, by its kind.
+        line: Option<String> = None,
+        /// A line of a log that holds these words.
+        log: Option<String> = None,
+        /// Whose.
+        by: Option<String> = None,
+        /// A frame of this kind has passed on a way such as `c0>c1`.
+        frame: Option<String> = None,
+        way: Option<String> = None,
+        side: Side = Side::Forth,
+        /// So many of them since the step before.
+        count: u64 = 1,
+        /// Pace only: so long after the step before, or after what was waited for.
+        after_ms: u64 = 0,
+        r#do: Deed = Deed::Nothing,
+        /// Processes (`n3`), or ways (`n3>c0`, `*>c0`), by the deed.
+        to: Vec<String> = Vec::new(),
+        sides: Vec<Side> = vec![Side::Forth, Side::Back],
+        ms: u64 = 0,
+        bytes: u64 = 0,
+        /// The operator's request, the version that it builds on, and which terms it carries.
+        request: String = String::new(),
+        base: u64 = 0,
+        terms: u64 = 0,
+        all: bool = false,
+        give_up_ms: u64 = 0,
+        /// A fault that the process is started with; it exists in test builds only.
+        fault: String = String::new(),
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Deed {
+    Nothing,
+    Kill,
+    Start,
+    /// Start with nothing stored.
+    StartEmpty,
+    /// Keep a copy of what is stored; and start with that copy later.
+    Copy,
+    StartOlder,
+    Pause,
+    Resume,
+    /// Tell it to stop, and wait until it has.
+    Stop,
+    Cut,
+    Heal,
+    Delay,
+    Throttle,
+    Reset,
+    CutAt,
+    Repeat,
+    Hold,
+    Release,
+    /// Other terms in the node's own file, and SIGHUP.
+    Terms,
+    Propose,
+    Abort,
+}
+
+impl Deed {
+    /// Whether it is done to ways.
+    #[must_use]
+    pub fn on_ways(self) -> bool {
+        use Deed::{Cut, CutAt, Delay, Heal, Hold, Release, Repeat, Reset, Throttle};
+        matches!(self, Cut | Heal | Delay | Throttle | Reset | CutAt | Repeat | Hold | Release)
+    }
+}
+
+#[derive(Debug, Error)]
+pub enum Fault {
+    #[error("{0}")]
+    Malformed(String),
+    /// One line for each fault.
+    #[error("{0}")]
+    Impossible(String),
+}
+
+/// Whether a way or a process is meant by a pattern, in which `*` stands for any name's rest.
+#[must_use]
+pub fn meant(pattern: &str, name: &str) -> bool {
+    match (pattern.split_once('>'), name.split_once('>')) {
+        (Some((a, b)), Some((x, y))) => meant(a, x) && meant(b, y),
+        (None, None) => match pattern.strip_suffix('*') {
+            Some(start) => name.starts_with(start),
+            None => pattern == name,
+        },
+        _ => false,
+    }
+}
+
+impl Plan {
+    /// Reads a plan and checks it.
+    ///
+    /// # Errors
+    ///
+    /// All that is wrong with it, each by its key.
+    pub fn read(text: &str) -> Result<Self, Fault> {
+        let plan: Self = toml::from_str(text).map_err(|e| Fault::Malformed(e.to_string()))?;
+        plan.check()?;
+        Ok(plan)
+    }
+
+    /// The names of its processes.
+    #[must_use]
+    pub fn processes(&self) -> Vec<String> {
+        let nodes = (0..self.nodes).map(|i| format!("n{i}"));
+        nodes.chain((0..self.coordinators).map(|i| format!("c{i}"))).collect()
+    }
+
+    /// The names of the ways between them: from clients (`k`) to nodes, from nodes to executors (`e0`) and
+    /// discovery (`d`), and from nodes, coordinators and the operator (`o`) to coordinators.
+    #[must_use]
+    pub fn ways(&self) -> Vec<String> {
+        let mut ways = Vec::new();
+        for n in 0..self.nodes {
+            ways.push(format!("k>n{n}"));
+            ways.push(format!("n{n}>d"));
+            ways.extend((0..self.executors).map(|e| format!("n{n}>e{e}")));
+            ways.extend((0..self.coordinators).map(|c| format!("n{n}>c{c}")));
+        }
+        for c in 0..self.coordinators {
+            ways.push(format!("o>c{c}"));
+            ways.extend((0..self.coordinators).filter(|d| *d != c).map(|d| format!("c{c}>c{d}")));
+        }
+        ways
+    }
+
+    /// # Errors
+    ///
+    /// All that is wrong with it, each by its key.
+    pub fn check(&self) -> Result<(), Fault> {
+        let mut faults = Vec::new();
+        let mut must = |fine: bool, key: &str, why: &str| {
+            if !fine {
+                faults.push(format!("{key}: {why}"));
+            }
+        };
+        must((1..=256).contains(&self.nodes), "nodes", "from 1 to 256");
+        must([0, 1, 3, 5].contains(&self.coordinators), "coordinators", "0, 1, 3 or 5");
+        must((200..=60_000).contains(&self.lease_ms), "lease-ms", "from 200 to 60,000");
+        must((1..=64).contains(&self.executors), "executors", "from 1 to 64");
+        must((1..=4096).contains(&self.slots), "slots", "from 1 to 4,096");
+        must(self.work_ms > 0.0 && self.work_ms < 1e5, "work-ms", "over 0, under 100,000");
+        must(self.load.rate > 0.0 && self.load.rate <= 1e5, "load.rate", "over 0, 100,000 at most");
+        must((1..=512).contains(&self.load.clients), "load.clients", "from 1 to 512");
+        must((50..=60_000).contains(&self.load.cut_off_ms), "load.cut-off-ms", "from 50 to 60,000");
+        must((0.0..=1.0).contains(&self.load.one_shot_share), "load.one-shot-share", "from 0 to 1");
+        must(self.tail_ms <= 600_000, "tail-ms", "600,000 at most");
+        let (processes, ways) = (self.processes(), self.ways());
+        for (i, step) in self.steps.iter().enumerate() {
+            let key = |k: &str| format!("steps[{i}].{k}");
+            let waits = [&step.line, &step.log, &step.frame].iter().filter(|w| w.is_some()).count();
+            must(waits <= 1, &key("line"), "one thing is waited for");
+            must(step.count > 0, &key("count"), "at least 1");
+            must(step.after_ms <= 600_000, &key("after-ms"), "600,000 at most");
+            if let Some(by) = &step.by {
+                must(processes.iter().any(|p| meant(by, p)) || by == "rig", &key("by"), "no such process");
+            }
+            if let Some(frame) = &step.frame {
+                must(kind(frame).is_some(), &key("frame"), "no such kind of frame");
+                let way = step.way.as_deref().unwrap_or("*>*");
+                must(ways.iter().any(|w| meant(way, w)), &key("way"), "no such way");
+            }
+            if matches!(step.r#do, Deed::CutAt | Deed::Repeat | Deed::Hold) {
+                must(step.frame_for().is_some(), &key("request"), "the kind of frame that it is done to");
+            }
+            let names = if step.r#do.on_ways() { &ways } else { &processes };
+            for to in &step.to {
+                must(names.iter().any(|n| meant(to, n)), &key("to"), "nothing has this name");
+            }
+            let nobody = matches!(step.r#do, Deed::Nothing | Deed::Propose | Deed::Abort);
+            must(nobody || !step.to.is_empty(), &key("to"), "nobody is named");
+            if step.r#do == Deed::Propose {
+                must(self.coordinators > 0, &key("do"), "there is no coordinator");
+                must(!step.request.is_empty(), &key("request"), "has no name");
+            }
+        }
+        if faults.is_empty() { Ok(()) } else { Err(Fault::Impossible(faults.join("\n"))) }
+    }
+}
+
+impl Step {
+    /// The kind of frame that a trick is played on; it stands in `request`.
+    #[must_use]
+    pub fn frame_for(&self) -> Option<u8> {
+        kind(&self.request)
+    }
+}
--- /dev/null
+++ b/crates/rig/src/run.rs
@@ -0,0 +1,743 @@
+//! Plays a plan: starts the processes, does what is planned, collects the histories, and has them judged.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fs;
+use std::io::{self, Read as _, Seek as _};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use linestack_frames::KINDS;
+use linestack_history::{Line, What, read};
+use linestack_world::{Executors, Product, Repeats, Scenario, Tenant};
+use rustix::process::Signal;
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::check::{Finding, Promise, check, doubled};
+use crate::clients;
+use crate::plan::{Deed, Plan, Step, meant};
+use crate::process::{PATIENCE, Process, copy};
+use crate::stand::Fleet;
+use crate::way::{Side, Trick, Way};
+use crate::{lock, monotonic};
+
+/// How often logs and histories are looked at for what a step waits for.
+const LOOK: Duration = Duration::from_millis(2);
+/// Drift that clocks are allowed, and what a busy machine adds to every bound, in nanoseconds.
+const MACHINE: u64 = 250_000_000;
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Outcome {
+    pub findings: Vec<Finding>,
+    pub lines: Vec<Line>,
+    /// By second from the start of the load.
+    pub seconds: Vec<Second>,
+    /// One-shots that began more than once.
+    pub doubled: usize,
+    /// Processes that ended though nobody told them to, and what stood in the way of the plan.
+    pub faults: Vec<String>,
+    /// Nanoseconds on the monotonic clock at which each step was done.
+    pub done: Vec<u64>,
+    pub began: u64,
+}
+
+impl Outcome {
+    #[must_use]
+    pub fn sound(&self) -> bool {
+        self.findings.is_empty() && self.faults.is_empty()
+    }
+
+    /// For how long nodes went by different versions, in all, in nanoseconds; none if they still do.
+    #[must_use]
+    pub fn mixed(&self) -> Option<u64> {
+        let mut active: BTreeMap<&str, u64> = BTreeMap::new();
+        let (mut since, mut sum) = (None, 0);
+        let begun = |line: &&Line| line.at >= self.began || matches!(line.what, What::Active { .. });
+        for line in self.lines.iter().filter(begun) {
+            match &line.what {
+                What::Active { version, .. } => drop(active.insert(&line.by, *version)),
+                // One that is dead goes by nothing; one that is paused may wake at any moment.
+                What::Did { deed, to } if deed == "kill" => drop(active.remove(to.as_str())),
+                _ => continue,
+            }
+            let mixed = active.values().min() != active.values().max();
+            match (mixed && line.at >= self.began, since) {
+                (true, None) => since = Some(line.at),
+                (false, Some(from)) => {
+                    sum += line.at - from;
+                    since = None;
+                }
+                _ => {}
+            }
+        }
+        since.is_none().then_some(sum)
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Second {
+    pub asked: u64,
+    pub satisfied: u64,
+    pub dismissed: u64,
+    pub aborted: u64,
+    pub unknown: u64,
+    pub unsent: u64,
+    /// Satisfied after half of the cut-off.
+    pub late: u64,
+    pub list_calls: u64,
+    /// Connections made to nodes and by them.
+    pub connections: u64,
+    pub executions: u64,
+}
+
+/// What has happened since a step began to be waited for.
+#[derive(Default)]
+struct Seen {
+    frames: HashMap<(String, Side, u8), u64>,
+    lines: Vec<(String, String)>,
+    logs: Vec<(String, String)>,
+    /// Set while a step waits for a frame: the way on which it passes waits until the step is done.
+    waited: Option<(String, Side, u8, u64)>,
+    busy: bool,
+}
+
+struct Bus {
+    seen: Mutex<Seen>,
+    changed: Condvar,
+    stop: AtomicBool,
+}
+
+impl Bus {
+    fn frame(&self, way: &str, side: Side, kind: u8) {
+        let mut seen = lock(&self.seen);
+        *seen.frames.entry((way.to_owned(), side, kind)).or_default() += 1;
+        if seen.reached() {
+            seen.busy = true;
+            self.changed.notify_all();
+            let begin = Instant::now();
+            while seen.busy && !self.stop.load(Ordering::Relaxed) && begin.elapsed() < PATIENCE {
+                let waited = self.changed.wait_timeout(seen, Duration::from_millis(20));
+                seen = waited.unwrap_or_else(PoisonError::into_inner).0;
+            }
+        }
+    }
+}
+
+impl Seen {
+    fn reached(&self) -> bool {
+        let Some((way, side, kind, count)) = &self.waited else { return false };
+        let passed = self.frames.iter().filter(|((w, s, k), _)| meant(way, w) && s == side && k == kind);
+        passed.map(|(_, n)| n).sum::<u64>() >= *count
+    }
+}
+
+struct Rig<'a> {
+    plan: &'a Plan,
+    program: PathBuf,
+    folder: PathBuf,
+    fleet: Fleet,
+    ways: BTreeMap<String, Arc<Way>>,
+    /// Those from clients to nodes.
+    doors: Vec<Arc<Way>>,
+    processes: BTreeMap<String, Process>,
+    addresses: HashMap<String, SocketAddr>,
+    bus: Arc<Bus>,
+    lines: Sender<Line>,
+    /// Text of the policy that the fleet begins with.
+    policy: Value,
+    operators: Vec<std::thread::JoinHandle<()>>,
+    /// Which terms stand in each node's own file, where they are not the first.
+    filed: HashMap<String, u64>,
+}
+
+/// Plays a plan with the program, in a folder that is empty or not there yet.
+///
+/// # Errors
+///
+/// The plan could not be played: a process did not start, or what a step waits for never came.
+pub fn run(plan: &Plan, program: &Path, folder: &Path) -> io::Result<Outcome> {
+    plan.check().map_err(io::Error::other)?;
+    let (lines, told) = channel();
+    let observe = |by: &'static str| -> crate::stand::Observer {
+        let lines = Mutex::new(lines.clone());
+        Arc::new(move |what| drop(lock(&lines).send(Line::new(monotonic(), by, 0, what))))
+    };
+    let fleet = Fleet::start_seen(&scenario(plan), Some(observe("executors")))?;
+    let bus = Arc::new(Bus { seen: Mutex::default(), changed: Condvar::new(), stop: AtomicBool::new(false) });
+    let mut rig = Rig {
+        plan,
+        program: program.to_owned(),
+        folder: folder.to_owned(),
+        policy: fleet.configuration("any", 1)["settings"].clone(),
+        fleet,
+        ways: BTreeMap::new(),
+        doors: Vec::new(),
+        processes: BTreeMap::new(),
+        addresses: HashMap::new(),
+        bus,
+        lines: lines.clone(),
+        operators: Vec::new(),
+        filed: HashMap::new(),
+    };
+    rig.prepare()?;
+    rig.start(&plan.processes())?;
+    rig.serving()?;
+    let (counted, seconds) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
+    let began = monotonic();
+    let stop = Arc::new(AtomicBool::new(false));
+    let seen = observe("clients");
+    let ways = std::mem::take(&mut rig.doors);
+    let nodes: Vec<&Way> = ways.iter().map(|w| &**w).collect();
+    let done = std::thread::scope(|scope| {
+        for number in 0..plan.load.clients {
+            let (nodes, stop, seen) = (&nodes, &stop, &seen);
+            scope.spawn(move || clients::ask(number, &plan.load, plan.seed, nodes, stop, seen));
+        }
+        let (calls, made) = (Arc::clone(&rig.fleet.list_calls), Arc::clone(&seconds));
+        let ended = Arc::clone(&counted);
+        let opened = Arc::new(AtomicU64::new(0));
+        let told = Arc::clone(&opened);
+        scope.spawn(move || {
+            while !ended.load(Ordering::Relaxed) {
+                lock(&made).push((monotonic(), calls.load(Ordering::Relaxed), told.load(Ordering::Relaxed)));
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        });
+        let done = rig.steps(&opened);
+        stop.store(true, Ordering::Relaxed);
+        rig.bus.stop.store(true, Ordering::Relaxed);
+        counted.store(true, Ordering::Relaxed);
+        done
+    });
+    let counts = lock(&seconds).clone();
+    let (done, mut faults) = match done {
+        Ok(done) => (done, Vec::new()),
+        Err(why) => (Vec::new(), vec![why.to_string()]),
+    };
+    faults.extend(rig.end()?);
+    drop(seen);
+    let lines = collect(&rig, &told, &mut faults);
+    let promise = Promise {
+        coordinated: plan.coordinators > 0,
+        // The lease of whoever was granted one just before, and what a busy machine adds.
+        bound: plan.lease_ms * 1_000_000 + MACHINE,
+        strict: plan.coordinators > 0 && plan.strict,
+        asked_when_unknown: plan.load.ask_when_unknown,
+    };
+    let mut findings = check(&lines, &promise);
+    findings.truncate(100);
+    let seconds = by_second(&lines, &counts, began, plan.load.cut_off_ms * 500_000);
+    Ok(Outcome { doubled: doubled(&lines), findings, lines, seconds, faults, done, began })
+}
+
+/// What the stand-ins are.
+#[must_use]
+pub fn scenario(plan: &Plan) -> Scenario {
+    let product = |name: &str, repeats| Product {
+        name: name.into(),
+        work_ms: plan.work_ms,
+        agreed_ms: plan.load.cut_off_ms as f64 / 2.0,
+        cut_off_ms: plan.load.cut_off_ms as f64,
+        repeats,
+        ..Product::default()
+    };
+    let executors = Executors {
+        count: plan.executors,
+        slots: plan.slots,
+        cores: f64::from(plan.slots),
+        ..Executors::default()
+    };
+    let mut s = Scenario {
+        seed: plan.seed,
+        executors: vec![executors],
+        products: vec![
+            product(clients::ONE_SHOT, Repeats::OneShot),
+            product(clients::HARMLESS, Repeats::Harmless),
+        ],
+        tenants: vec![Tenant { name: "all".into(), ..Tenant::default() }],
+        ..Scenario::default()
+    };
+    s.nodes.count = plan.nodes as u32;
+    s.load.per_s = plan.load.rate;
+    s
+}
+
+/// Everything that was told, merged by time.
+fn collect(rig: &Rig<'_>, told: &Receiver<Line>, faults: &mut Vec<String>) -> Vec<Line> {
+    let mut lines: Vec<Line> = told.try_iter().collect();
+    for process in rig.processes.values() {
+        if let Ok(file) = fs::File::open(process.folder.join("history")) {
+            match read(&mut io::BufReader::new(file)) {
+                Ok(more) => lines.extend(more),
+                Err(why) => faults.push(format!("history of {}: {why}", process.name)),
+            }
+        }
+    }
+    lines.sort_by_key(|l| l.at);
+    lines
+}
+
+fn by_second(lines: &[Line], counts: &[(u64, u64, u64)], began: u64, late: u64) -> Vec<Second> {
+    let mut seconds: Vec<Second> = Vec::new();
+    let mut at = |time: u64, add: &dyn Fn(&mut Second)| {
+        let place = (time.saturating_sub(began) / 1_000_000_000) as usize;
+        if place < 3600 {
+            if seconds.len() <= place {
+                seconds.resize(place + 1, Second::default());
+            }
+            add(&mut seconds[place]);
+        }
+    };
+    let mut asked: HashMap<&str, u64> = HashMap::new();
+    for line in lines.iter().filter(|l| l.at >= began) {
+        match &line.what {
+            What::Asked { id, .. } => {
+                asked.insert(id, line.at);
+                at(line.at, &|s| s.asked += 1);
+            }
+            What::Told { id, status } => {
+                let took = asked.get(id.as_str()).map_or(0, |from| line.at - from);
+                at(line.at, &|s| match status {
+                    200 => {
+                        s.satisfied += 1;
+                        s.late += u64::from(took > late);
+                    }
+                    429 | 503 => s.dismissed += 1,
+                    _ => s.aborted += 1,
+                });
+            }
+            What::Unknown { .. } => at(line.at, &|s| s.unknown += 1),
+            What::Unsent { .. } => at(line.at, &|s| s.unsent += 1),
+            What::Took { .. } => at(line.at, &|s| s.executions += 1),
+            _ => {}
+        }
+    }
+    for pair in counts.windows(2) {
+        at(pair[1].0, &|s| {
+            s.list_calls += pair[1].1 - pair[0].1;
+            s.connections += pair[1].2.saturating_sub(pair[0].2);
+        });
+    }
+    seconds
+}
+
+impl Rig<'_> {
+    /// Opens the ways, and writes down what each process is told.
+    fn prepare(&mut self) -> io::Result<()> {
+        for name in self.plan.ways() {
+            let bus = Arc::clone(&self.bus);
+            let framed = name.split_once('>').is_some_and(|(_, to)| to.starts_with('c'));
+            let way = Way::open(&name, framed, Arc::new(move |w, s, k| bus.frame(w, s, k)))?;
+            self.ways.insert(name, Arc::new(way));
+        }
+        let plan = self.plan;
+        self.doors = (0..plan.nodes).map(|n| Arc::clone(&self.ways[&format!("k>n{n}")])).collect();
+        for (e, address) in self.fleet.executors.iter().enumerate() {
+            for n in 0..plan.nodes {
+                self.ways[&format!("n{n}>e{e}")].lead_to(Some(*address));
+            }
+        }
+        let coordinators = |from: &str| -> Vec<String> {
+            let address = |c| self.ways.get(&format!("{from}>c{c}")).map(|w| w.address.to_string());
+            (0..plan.coordinators).map(|c| address(c).unwrap_or_default()).collect()
+        };
+        for n in 0..plan.nodes {
+            let name = format!("n{n}");
+            let mut process = Process::new(&name, self.folder.join(&name), &self.program, &[]);
+            fs::create_dir_all(process.store())?;
+            let executors: Vec<SocketAddr> =
+                (0..plan.executors).map(|e| self.ways[&format!("{name}>e{e}")].address).collect();
+            let list = &self.ways[&format!("{name}>d")];
+            list.lead_to(Some(self.fleet.discovery_with(&executors)?));
+            let mut file = self.fleet.configuration(&name, n as u64 + 1);
+            file["discovery"] = json!(list.address.to_string());
+            let path = process.folder.join("node.json");
+            fs::write(&path, file.to_string())?;
+            process.variables.push(("PROXY_CONFIG".into(), path.display().to_string()));
+            if plan.coordinators > 0 {
+                let told = json!({"fleet": {"id": "rig", "member": name, "coordinators": coordinators(&name),
+                    "folder": process.store(), "mode": if plan.strict { "strict" } else { "available" },
+                    "history": process.folder.join("history")}});
+                let path = process.folder.join("fleet.toml");
+                fs::write(&path, toml::to_string(&told).map_err(io::Error::other)?)?;
+                process.variables.push(("PROXY_FLEET".into(), path.display().to_string()));
+            }
+            self.processes.insert(name, process);
+        }
+        for c in 0..plan.coordinators {
+            let name = format!("c{c}");
+            let folder = self.folder.join(&name);
+            let path = folder.join("coordinator.toml");
+            let words = ["coordinate", &path.display().to_string()].map(str::to_owned);
+            let words: Vec<&str> = words.iter().map(String::as_str).collect();
+            let process = Process::new(&name, folder.clone(), &self.program, &words);
+            fs::create_dir_all(process.store())?;
+            let first = folder.join("policy.json");
+            fs::write(&first, self.terms(1).to_string())?;
+            let told = json!({"coordinator": {"fleet": "rig", "number": c, "listen": "127.0.0.1:0",
+                "peers": coordinators(&name), "folder": process.store(), "first-policy": first,
+                "lease-ms": plan.lease_ms, "hold-ms": (plan.lease_ms / 4).max(100),
+                "history": folder.join("history")}});
+            fs::write(&path, toml::to_string(&told).map_err(io::Error::other)?)?;
+            self.processes.insert(name, process);
+        }
+        Ok(())
+    }
+
+    /// The settings of these terms: they differ in what traffic beyond a share is worth.
+    fn terms(&self, number: u64) -> Value {
+        let mut policy = self.policy.clone();
+        if let Some(policy) = policy.as_object_mut() {
+            policy.remove("az");
+        }
+        // Terms 0 can't be taken: they have another product.
+        match number {
+            0 => policy["products"][0]["name"] = json!("other"),
+            _ => policy["excessPayoff"] = json!((0.5 + 0.001 * number as f64).min(1.0)),
+        }
+        policy
+    }
+
+    fn note(&self, deed: &str, to: &str) {
+        let what = What::Did { deed: deed.to_owned(), to: to.to_owned() };
+        let _ = self.lines.send(Line::new(monotonic(), "rig", 0, what));
+    }
+
+    /// Starts them all, and then waits until each listens.
+    fn start(&mut self, names: &[String]) -> io::Result<()> {
+        let mut began = Vec::new();
+        for name in names {
+            let process = self.processes.get_mut(name).ok_or(io::Error::other("no such process"))?;
+            let from = fs::metadata(process.log()).map_or(0, |m| m.len());
+            process.start()?;
+            // Whoever was there before is gone, and so is its address.
+            self.lead(name, None);
+            began.push((name, from));
+        }
+        for (name, from) in began {
+            let process = self.processes.get_mut(name).ok_or(io::Error::other("no such process"))?;
+            let address = process.listens(from)?;
+            self.lead(name, Some(address));
+            if self.plan.coordinators == 0 {
+                let version = self.filed.get(name).copied().unwrap_or(1);
+                let line = Line::new(monotonic(), name, 0, What::Active { version, digest: 0 });
+                let _ = self.lines.send(line);
+            }
+        }
+        Ok(())
+    }
+
+    fn lead(&mut self, name: &str, address: Option<SocketAddr>) {
+        match address {
+            Some(address) => self.addresses.insert(name.to_owned(), address),
+            None => self.addresses.remove(name),
+        };
+        for (way, w) in &self.ways {
+            if way.split_once('>').is_some_and(|(_, to)| to == name) {
+                w.lead_to(address);
+            }
+        }
+    }
+
+    /// Waits until every node says that clients should come.
+    fn serving(&mut self) -> io::Result<()> {
+        let begin = Instant::now();
+        for n in 0..self.plan.nodes {
+            let name = format!("n{n}");
+            while !self.healthy(&name) {
+                if begin.elapsed() > PATIENCE {
+                    return Err(io::Error::other(format!("{name} does not serve")));
+                }
+                std::thread::sleep(LOOK);
+            }
+        }
+        Ok(())
+    }
+
+    fn healthy(&self, name: &str) -> bool {
+        let Some(address) = self.addresses.get(name) else { return false };
+        crate::http::get(*address, "/healthz", Duration::from_secs(1)).is_ok_and(|status| status == 200)
+    }
+
+    fn steps(&mut self, opened: &Arc<AtomicU64>) -> io::Result<Vec<u64>> {
+        let mut done = Vec::new();
+        let mut tails: HashMap<PathBuf, u64> = HashMap::new();
+        let plan = self.plan;
+        for step in &plan.steps {
+            self.wait_for(step, &mut tails, opened)?;
+            let result = self.carry_out(step);
+            let mut seen = lock(&self.bus.seen);
+            *seen = Seen::default();
+            drop(seen);
+            self.bus.changed.notify_all();
+            result?;
+            done.push(monotonic());
+        }
+        let until = Instant::now() + Duration::from_millis(plan.tail_ms);
+        while Instant::now() < until {
+            self.tail(&mut tails, opened)?;
+            std::thread::sleep(LOOK);
+        }
+        Ok(done)
+    }
+
+    /// Reads what logs and histories have grown by.
+    fn tail(&mut self, tails: &mut HashMap<PathBuf, u64>, opened: &AtomicU64) -> io::Result<()> {
+        opened.store(self.ways.values().map(|w| w.opened()).sum(), Ordering::Relaxed);
+        for (name, process) in &self.processes {
+            for (file, history) in [(process.log(), false), (process.folder.join("history"), true)] {
+                let Ok(mut open) = fs::File::open(&file) else { continue };
+                let at = tails.entry(file).or_default();
+                if open.metadata()?.len() <= *at {
+                    continue;
+                }
+                open.seek(io::SeekFrom::Start(*at))?;
+                let mut text = Vec::new();
+                open.read_to_end(&mut text)?;
+                let whole = text.iter().rposition(|b| *b == b'\n').map_or(0, |end| end + 1);
+                *at += whole as u64;
+                let mut seen = lock(&self.bus.seen);
+                for line in String::from_utf8_lossy(&text[..whole]).lines() {
+                    if history {
+                        let kind = line.split_once("\"what\":\"").and_then(|(_, l)| l.split_once('"'));
+                        seen.lines.push((name.clone(), kind.map_or("", |(kind, _)| kind).to_owned()));
+                    } else {
+                        // Nodes without coordinators have no history: their log tells that they go by others.
+                        if self.plan.coordinators == 0 && line.contains("settings taken over") {
+                            let version = self.filed.get(name).copied().unwrap_or(1);
+                            let what = What::Active { version, digest: 0 };
+                            let _ = self.lines.send(Line::new(monotonic(), name, 0, what));
+                        }
+                        seen.logs.push((name.clone(), line.to_owned()));
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn wait_for(
+        &mut self,
+        step: &Step,
+        tails: &mut HashMap<PathBuf, u64>,
+        opened: &AtomicU64,
+    ) -> io::Result<()> {
+        if let Some(kind) = step.frame.as_deref().and_then(linestack_frames::kind) {
+            let way = step.way.clone().unwrap_or_else(|| "*>*".into());
+            lock(&self.bus.seen).waited = Some((way, step.side, kind, step.count));
+        }
+        let begin = Instant::now();
+        loop {
+            self.tail(tails, opened)?;
+            let seen = lock(&self.bus.seen);
+            let by = |name: &str| step.by.as_ref().is_none_or(|by| meant(by, name));
+            let count = if let Some(line) = &step.line {
+                seen.lines.iter().filter(|(n, kind)| by(n) && kind == line).count() as u64
+            } else if let Some(log) = &step.log {
+                seen.logs.iter().filter(|(n, text)| by(n) && text.contains(log.as_str())).count() as u64
+            } else if step.frame.is_some() {
+                if seen.reached() { step.count } else { 0 }
+            } else {
+                step.count
+            };
+            drop(seen);
+            if count >= step.count {
+                break;
+            }
+            if begin.elapsed() > PATIENCE {
+                let what = step.line.as_ref().or(step.log.as_ref()).or(step.frame.as_ref());
+                return Err(io::Error::other(format!("{:?} never came for {:?}", what, step.r#do)));
+            }
+            std::thread::sleep(LOOK);
+        }
+        let until = Instant::now() + Duration::from_millis(step.after_ms);
+        while Instant::now() < until {
+            self.tail(tails, opened)?;
+            std::thread::sleep(LOOK);
+        }
+        Ok(())
+    }
+
+    fn carry_out(&mut self, step: &Step) -> io::Result<()> {
+        let deed = serde_json::to_value(step.r#do)
+            .ok()
+            .and_then(|v| v.as_str().map(str::to_owned))
+            .unwrap_or_default();
+        if step.r#do.on_ways() {
+            let span = Duration::from_millis(step.ms);
+            let kind = step.frame_for().unwrap_or(u8::MAX);
+            for (name, way) in &self.ways {
+                if !step.to.iter().any(|to| meant(to, name)) {
+                    continue;
+                }
+                self.note(&deed, name);
+                match step.r#do {
+                    Deed::Cut => way.cut(&step.sides),
+                    Deed::Heal => way.heal(),
+                    Deed::Delay => way.delay(&step.sides, span),
+                    Deed::Throttle => way.throttle(&step.sides, step.bytes),
+                    Deed::Reset => way.reset(),
+                    Deed::CutAt => way.trick(step.side, kind, Trick::CutAt(step.bytes as usize)),
+                    Deed::Repeat => way.trick(step.side, kind, Trick::Repeat),
+                    Deed::Hold => way.trick(step.side, kind, Trick::Hold),
+                    Deed::Release => way.release(),
+                    _ => {}
+                }
+            }
+            return Ok(());
+        }
+        match step.r#do {
+            Deed::Propose => return self.propose(step),
+            Deed::Abort => return self.abort(step),
+            _ => {}
+        }
+        let named: Vec<String> =
+            self.processes.keys().filter(|n| step.to.iter().any(|to| meant(to, n))).cloned().collect();
+        // What is done to many is done to all of them at once, as far as that can be.
+        for name in &named {
+            let began = matches!(step.r#do, Deed::Kill | Deed::Pause | Deed::Stop);
+            if began {
+                self.note(&deed, name);
+            }
+            let process = self.processes.get_mut(name).ok_or(io::Error::other("no such process"))?;
+            let older = process.folder.join("older");
+            match step.r#do {
+                Deed::Kill => process.kill()?,
+                Deed::Pause => process.pause(true)?,
+                Deed::Resume => process.pause(false)?,
+                Deed::Stop => {
+                    process.signal(Signal::TERM)?;
+                    if process.wait(PATIENCE)?.is_none_or(|s| !s.success()) {
+                        return Err(io::Error::other(format!("{name} did not end with 0")));
+                    }
+                }
+                Deed::Copy => {
+                    let _ = fs::remove_dir_all(&older);
+                    copy(&process.store(), &older)?;
+                }
+                Deed::Start | Deed::StartEmpty | Deed::StartOlder => {
+                    if step.r#do != Deed::Start {
+                        fs::remove_dir_all(process.store())?;
+                    }
+                    if step.r#do == Deed::StartOlder {
+                        copy(&older, &process.store())?;
+                    }
+                    process.variables.retain(|(k, _)| k != "LINESTACK_FAULT");
+                    if !step.fault.is_empty() {
+                        process.variables.push(("LINESTACK_FAULT".into(), step.fault.clone()));
+                    }
+                }
+                Deed::Terms => {
+                    let path = process.folder.join("node.json");
+                    let mut file: Value = serde_json::from_slice(&fs::read(&path)?)?;
+                    let az = file["settings"]["az"].clone();
+                    let mut terms = self.terms(step.terms);
+                    terms["az"] = az;
+                    file["settings"] = terms;
+                    fs::write(&path, file.to_string())?;
+                    self.filed.insert(name.clone(), step.terms);
+                    let process = self.processes.get(name).filter(|p| p.running());
+                    process.map_or(Ok(()), |p| p.signal(Signal::HUP))?;
+                }
+                _ => {}
+            }
+            if !began {
+                self.note(&deed, name);
+            }
+        }
+        if matches!(step.r#do, Deed::Start | Deed::StartEmpty | Deed::StartOlder) {
+            self.start(&named)?;
+        }
+        Ok(())
+    }
+
+    fn operator(&self, words: &[String], request: &str) -> std::thread::JoinHandle<()> {
+        let mut command = Command::new(&self.program);
+        let addresses: Vec<String> =
+            (0..self.plan.coordinators).map(|c| self.ways[&format!("o>c{c}")].address.to_string()).collect();
+        command
+            .args(["fleet", "--fleet", "rig", "--json", "--coordinators", &addresses.join(",")])
+            .args(words);
+        let (lines, request) = (self.lines.clone(), request.to_owned());
+        std::thread::spawn(move || {
+            let outcome = match command.output() {
+                Ok(output) => match output.status.code() {
+                    Some(0) => "decided".to_owned(),
+                    Some(3) => "refused".to_owned(),
+                    Some(4) => "dropped".to_owned(),
+                    Some(5) => "unknown".to_owned(),
+                    code => format!("failed with {code:?}: {}", String::from_utf8_lossy(&output.stderr)),
+                },
+                Err(why) => format!("failed: {why}"),
+            };
+            let _ = lines.send(Line::new(monotonic(), "operator", 0, What::Heard { request, outcome }));
+        })
+    }
+
+    fn propose(&mut self, step: &Step) -> io::Result<()> {
+        let path = self.folder.join(format!("change-{}.json", step.request));
+        fs::write(&path, self.terms(step.terms).to_string())?;
+        let mut words: Vec<String> = vec!["propose".into(), path.display().to_string()];
+        words.extend(["--base".into(), step.base.to_string(), "--request".into(), step.request.clone()]);
+        if step.all {
+            words.push("--all".into());
+        }
+        if step.give_up_ms > 0 {
+            words.extend(["--give-up-ms".into(), step.give_up_ms.to_string()]);
+        }
+        self.note("propose", &step.request);
+        let thread = self.operator(&words, &step.request);
+        self.operators.push(thread);
+        Ok(())
+    }
+
+    fn abort(&mut self, step: &Step) -> io::Result<()> {
+        self.note("abort", &step.request);
+        let thread =
+            self.operator(&["abort".into(), step.request.clone()], &format!("abort of {}", step.request));
+        self.operators.push(thread);
+        Ok(())
+    }
+
+    /// Ends all that runs, nodes first, and tells of those that had ended by themselves.
+    fn end(&mut self) -> io::Result<Vec<String>> {
+        let mut faults = Vec::new();
+        for thread in self.operators.drain(..) {
+            let _ = thread.join();
+        }
+        let names = self.plan.processes();
+        for name in &names {
+            let Some(process) = self.processes.get_mut(name) else { continue };
+            if process.paused {
+                process.pause(false)?;
+            }
+            if let Some(status) = process.ended()? {
+                faults.push(format!("{name} ended by itself: {status}"));
+            } else if process.running() {
+                process.signal(Signal::TERM)?;
+            }
+        }
+        for name in &names {
+            let Some(process) = self.processes.get_mut(name) else { continue };
+            if process.running() {
+                match process.wait(PATIENCE)? {
+                    Some(status) if status.success() => {}
+                    other => faults.push(format!("{name} was told to stop: {other:?}")),
+                }
+            }
+        }
+        Ok(faults)
+    }
+}
+
+/// The names of frames' kinds, for those who write plans.
+#[must_use]
+pub fn kinds() -> &'static [&'static str] {
+    &KINDS
+}
--- a/crates/lab/src/sockets.rs
+++ b/crates/rig/src/stand.rs
@@ -1,81 +1,20 @@
-//! Real sockets on loopback: stand-in executors and discovery, bounded clients, and the demonstration.
+//! Stand-in executors and discovery on loopback.
 
 use std::collections::HashMap;
-use std::fmt::Write as _;
-use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use hdrhistogram::Histogram;
+use linestack_history::What;
 use linestack_world::standin::{Offer, StandIn, Ticket};
 use linestack_world::{Repeats, Scenario, Trouble};
-use rand::{Rng as _, SeedableRng as _};
-use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 
-/// No stand-in reads more of a head or a body, nor waits longer for a peer.
-const LARGEST: usize = 80 * 1024;
-const PATIENCE: Duration = Duration::from_secs(60);
-/// The most connections that a stand-in or a load holds.
-pub const MOST: usize = 4096;
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// A message's head, and what its body holds. None at the end of the connection.
-fn message(socket: &mut BufReader<TcpStream>) -> io::Result<Option<(String, Vec<u8>)>> {
-    let mut head = String::new();
-    loop {
-        let before = head.len();
-        if socket.by_ref().take(LARGEST as u64).read_line(&mut head)? == 0 {
-            return Ok(None);
-        }
-        if head.len() > LARGEST {
-            return Err(io::Error::other("head too large"));
-        }
-        if head.len() - before <= 2 {
-            break;
-        }
-    }
-    let mut body = Vec::new();
-    if let Some(length) = header(&head, "content-length") {
-        let length = length.parse::<usize>().map_err(io::Error::other)?;
-        if length > LARGEST {
-            return Err(io::Error::other("body too large"));
-        }
-        body.resize(length, 0);
-        socket.read_exact(&mut body)?;
-    } else if header(&head, "transfer-encoding").is_some() {
-        loop {
-            let mut line = String::new();
-            socket.by_ref().take(64).read_line(&mut line)?;
-            let length = usize::from_str_radix(line.trim(), 16).map_err(io::Error::other)?;
-            if length > LARGEST {
-                return Err(io::Error::other("chunk too large"));
-            }
-            let start = body.len();
-            body.resize(start + length + 2, 0);
-            socket.read_exact(&mut body[start..])?;
-            body.truncate(start + length);
-            if length == 0 {
-                break;
-            }
-        }
-    }
-    Ok(Some((head, body)))
-}
-
-fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    head.lines().skip(1).find_map(|line| {
-        let (key, value) = line.split_once(':')?;
-        key.trim().eq_ignore_ascii_case(name).then(|| value.trim())
-    })
-}
+use crate::http::{PATIENCE, header, message};
+use crate::load::MOST;
+use crate::lock;
 
 /// Where the answer to each job that is held goes, and the id that it names.
 type Waiting = HashMap<Ticket, (TcpStream, String)>;
@@ -87,8 +26,12 @@
     next: AtomicU64,
     start: Instant,
     stop: Arc<AtomicBool>,
+    seen: Option<Observer>,
 }
 
+/// Told of each execution that an executor took, and of each that it dropped before it had begun.
+pub type Observer = Arc<dyn Fn(What) + Send + Sync>;
+
 impl Stand {
     fn now(&self) -> u64 {
         self.start.elapsed().as_nanos() as u64 + 1
@@ -144,7 +87,7 @@
         let mut socket = socket;
         let mut held = None;
         let end = loop {
-            let (head, _) = match message(&mut reader) {
+            let (head, body) = match message(&mut reader) {
                 Ok(Some(message)) => message,
                 Ok(None) => break Ok(()),
                 Err(why) => break Err(why),
@@ -166,6 +109,9 @@
             let now = self.now();
             let answer = match guard.0.offer(now, ticket, &kind) {
                 Offer::Taken => {
+                    if let Some(seen) = &self.seen {
+                        seen(What::Took { id: id.clone(), key: String::from_utf8_lossy(&body).into_owned() });
+                    }
                     guard.1.insert(ticket, (socket.try_clone()?, id));
                     held = Some(ticket);
                     None
@@ -182,8 +128,11 @@
         };
         if let Some(ticket) = held {
             let mut guard = lock(&self.model);
-            if guard.1.remove(&ticket).is_some() {
-                guard.0.withdraw(self.now(), ticket);
+            if let Some((_, id)) = guard.1.remove(&ticket) {
+                let unbegun = guard.0.withdraw(self.now(), ticket);
+                if let Some(seen) = self.seen.as_ref().filter(|_| unbegun) {
+                    seen(What::Unbegun { id });
+                }
                 self.changed.notify_one();
             }
         }
@@ -226,13 +175,18 @@
     stands: Vec<Arc<Stand>>,
     scenario: Scenario,
     stop: Arc<AtomicBool>,
+    /// Lines of the list, and where lists are told.
+    endpoints: Vec<Value>,
+    lists: Mutex<Vec<SocketAddr>>,
+    /// How often a list was asked for.
+    pub list_calls: Arc<AtomicU64>,
 }
 
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
         // Wakes those that wait for the next connection.
-        for address in self.executors.iter().chain([&self.discovery]) {
+        for address in self.executors.iter().chain(lock(&self.lists).iter()) {
             let _ = TcpStream::connect_timeout(address, Duration::from_millis(100));
         }
     }
@@ -245,6 +199,15 @@
     ///
     /// No address or descriptor is left.
     pub fn start(scenario: &Scenario) -> io::Result<Self> {
+        Self::start_seen(scenario, None)
+    }
+
+    /// As [`Fleet::start`], with somebody who is told what executors take.
+    ///
+    /// # Errors
+    ///
+    /// As there.
+    pub fn start_seen(scenario: &Scenario, seen: Option<Observer>) -> io::Result<Self> {
         let stop = Arc::new(AtomicBool::new(false));
         let count: u32 = scenario.executors.iter().map(|e| e.count).sum();
         let (mut stands, mut executors, mut endpoints) = (Vec::new(), Vec::new(), Vec::new());
@@ -258,6 +221,7 @@
                 next: AtomicU64::new(1),
                 start: Instant::now(),
                 stop: Arc::clone(&stop),
+                seen: seen.clone(),
             });
             let served = Arc::clone(&stand);
             let address = accept(&stop, move |socket| served.serve(socket))?;
@@ -269,13 +233,40 @@
             executors.push(address);
             stands.push(stand);
         }
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut fleet = Self {
+            discovery: nowhere,
+            executors,
+            stands,
+            scenario: scenario.clone(),
+            stop,
+            endpoints,
+            lists: Mutex::default(),
+            list_calls: Arc::default(),
+        };
+        fleet.discovery = fleet.discovery_with(&fleet.executors.clone())?;
+        Ok(fleet)
+    }
+
+    /// A discovery whose list names these addresses in place of the executors' own.
+    ///
+    /// # Errors
+    ///
+    /// No address is left.
+    pub fn discovery_with(&self, addresses: &[SocketAddr]) -> io::Result<SocketAddr> {
+        let mut endpoints = self.endpoints.clone();
+        for (entry, address) in endpoints.iter_mut().zip(addresses) {
+            entry["address"] = json!(address.to_string());
+        }
         let list = json!({"index": 1, "snapshot": true, "endpoints": endpoints}).to_string();
-        let stopped = Arc::clone(&stop);
-        let discovery = accept(&stop, move |socket| {
+        let stopped = Arc::clone(&self.stop);
+        let calls = Arc::clone(&self.list_calls);
+        let discovery = accept(&self.stop, move |socket| {
             socket.set_read_timeout(Some(PATIENCE))?;
             let mut reader = BufReader::new(socket.try_clone()?);
             let mut socket = socket;
             while let Some((head, _)) = message(&mut reader)? {
+                calls.fetch_add(1, Ordering::Relaxed);
                 if !head.contains("watch=1") {
                     let length = list.len();
                     write!(socket, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{list}")?;
@@ -293,7 +284,8 @@
             }
             Ok(())
         })?;
-        Ok(Self { discovery, executors, stands, scenario: scenario.clone(), stop })
+        lock(&self.lists).push(discovery);
+        Ok(discovery)
     }
 
     /// Begins or ends a trouble at the first executors that make up its part.
@@ -367,229 +359,3 @@
                 "tenants": tenants}})
     }
 }
-
-/// How a load goes about it.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    /// Each asks again once it is answered; or, with a rate, they take turns at a fixed pace.
-    pub clients: usize,
-    pub rate: Option<f64>,
-    pub span: Duration,
-    /// Clients begin one after the other over this time, and what is answered in it does not count.
-    pub ramp: Duration,
-}
-
-/// What came of a load.
-#[derive(Debug)]
-pub struct Loaded {
-    pub satisfied: u64,
-    pub dismissed: u64,
-    pub failed: u64,
-    /// Connections that broke, or answers that made no sense.
-    pub broken: u64,
-    pub seconds: f64,
-    /// Microseconds of what was satisfied. At a fixed pace they count from when a request was due, so that
-    /// waiting for a slow answer before it hides nothing.
-    pub times: Histogram<u64>,
-}
-
-impl Loaded {
-    #[must_use]
-    pub fn rate(&self) -> f64 {
-        self.satisfied as f64 / self.seconds
-    }
-}
-
-/// Loads nodes, or executors directly, and returns when the time is over. Each client keeps one connection.
-///
-/// # Errors
-///
-/// An address off loopback, more than [`MOST`] clients, or no client could be started.
-pub fn load(scenario: &Scenario, to: &[SocketAddr], plan: &Plan, seed: u64) -> io::Result<Loaded> {
-    if to.is_empty() || to.iter().any(|a| !a.ip().is_loopback()) {
-        return Err(io::Error::other("loads go to addresses on loopback only, one at least"));
-    }
-    if plan.clients == 0 || plan.clients > MOST {
-        return Err(io::Error::other(format!("from 1 to {MOST} clients")));
-    }
-    let begin = Instant::now();
-    let counted = begin + plan.ramp;
-    let end = counted + plan.span;
-    let scenario = Arc::new(scenario.clone());
-    let mut threads = Vec::new();
-    for client in 0..plan.clients {
-        let (scenario, to, plan) = (Arc::clone(&scenario), to[client % to.len()], plan.clone());
-        let thread = std::thread::Builder::new().stack_size(128 * 1024);
-        threads
-            .push(thread.spawn(move || one_client(&scenario, to, &plan, client, seed, begin, counted, end))?);
-    }
-    let mut all = Loaded {
-        satisfied: 0,
-        dismissed: 0,
-        failed: 0,
-        broken: 0,
-        seconds: plan.span.as_secs_f64(),
-        times: histogram(),
-    };
-    for thread in threads {
-        let Ok(one) = thread.join() else { return Err(io::Error::other("a client ended before its time")) };
-        all.satisfied += one.satisfied;
-        all.dismissed += one.dismissed;
-        all.failed += one.failed;
-        all.broken += one.broken;
-        let _ = all.times.add(&one.times);
-    }
-    Ok(all)
-}
-
-fn histogram() -> Histogram<u64> {
-    // Three digits from a microsecond to two minutes; the bounds are sound, so it can't fail.
-    Histogram::new_with_bounds(1, 120_000_000, 3).unwrap_or_else(|_| unreachable!("sound bounds"))
-}
-
-#[allow(clippy::too_many_arguments)]
-fn one_client(
-    s: &Scenario,
-    to: SocketAddr,
-    plan: &Plan,
-    client: usize,
-    seed: u64,
-    begin: Instant,
-    counted: Instant,
-    end: Instant,
-) -> Loaded {
-    let (mut rng, times) = (Pcg64Mcg::seed_from_u64(seed ^ (client as u64) << 20), histogram());
-    let mut all = Loaded { satisfied: 0, dismissed: 0, failed: 0, broken: 0, seconds: 0.0, times };
-    std::thread::sleep(plan.ramp.mul_f64(client as f64 / plan.clients as f64));
-    let gap = plan.rate.map(|r| Duration::from_secs_f64(plan.clients as f64 / r));
-    let mut due = Instant::now() + gap.unwrap_or_default().mul_f64(rng.random());
-    let mut socket: Option<BufReader<TcpStream>> = None;
-    let mut number = 0_u64;
-    let weights: f64 = s.products.iter().map(|p| p.share).sum();
-    while Instant::now() < end {
-        if let Some(gap) = gap {
-            std::thread::sleep(due.saturating_duration_since(Instant::now()));
-            if due >= end {
-                break;
-            }
-            due += gap;
-        }
-        let sent = if gap.is_some() { due - gap.unwrap_or_default() } else { Instant::now() };
-        if socket.is_none() {
-            let new = TcpStream::connect_timeout(&to, Duration::from_secs(1)).and_then(|socket| {
-                socket.set_nodelay(true)?;
-                socket.set_read_timeout(Some(PATIENCE))?;
-                Ok(BufReader::new(socket))
-            });
-            let Ok(new) = new else {
-                all.broken += 1;
-                std::thread::sleep(Duration::from_millis(10));
-                continue;
-            };
-            socket = Some(new);
-        }
-        let Some(open) = &mut socket else { continue };
-        number += 1;
-        let mut draw = rng.random::<f64>() * weights;
-        let product = s.products.iter().find(|p| {
-            draw -= p.share;
-            draw < 0.0
-        });
-        let product = product.unwrap_or(&s.products[0]);
-        let tenant = &s.tenants[rng.random_range(0..s.tenants.len())];
-        let mut text = String::with_capacity(256);
-        let id = format!("{seed:x}-{client:x}-{number:x}");
-        let _ = write!(
-            text,
-            "POST /api HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Kind: {}\r\nReq-Owner: {}\r\n\
-             Idempotency-Key: {id}\r\nReq-Deadline-Ms: {}\r\nContent-Length: 0\r\n\r\n",
-            product.name, tenant.name, product.cut_off_ms as u64
-        );
-        let answered = open.get_mut().write_all(text.as_bytes()).and_then(|()| message(open));
-        let counts = Instant::now() >= counted && sent >= begin;
-        match answered {
-            Ok(Some((head, body))) => {
-                let status = head.split(' ').nth(1).unwrap_or("");
-                // What executors answer themselves tells the outcome in its line.
-                let returned = body.windows(10).any(|w| w == b"\"returned\"");
-                if counts {
-                    match status {
-                        "200" if !returned => {
-                            all.satisfied += 1;
-                            let _ = all.times.record(sent.elapsed().as_micros().max(1) as u64);
-                        }
-                        "200" | "429" | "503" => all.dismissed += 1,
-                        _ => all.failed += 1,
-                    }
-                }
-                if header(&head, "connection").is_some_and(|c| c.eq_ignore_ascii_case("close")) {
-                    socket = None;
-                }
-            }
-            Ok(None) | Err(_) => {
-                all.broken += u64::from(counts);
-                let _ = open.get_ref().shutdown(Shutdown::Both);
-                socket = None;
-            }
-        }
-    }
-    all
-}
-
-/// A real node, ended when it is dropped.
-pub struct Started {
-    process: Child,
-    pub address: SocketAddr,
-    file: PathBuf,
-}
-
-impl Drop for Started {
-    fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-        let _ = std::fs::remove_file(&self.file);
-    }
-}
-
-impl Started {
-    /// Starts the program at `program` with this configuration, and waits until it listens.
-    ///
-    /// # Errors
-    ///
-    /// It can't be started, or ends before it listens.
-    pub fn start(program: &Path, configuration: &Value) -> io::Result<Self> {
-        static NUMBER: AtomicU64 = AtomicU64::new(0);
-        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
-        let file = std::env::temp_dir().join(format!("linestack-lab-{}-{number}.json", std::process::id()));
-        std::fs::write(&file, configuration.to_string())?;
-        let mut command = Command::new(program);
-        command.env("PROXY_CONFIG", &file).env_remove("PROXY_LISTEN").env_remove("PROXY_DISCOVERY");
-        command.env_remove("PROXY_NAME").env_remove("PROXY_LOG").stderr(Stdio::piped());
-        let mut process = command.spawn()?;
-        let Some(log) = process.stderr.take() else { return Err(io::Error::other("no log")) };
-        let mut lines = BufReader::new(log).lines().map_while(Result::ok);
-        let address = lines.find_map(|l| l.split_once("listen=")?.1.split(' ').next()?.parse().ok());
-        std::thread::spawn(move || lines.for_each(drop));
-        let Some(address) = address else {
-            let _ = process.kill();
-            let _ = process.wait();
-            let _ = std::fs::remove_file(&file);
-            return Err(io::Error::other(format!("{} ended before it listened", program.display())));
-        };
-        Ok(Self { process, address, file })
-    }
-
-    /// The node's program beside this one.
-    ///
-    /// # Errors
-    ///
-    /// It is not there: it wants to be built first.
-    pub fn program() -> io::Result<PathBuf> {
-        let path = std::env::current_exe()?.with_file_name("linestack");
-        if path.exists() {
-            return Ok(path);
-        }
-        let why = format!("{}: not there; `cargo build --release` makes it", path.display());
-        Err(io::Error::other(why))
-    }
-}
--- a/crates/world/src/standin.rs
+++ b/crates/world/src/standin.rs
@@ -123,14 +123,16 @@
         self.e.waiting.iter().filter(waits).count()
     }
 
-    /// Its client has gone away.
-    pub fn withdraw(&mut self, now: Nanos, ticket: Ticket) {
+    /// Its client has gone away. Whether it had not begun.
+    pub fn withdraw(&mut self, now: Nanos, ticket: Ticket) -> bool {
         self.e.advance(now);
+        let waited = self.e.waiting.len();
         self.e.waiting.retain(|j| j.line.link != ticket);
         if self.s.executors[self.e.spec].cancels {
             self.e.running.retain(|j| j.line.link != ticket);
             self.e.count();
         }
+        self.e.waiting.len() < waited
     }
 
     /// What is done by now, and when to look again.
