--- a/crates/accord/src/coordinator.rs
+++ b/crates/accord/src/coordinator.rs
@@ -709,7 +709,7 @@
         self.reply(
             via,
             Guest::Member(name),
-            Reply::Grant(Grant { at, span: lease, version, policy, change }),
+            Reply::Grant(Grant { incarnation, at, span: lease, version, policy, change }),
         );
         self.consider(now);
     }
--- a/crates/accord/src/message.rs
+++ b/crates/accord/src/message.rs
@@ -138,6 +138,8 @@
 /// A member may serve under this version.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Grant {
+    /// Whom it is for: two processes may claim one name.
+    pub incarnation: Incarnation,
     /// The member's clock, as it asked.
     pub at: Nanos,
     pub span: Nanos,
--- a/crates/core/src/guests.rs
+++ b/crates/core/src/guests.rs
@@ -77,12 +77,27 @@
     pub(crate) fn submitted(&mut self, client: Client, intake: Intake) {
         let Some(guest) = self.clients.get_mut(&client) else { return };
         must!(self, guest.submission.is_none(), "two submissions at once on a connection");
+        // Checked here and by the time that this input came with, lest a node that was asleep takes what it may
+        // not before anybody has told it.
+        if self.now >= self.leave {
+            self.stats.fenced += 1;
+            guest.newcomer = None;
+            self.client_phase(client, Phase::Answering);
+            let answer = Answer::Dismissed(self.come_back.map(|most| most / 8));
+            let (last, version) = (self.refusing, self.version);
+            return self.effects.push(Effect::Answer { client, answer, last, version });
+        }
         // It would be a second copy of what its holder has out, and an executor that is asked twice for one
         // id looks as if it failed.
         if !self.ids.insert(intake.shipment.id.clone()) {
             self.stats.turned_down += 1;
             self.client_phase(client, Phase::Answering);
-            return self.effects.push(Effect::Answer { client, answer: Answer::Repeated, last: true });
+            return self.effects.push(Effect::Answer {
+                client,
+                answer: Answer::Repeated,
+                last: true,
+                version: self.version,
+            });
         }
         let submission = self.free.pop().unwrap_or(self.taken.len() as Submission);
         if submission as usize == self.taken.len() {
@@ -95,7 +110,7 @@
         let Intake { product, tenant, slots, memory, shipment, .. } = intake;
         let (number, client, executions) = (self.stats.taken, Some(client), Vec::new());
         self.taken[submission as usize] =
-            Some(Taken { number, client, product, cut_off, shipment, executions });
+            Some(Taken { number, client, version: self.version, product, cut_off, shipment, executions });
         self.arm(cut_off, Timer::CutOff(submission, number));
         let job = Job { product, tenant, cut_off, slots, memory };
         self.pending.push_back(Event::Submitted { submission, job });
@@ -111,6 +126,7 @@
     }
 
     pub(crate) fn answer(&mut self, submission: Submission, answer: Answer) {
+        let version = self.taken.get(submission as usize).and_then(Option::as_ref).map_or(0, |t| t.version);
         let Some(client) = self.release(submission) else {
             must!(self, false, "a second final answer");
             return;
@@ -122,6 +138,6 @@
             Answer::Repeated => {}
         }
         self.client_phase(client, Phase::Answering);
-        self.effects.push(Effect::Answer { client, answer, last: self.refusing });
+        self.effects.push(Effect::Answer { client, answer, last: self.refusing, version });
     }
 }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -73,9 +73,16 @@
 
 #[derive(Debug)]
 pub enum Input {
-    /// Other settings hold from now on; [`Settings::restart_for`] has found nothing against it.
+    /// Other settings hold from now on; [`Settings::restart_for`] has found nothing against it. What was taken
+    /// before keeps the version that it was taken under.
     Terms {
         settings: Box<Settings>,
+        version: u64,
+    },
+    /// Nothing may be taken from then on, unless this is said again. A node that was never told so has leave for
+    /// ever.
+    Leave {
+        until: Nanos,
     },
     Listed {
         kind: ListKind,
@@ -143,6 +150,8 @@
         client: Client,
         answer: Answer,
         last: bool,
+        /// What it was taken under.
+        version: u64,
     },
     /// Close it unless a request is coming in on it.
     CloseClient {
@@ -161,6 +170,7 @@
         link: Link,
         shipment: Arc<Shipment>,
         wait: Nanos,
+        version: u64,
     },
     Probe {
         link: Link,
@@ -183,6 +193,8 @@
     pub dismissed: u64,
     pub aborted: u64,
     pub left: u64,
+    /// Dismissed without being taken, since there was no leave to take them.
+    pub fenced: u64,
     /// Requests that were not taken, and connections closed to make room.
     pub turned_down: u64,
     pub put_out: u64,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -112,6 +112,8 @@
     /// Told apart from those that had this index before.
     number: u64,
     client: Option<Client>,
+    /// Of the terms that held when it was taken; it keeps it to its end.
+    version: u64,
     product: u8,
     cut_off: Nanos,
     shipment: Arc<Shipment>,
@@ -199,6 +201,11 @@
     may_duplicate: bool,
     products: Vec<Product>,
     longest_wait: Nanos,
+    /// The version of the terms, and until when anything may be taken.
+    version: u64,
+    leave: Nanos,
+    /// The longest come-back time that may be named.
+    come_back: Option<Nanos>,
     /// How long it may go on after it was told to stop.
     last_span: Nanos,
     /// When all that is taken from now on must be answered.
@@ -277,6 +284,9 @@
             products: orders.products,
             last_span,
             longest_wait,
+            version: 0,
+            leave: Nanos::MAX,
+            come_back: orders.come_back,
             last_call: Nanos::MAX,
             most_clients: most.min(spare / 2),
             most_links: most.min(spare * 3 / 8),
@@ -319,6 +329,7 @@
         self.dispatcher.go_on_under(orders.clone());
         (self.connect_timeout, self.may_probe) = (orders.connect_timeout, orders.may_probe);
         self.may_duplicate = orders.may_duplicate;
+        self.come_back = orders.come_back;
         (self.idle, self.last_span, self.longest_wait) = spans(orders.idle, settings.longest_cut_off);
         self.kept = self.kept.min(self.idle);
         self.products = orders.products;
@@ -326,8 +337,20 @@
 
     /// Whether clients should come.
     #[must_use]
-    pub fn ready(&self) -> bool {
-        self.listed && !self.stopping
+    pub fn ready(&self, now: Nanos) -> bool {
+        self.listed && !self.stopping && now < self.leave
+    }
+
+    /// Submissions taken since the start.
+    #[must_use]
+    pub fn taken(&self) -> u64 {
+        self.stats.taken
+    }
+
+    /// The version of the terms that hold.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
     }
 
     /// Whether no further client can be let in.
@@ -351,7 +374,11 @@
     pub fn take(&mut self, now: Nanos, input: Input, effects: &mut Vec<Effect>) {
         self.now = self.now.max(now);
         match input {
-            Input::Terms { settings } => self.go_on_under(*settings),
+            Input::Terms { settings, version } => {
+                self.version = version;
+                self.go_on_under(*settings);
+            }
+            Input::Leave { until } => self.leave = until,
             Input::Listed { kind, endpoints } => self.listed(kind, endpoints),
             Input::ClientUp { client } => self.client_up(client),
             Input::ClientPhase { client, phase } => self.client_phase(client, phase),
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -382,11 +382,11 @@
 #[case::workers_known(1, true)]
 fn it_is_ready_once_it_knows_workers(#[case] workers: usize, #[case] ready: bool) {
     let mut node = Node::new(workers);
-    assert_eq!(node.core.ready(), ready);
+    assert_eq!(node.core.ready(node.now), ready);
     node.list(ListKind::Failed, vec![]);
-    assert_eq!(node.core.ready(), ready);
+    assert_eq!(node.core.ready(node.now), ready);
     node.list(ListKind::Whole, vec![]);
-    assert!(node.core.ready());
+    assert!(node.core.ready(node.now));
 }
 
 #[test]
@@ -395,7 +395,7 @@
     let (busy, link) = node.under_way(PAY);
     node.feed(Input::ClientUp { client: 900 });
     node.feed(Input::Stop);
-    assert!(!node.core.ready());
+    assert!(!node.core.ready(node.now));
     // Clients have nobody else until they are told to go.
     node.pass(1_700 * MS);
     let closed = |node: &Node, client| {
@@ -650,9 +650,13 @@
     assert_eq!(noticed.unwrap_or(true), !open);
 }
 
+fn settings() -> Box<linestack_settings::Settings> {
+    Box::new(linestack_settings::read(common::SETTINGS.as_bytes(), 7).unwrap())
+}
+
 fn terms(changes: &[(&str, &str)]) -> Input {
     let text = changes.iter().fold(common::SETTINGS.to_owned(), |text, (from, to)| text.replace(from, to));
-    Input::Terms { settings: Box::new(linestack_settings::read(text.as_bytes(), 7).unwrap()) }
+    Input::Terms { settings: Box::new(linestack_settings::read(text.as_bytes(), 7).unwrap()), version: 2 }
 }
 
 const STRICT: &[(&str, &str)] = &[
@@ -694,6 +698,34 @@
     assert_eq!((node.core.stats().open, node.core.stats().broken), (0, 0), "all is answered");
 }
 
+// Nothing is taken without leave, by the time that the request came with; what was taken before is finished, under
+// the version that it was taken under.
+#[test]
+fn leave_to_take_ends_by_the_clock() {
+    let mut node = Node::new(2);
+    node.feed(Input::Terms { settings: settings(), version: 7 });
+    node.feed(Input::Leave { until: node.now + 100 * MS });
+    let (held, link) = node.under_way(PAY);
+    node.feed(Input::Terms { settings: settings(), version: 8 });
+    assert!(node.core.ready(node.now));
+    // Nobody has told it anything since: it was asleep.
+    node.now += 100 * MS;
+    assert!(!node.core.ready(node.now));
+    let late = node.submit(LOOK, 5_000 * MS);
+    assert_eq!(node.answers(), [(late, Answer::Dismissed(Some(250 * MS)))]);
+    assert!(node.opened().is_none() && node.sent().is_none());
+    let stats = node.core.stats();
+    assert_eq!((stats.taken, stats.fenced, stats.open), (1, 1, 1));
+    node.end(link, Outcome::Satisfied);
+    let under = node.effects.iter().find_map(|e| match e {
+        Effect::Answer { client, version, .. } if *client == held => Some(*version),
+        _ => None,
+    });
+    assert_eq!(under, Some(7));
+    node.feed(Input::Leave { until: node.now + 100 * MS });
+    node.under_way(LOOK);
+}
+
 /// Decisions that order the same twice, whatever is allowed.
 struct Twice(Order);
 
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -5,9 +5,12 @@
 
 use clap::Subcommand;
 use linestack_rig::draw::{draw, shrink};
-use linestack_rig::plan::Plan;
-use linestack_rig::run::{Outcome, run};
+use linestack_rig::plan::{Load, Plan};
+use linestack_rig::run::{Outcome, Up, run, run_told};
 use linestack_rig::started::Started;
+use rayon::prelude::*;
+
+use crate::agree::{self, Held, Size};
 
 type Fallible<T> = Result<T, Box<dyn std::error::Error>>;
 
@@ -41,6 +44,38 @@
         #[arg(long, default_value = "found")]
         out: PathBuf,
     },
+    /// A fleet on this machine for some minutes, with executors, discovery and a light load, to try commands on.
+    Up {
+        #[arg(long, default_value_t = 4)]
+        nodes: usize,
+        #[arg(long, default_value_t = 3)]
+        coordinators: usize,
+        /// Seconds until it ends by itself.
+        #[arg(long, default_value_t = 600)]
+        span: u64,
+        /// Where its folders, logs and files are; an empty one.
+        #[arg(long)]
+        keep: PathBuf,
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
+    /// How long a change takes to hold, and what is sent for it, in simulated time.
+    Size {
+        #[arg(long, default_value_t = 1000)]
+        members: usize,
+        #[arg(long, default_value_t = 5)]
+        coordinators: u8,
+        /// Parts of the members that fall silent, each played.
+        #[arg(long, value_delimiter = ',', default_value = "0,0.01,0.1")]
+        bad: Vec<f64>,
+        #[arg(long, default_value_t = 3000)]
+        lease_ms: u64,
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+        /// Bytes of the policy.
+        #[arg(long, default_value_t = 2000)]
+        policy: usize,
+    },
     /// Play plans again, as they are. Exits with 1 if a promise was broken.
     Replay {
         #[arg(required = true)]
@@ -152,6 +187,85 @@
             println!("{seeds} plans from seed {from}: {failed} with a broken promise");
             Ok(ExitCode::from(u8::from(failed > 0)))
         }
+        Command::Up { nodes, coordinators, span, keep, program: given } => {
+            let plan = Plan {
+                name: "up".into(),
+                nodes: *nodes,
+                coordinators: *coordinators,
+                lease_ms: 3000,
+                load: Load { rate: 20.0, clients: 8, ..Load::default() },
+                tail_ms: span.saturating_mul(1000),
+                ..Plan::default()
+            };
+            let told = |up: &Up| {
+                println!("export LINESTACK_FLEET=rig LINESTACK_COORDINATORS={}", up.coordinators.join(","));
+                println!("# the policy that it began with: {}", keep.join("c0/policy.json").display());
+                println!("# logs: {}", keep.join("*/log").display());
+                println!("# nodes: {}", up.nodes.join(" "));
+            };
+            let outcome = run_told(&plan, &program(given)?, keep, &told)?;
+            outcome.faults.iter().for_each(|f| println!("fault: {f}"));
+            Ok(ExitCode::from(u8::from(!outcome.sound())))
+        }
+        Command::Size { members, coordinators, bad, lease_ms, seeds, policy } => {
+            let sound = (1..=2048).contains(members) && [1, 3, 5].contains(coordinators);
+            if !sound || *lease_ms < 100 || *policy > 100_000 || bad.iter().any(|b| !(0.0..=1.0).contains(b))
+            {
+                return Err(
+                    "members from 1 to 2,048, coordinators 1, 3 or 5, lease-ms 100 at least, policy 100,000 \
+                            bytes at most, bad from 0 to 1"
+                        .into(),
+                );
+            }
+            if !json {
+                println!(
+                    "  bad   decided ms: median  99th   everywhere: median  99th   messages   bytes      speaker's  idle a second"
+                );
+            }
+            for bad in bad {
+                let (lease, hold) = (lease_ms * 1_000_000, lease_ms * 250_000);
+                let size = Size {
+                    members: *members,
+                    coordinators: *coordinators,
+                    bad: *bad,
+                    lease,
+                    hold,
+                    latency: 500_000,
+                    sync: 2_000_000,
+                    policy: *policy,
+                };
+                let held: Vec<Option<Held>> =
+                    (1..=*seeds).into_par_iter().map(|s| agree::play(&size, s)).collect();
+                let held = held
+                    .into_iter()
+                    .collect::<Option<Vec<_>>>()
+                    .ok_or("a change did not take hold in a minute")?;
+                if json {
+                    for h in &held {
+                        println!("{}", serde_json::json!({"bad": bad, "members": members, "held": h}));
+                    }
+                    continue;
+                }
+                let at = |f: &dyn Fn(&Held) -> f64, q: f64| {
+                    let mut all: Vec<f64> = held.iter().map(f).collect();
+                    all.sort_by(f64::total_cmp);
+                    all[((all.len() - 1) as f64 * q).round() as usize]
+                };
+                println!(
+                    "{bad:>5}   {:>18.1}  {:>5.1}   {:>18.1}  {:>5.1}   {:>8}   {:>9}  {:>9}  {} ({} bytes)",
+                    at(&|h| h.decided_ms, 0.5),
+                    at(&|h| h.decided_ms, 0.99),
+                    at(&|h| h.everywhere_ms, 0.5),
+                    at(&|h| h.everywhere_ms, 0.99),
+                    at(&|h| h.messages as f64, 0.5),
+                    at(&|h| h.bytes as f64, 0.5),
+                    at(&|h| h.speaker_bytes as f64, 0.5),
+                    at(&|h| h.idle_messages as f64, 0.5),
+                    at(&|h| h.idle_bytes as f64, 0.5),
+                );
+            }
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Replay { plans, program: given } => {
             let program = program(given)?;
             let plans = plans.iter().map(|p| read(p)).collect::<Fallible<Vec<_>>>()?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! The lab: worlds played and compared, and real nodes loaded on loopback.
 
+pub mod agree;
 pub mod draw;
 pub mod file;
 pub mod fleet;
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -236,9 +236,9 @@
     }
 
     fn granted(&mut self, now: Nanos, grant: Grant, outs: &mut Vec<Out>) {
-        let Grant { at, span, version, policy, change } = grant;
-        // What was asked in another life, or answered before: it says nothing new.
-        if at > now || at <= self.granted && self.granted > 0 {
+        let Grant { incarnation, at, span, version, policy, change } = grant;
+        // Another's, or asked in another life, or answered before: it says nothing new.
+        if incarnation != self.incarnation || at > now || at <= self.granted && self.granted > 0 {
             return;
         }
         self.granted = at;
--- /dev/null
+++ b/crates/node/src/fleet/session.rs
@@ -0,0 +1,296 @@
+//! A node's session with the coordinators: a thread of its own that asks for leave, keeps changes, and tells the
+//! reducer by what it goes and until when.
+
+use std::io::Write as _;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use linestack_accord::{Guest, Incarnation, Policy, Request};
+use linestack_core::Input as CoreInput;
+use linestack_history::What;
+use linestack_member::{Broken, Input, Member, Out, Told};
+use linestack_settings::Settings;
+use serde::{Deserialize, Serialize};
+
+use super::config::{Fleet, Mode};
+use super::policy::settings;
+use super::store::{Fault, Store};
+use super::wire::{self, Body, Ear, Own, Pen, Who};
+use crate::net::Node;
+
+/// Thousandths by which clocks may differ in rate, and how long a leave is taken to last before the first.
+const DRIFT: u64 = 10;
+const SPAN: u64 = 1_500_000_000;
+/// After one that does not answer, before the next is tried.
+const AGAIN: Duration = Duration::from_millis(20);
+/// A line of the same kind is logged so often at most.
+const QUIET: Duration = Duration::from_secs(1);
+
+/// What a member must not forget.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Record {
+    pub life: Incarnation,
+    pub active: Policy,
+    pub staged: Option<Policy>,
+}
+
+/// What a node of a fleet begins with.
+pub struct Start {
+    fleet: Fleet,
+    store: Store,
+    pub record: Record,
+}
+
+impl Start {
+    /// Opens the node's store, and counts this run in it.
+    ///
+    /// # Errors
+    ///
+    /// It is another's, damaged, or can't be written.
+    pub fn open(fleet: Fleet) -> Result<Self, Fault> {
+        let owner = format!("member {} of {}", fleet.member, fleet.id);
+        let mut store = match Store::open(&fleet.folder, &owner, false) {
+            Err(Fault::Missing) => Store::open(&fleet.folder, &owner, true)?,
+            other => other?,
+        };
+        let mut record: Record = match store.load() {
+            Ok(record) => record.unwrap_or_default(),
+            // What it had kept is asked for again; but it may be the second of its kind.
+            Err(Fault::Copied) => Record::default(),
+            Err(why) => return Err(why),
+        };
+        if record.life.home == 0 {
+            record.life = Incarnation { home: super::draw(), life: 0 };
+        }
+        record.life.life += 1;
+        store.keep(&record)?;
+        Ok(Self { fleet, store, record })
+    }
+
+    #[must_use]
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// The terms that it went by last, if it can still go by them.
+    #[must_use]
+    pub fn terms(&self, own: &Settings, seed: u64) -> Option<Settings> {
+        let known = &self.record.active;
+        let settings = settings(&known.text, own.orders.zone, seed).ok().filter(|_| known.version > 0)?;
+        own.restart_for(&settings).is_none().then_some(settings)
+    }
+
+    /// Runs the session for as long as the program does.
+    pub fn run(self, node: Arc<Node>, present: Settings, seed: u64, active: u64) {
+        let Self { fleet, store, record } = self;
+        let broken = super::fault().and_then(|f| match f.as_str() {
+            "early" => Some(Broken::Early),
+            "from-receipt" => Some(Broken::FromReceipt),
+            "unfenced" => Some(Broken::Unfenced),
+            _ => None,
+        });
+        let staged = record.staged.clone();
+        let member = Member::new(record.life, DRIFT, SPAN, active, staged).broken(broken);
+        let own = Own { fleet: fleet.id.clone(), who: Who::Member(fleet.member.clone()), life: record.life };
+        let session = Session { node, fleet, store, record, member, present, seed, own, told: None, broken };
+        std::thread::spawn(move || session.run());
+    }
+}
+
+struct Session {
+    node: Arc<Node>,
+    fleet: Fleet,
+    store: Store,
+    record: Record,
+    member: Member,
+    present: Settings,
+    seed: u64,
+    own: Own,
+    told: Option<(Told, Instant)>,
+    broken: Option<Broken>,
+}
+
+impl Session {
+    fn run(mut self) {
+        let mut at = self.seed as usize % self.fleet.coordinators.len();
+        let mut quiet = Instant::now() - QUIET;
+        loop {
+            let to = self.fleet.coordinators[at];
+            match wire::greet(to, &self.own) {
+                Ok((socket, ear, pen)) => {
+                    let why = self.converse(socket, ear, pen);
+                    tracing::info!(coordinator = %to, why, "session ended");
+                }
+                Err(why) if quiet.elapsed() >= QUIET => {
+                    quiet = Instant::now();
+                    tracing::warn!(coordinator = %to, %why, "no session");
+                }
+                Err(_) => {}
+            }
+            let mut none = Vec::new();
+            self.member.take(self.node.clock.now(), Input::Down, &mut none);
+            at = (at + 1) % self.fleet.coordinators.len();
+            std::thread::sleep(AGAIN);
+        }
+    }
+
+    /// Returns why it is over.
+    fn converse(&mut self, mut socket: TcpStream, mut ear: Ear, mut pen: Pen) -> String {
+        let mut outs = Vec::new();
+        self.member.take(self.node.clock.now(), Input::Up, &mut outs);
+        loop {
+            let mut at = 0;
+            while at < outs.len() {
+                match self.carry_out(outs[at].clone(), &mut socket, &mut pen) {
+                    Ok(None) => {}
+                    Ok(Some(input)) => self.member.take(self.node.clock.now(), input, &mut outs),
+                    Err(why) => return why,
+                }
+                at += 1;
+            }
+            outs.clear();
+            match ear.take() {
+                Ok(Some(frame)) => {
+                    if let Body::Reply(reply) = frame.body {
+                        self.member.take(self.node.clock.now(), Input::Reply(reply), &mut outs);
+                        continue;
+                    }
+                    return "not what was due".into();
+                }
+                Ok(None) => {}
+                Err(why) => return why.to_string(),
+            }
+            let wait = self.member.next_due().saturating_sub(self.node.clock.now());
+            // A time limit of nothing would be none.
+            let wait = Duration::from_nanos(wait).clamp(Duration::from_millis(1), Duration::from_secs(1));
+            if let Err(why) = socket.set_read_timeout(Some(wait)) {
+                return why.to_string();
+            }
+            if let Err(why) = ear.read(&mut socket) {
+                return why.to_string();
+            }
+            self.member.take(self.node.clock.now(), Input::Tick, &mut outs);
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        out: Out,
+        socket: &mut TcpStream,
+        pen: &mut Pen,
+    ) -> Result<Option<Input>, String> {
+        let now = self.node.clock.now();
+        match out {
+            Out::Send(renew) => {
+                let bytes = pen.write(Body::Request(Request::Renew(renew))).map_err(|e| e.to_string())?;
+                socket.write_all(&bytes).map_err(|e| e.to_string())?;
+            }
+            Out::Elsewhere => return Err("no answer in time".into()),
+            Out::Stage(policy) => {
+                let version = policy.version;
+                let result = self.stage(policy);
+                match &result {
+                    Ok(()) => tracing::info!(version, "change kept, not decided"),
+                    Err(key) => {
+                        tracing::error!(version, key, "change can't be taken");
+                        self.write(now, What::Declined { version, key: key.clone() });
+                    }
+                }
+                return Ok(Some(Input::Staged { version, result }));
+            }
+            Out::Activate(policy) => {
+                let version = policy.version;
+                let result = self.activate(policy);
+                if let Err(key) = &result {
+                    self.tell(Told::Unable { version, key: key.clone() });
+                }
+                return Ok(Some(Input::Activated { version, result }));
+            }
+            Out::Serve { version, until } => {
+                if self.fleet.mode == Mode::Strict {
+                    // Told to the history first: what is taken by this leave must not come before it there.
+                    if let Some(trail) = &self.node.trail {
+                        trail.write(now, What::Leased { version, until: trail.machine(until) });
+                    }
+                    let until = if self.broken == Some(Broken::Unfenced) { u64::MAX } else { until };
+                    self.node.feed(CoreInput::Leave { until });
+                }
+            }
+            Out::Tell(told) => self.tell(told),
+        }
+        Ok(None)
+    }
+
+    fn write(&self, now: u64, what: What) {
+        if let Some(trail) = &self.node.trail {
+            trail.write(now, what);
+        }
+    }
+
+    fn tell(&mut self, told: Told) {
+        if self.told.as_ref().is_some_and(|(last, at)| *last == told && at.elapsed() < QUIET) {
+            return;
+        }
+        match &told {
+            Told::Refused(why) => tracing::warn!(why, "not let in by the coordinators"),
+            Told::Ahead { mine, theirs } => {
+                tracing::error!(
+                    mine,
+                    theirs,
+                    "the coordinators have lost what was decided; nothing is taken"
+                );
+            }
+            Told::Unable { version, key } => {
+                tracing::error!(
+                    version,
+                    key,
+                    "what was decided can't be taken by this node; nothing is taken"
+                );
+            }
+        }
+        self.told = Some((told, Instant::now()));
+    }
+
+    fn read(&self, policy: &Policy) -> Result<Settings, String> {
+        let settings = settings(&policy.text, self.present.orders.zone, self.seed)?;
+        match self.present.restart_for(&settings) {
+            None => Ok(settings),
+            Some(key) => Err(key.to_owned()),
+        }
+    }
+
+    fn stage(&mut self, policy: Policy) -> Result<(), String> {
+        self.read(&policy)?;
+        let (version, digest) = (policy.version, policy.digest());
+        let record = Record { staged: Some(policy), ..self.record.clone() };
+        self.store.keep(&record).map_err(|e| format!("store: {e}"))?;
+        self.record = record;
+        self.write(self.node.clock.now(), What::Staged { version, digest });
+        Ok(())
+    }
+
+    fn activate(&mut self, policy: Policy) -> Result<(), String> {
+        let settings = self.read(&policy)?;
+        let (version, digest) = (policy.version, policy.digest());
+        let staged = self.record.staged.clone().filter(|s| s.version > version);
+        let record = Record { active: policy, staged, ..self.record.clone() };
+        self.store.keep(&record).map_err(|e| format!("store: {e}"))?;
+        self.record = record;
+        self.present = settings.clone();
+        self.write(self.node.clock.now(), What::Active { version, digest });
+        self.node.feed(CoreInput::Terms { settings: Box::new(settings), version });
+        tracing::info!(version, digest, "policy taken over");
+        Ok(())
+    }
+}
+
+/// Who asks, to the coordinators.
+#[must_use]
+pub fn guest(who: &Who, connection: u64) -> Option<Guest> {
+    match who {
+        Who::Member(name) => Some(Guest::Member(name.clone())),
+        Who::Operator => Some(Guest::Operator(connection)),
+        Who::Coordinator(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/store.rs
@@ -0,0 +1,171 @@
+//! One record that lasts, in a folder that one process holds at a time. The form is JSON with a version, in an
+//! embedded store that is durable when it says so.
+
+use std::fs::{self, File, TryLockError};
+use std::io;
+use std::os::unix::fs::MetadataExt as _;
+use std::path::Path;
+
+use redb::{Database, ReadableDatabase as _, TableDefinition};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Of the form of what is stored.
+const VERSION: u32 = 1;
+const TABLE: TableDefinition<u8, &[u8]> = TableDefinition::new("record");
+const RECORD: u8 = 0;
+const FILE: &str = "state.redb";
+
+#[derive(Debug, Error)]
+pub enum Fault {
+    #[error("another process holds this folder")]
+    Held,
+    #[error("there is no store here")]
+    Missing,
+    #[error("there is a store here already")]
+    There,
+    #[error(
+        "the file is not the one that was written here: it was copied or restored, and may be older than what it promised"
+    )]
+    Copied,
+    #[error("of form {0}, and this reads {VERSION}")]
+    Form(u32),
+    #[error("of {0}, not of this process")]
+    Owner(String),
+    #[error("not understood: {0}")]
+    Damaged(String),
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+impl From<redb::Error> for Fault {
+    fn from(why: redb::Error) -> Self {
+        match why {
+            redb::Error::Io(why) => Self::Io(why),
+            other => Self::Damaged(other.to_string()),
+        }
+    }
+}
+
+/// Which file it is: its device, its number there, and when it was made. Numbers are given out again.
+type Identity = (u64, u64, u64);
+
+fn identity(path: &Path) -> io::Result<Identity> {
+    let meta = fs::metadata(path)?;
+    let made = meta.created().ok().and_then(|at| at.duration_since(std::time::UNIX_EPOCH).ok());
+    Ok((meta.dev(), meta.ino(), made.map_or(0, |at| at.as_nanos() as u64)))
+}
+
+/// Beside the record: what it is of.
+#[derive(Serialize, Deserialize)]
+struct Kept<T> {
+    form: u32,
+    owner: String,
+    /// The file that this was written into. A copy is another.
+    file: Identity,
+    record: T,
+}
+
+#[derive(Deserialize)]
+struct Form {
+    form: u32,
+}
+
+pub struct Store {
+    database: Database,
+    owner: String,
+    file: Identity,
+    /// Held for as long as the process runs.
+    _lock: File,
+    /// Writes until the one that fails, in tests.
+    left: Option<u32>,
+}
+
+/// Of a test's fault such as `disk-full-after=3`.
+fn fails_after() -> Option<u32> {
+    super::fault()?.strip_prefix("disk-full-after=")?.parse().ok()
+}
+
+impl Store {
+    /// Opens what is there, or makes it where `new`. `owner` tells whose it is.
+    ///
+    /// # Errors
+    ///
+    /// It can't be had, or is not what it should be.
+    pub fn open(folder: &Path, owner: &str, new: bool) -> Result<Self, Fault> {
+        fs::create_dir_all(folder)?;
+        let lock = File::create(folder.join("lock"))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Err(Fault::Held),
+            Err(TryLockError::Error(why)) => return Err(why.into()),
+        }
+        let path = folder.join(FILE);
+        match (path.exists(), new) {
+            (false, false) => return Err(Fault::Missing),
+            (true, true) => return Err(Fault::There),
+            _ => {}
+        }
+        let database = Database::create(&path).map_err(redb::Error::from)?;
+        if new {
+            // The folder's entry must last as long as the file.
+            File::open(folder)?.sync_all()?;
+        }
+        let file = identity(&path)?;
+        let owner = owner.to_owned();
+        Ok(Self { database, owner, file, _lock: lock, left: fails_after() })
+    }
+
+    /// What was kept last, if anything was.
+    ///
+    /// # Errors
+    ///
+    /// It is another's, a copy, of another form, or damaged.
+    pub fn load<T: DeserializeOwned>(&self) -> Result<Option<T>, Fault> {
+        let read = self.database.begin_read().map_err(redb::Error::from)?;
+        let table = match read.open_table(TABLE) {
+            Ok(table) => table,
+            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+            Err(why) => return Err(redb::Error::from(why).into()),
+        };
+        let Some(bytes) = table.get(RECORD).map_err(redb::Error::from)? else { return Ok(None) };
+        let damaged = |e: serde_json::Error| Fault::Damaged(e.to_string());
+        let Form { form } = serde_json::from_slice(bytes.value()).map_err(damaged)?;
+        if form != VERSION {
+            return Err(Fault::Form(form));
+        }
+        let kept: Kept<T> = serde_json::from_slice(bytes.value()).map_err(damaged)?;
+        if kept.owner != self.owner {
+            return Err(Fault::Owner(kept.owner));
+        }
+        if kept.file != self.file {
+            return Err(Fault::Copied);
+        }
+        Ok(Some(kept.record))
+    }
+
+    /// Returns when it is durable.
+    ///
+    /// # Errors
+    ///
+    /// Whether it is kept is not known; nothing may be built on either.
+    pub fn keep<T: Serialize>(&mut self, record: &T) -> Result<(), Fault> {
+        if let Some(left) = &mut self.left {
+            if *left == 0 {
+                return Err(io::Error::from(io::ErrorKind::StorageFull).into());
+            }
+            *left -= 1;
+        }
+        let kept = Kept { form: VERSION, owner: self.owner.clone(), file: self.file, record };
+        let bytes = serde_json::to_vec(&kept).map_err(|e| Fault::Damaged(e.to_string()))?;
+        let write = self.database.begin_write().map_err(redb::Error::from)?;
+        write
+            .open_table(TABLE)
+            .map_err(redb::Error::from)?
+            .insert(RECORD, bytes.as_slice())
+            .map_err(redb::Error::from)?;
+        write.commit().map_err(redb::Error::from)?;
+        Ok(())
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! A linestack node on sockets: the decisions of `linestack_dispatch` behind HTTP/1.1.
 
 pub mod config;
+pub mod fleet;
 pub mod http;
 pub mod net;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,14 +1,21 @@
 //! Starts the node, and stops it when it is told to.
 
 use std::io::ErrorKind;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
+use clap::Parser;
 use linestack::config::{self, Config};
+use linestack::fleet;
+use linestack::fleet::config::Mode;
+use linestack::fleet::session::Start;
+use linestack::fleet::trail::Trail;
 use linestack::net::{Node, Parts, clients, clock::Clock, spawn};
 use linestack_core::{Core, Input};
 use linestack_dispatch::types::{ListKind, Repeats};
+use linestack_history::What;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tracing_appender::non_blocking::NonBlockingBuilder;
@@ -24,7 +31,27 @@
 /// Log lines that wait to be written, at most.
 const LOG_LINES: usize = 4096;
 
+/// A dispatcher that pushes jobs to workers. Without a command it runs a node, which is told where it is by
+/// variables and a file (PROXY_CONFIG).
+#[derive(Parser)]
+#[command(version, about)]
+enum Command {
+    /// Run a coordinator of a fleet.
+    Coordinate {
+        file: PathBuf,
+        /// It never ran: make its store.
+        #[arg(long)]
+        first: bool,
+    },
+    /// Ask the coordinators of a fleet.
+    Fleet(fleet::operate::Arguments),
+}
+
 fn main() -> ExitCode {
+    let command = std::env::args_os().nth(1).map(|_| Command::parse());
+    if let Some(Command::Fleet(arguments)) = &command {
+        return fleet::operate::run(arguments);
+    }
     // Lines are written by a thread of their own and dropped when nobody reads them: no coroutine waits.
     let writer = NonBlockingBuilder::default().buffered_lines_limit(LOG_LINES).lossy(true);
     let (writer, guard) = writer.finish(std::io::stderr());
@@ -33,6 +60,11 @@
     let most = *level.as_ref().unwrap_or(&tracing::Level::INFO);
     tracing_subscriber::fmt().with_writer(writer).with_ansi(false).with_max_level(most).init();
     std::panic::set_hook(Box::new(|panic| tracing::error!(%panic, "panicked")));
+    if let Some(Command::Coordinate { file, first }) = &command {
+        let code = fleet::coordinate::run(file, *first);
+        drop(guard);
+        return code;
+    }
     // Taken over before anything is served, so that no signal finds them missing.
     let mut signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
         Ok(signals) => signals,
@@ -41,13 +73,20 @@
             return ExitCode::FAILURE;
         }
     };
-    let config = match level.and_then(|_| config::read(variable, |path| std::fs::read_to_string(path))) {
+    let mut config = match level.and_then(|_| config::read(variable, |path| std::fs::read_to_string(path))) {
         Ok(config) => config,
         Err(fault) => {
             tracing::error!(%fault, "configuration");
             return ExitCode::FAILURE;
         }
     };
+    let fleet = match variable("PROXY_FLEET").map(|path| join(&path, &mut config)).transpose() {
+        Ok(fleet) => fleet,
+        Err(why) => {
+            why.lines().for_each(|fault| tracing::error!(fault, "fleet"));
+            return ExitCode::FAILURE;
+        }
+    };
     let scheduler = may::config();
     scheduler.set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(KEPT_STACKS);
     // Nodes on one machine would all be pinned to its first core.
@@ -56,8 +95,20 @@
     let Config { name, listen, discovery, known, settings, sockets, memory_mb, .. } = config.clone();
     let (index, endpoints) = known.map_or((None, Vec::new()), |known| (Some(known.index), known.endpoints));
     let memory = usize::try_from(memory_mb << 20).unwrap_or(usize::MAX);
+    let clock = Clock::start();
+    let trail =
+        fleet.as_ref().and_then(|(start, _)| start.fleet().history.as_ref().map(|path| (start, path)));
+    let trail = trail
+        .map(|(start, path)| Trail::open(path, &start.fleet().member, start.record.life.life, clock.now()));
+    let trail = match trail.transpose() {
+        Ok(trail) => trail,
+        Err(why) => {
+            tracing::error!(fault = %format!("fleet.history: {why}"), "fleet");
+            return ExitCode::FAILURE;
+        }
+    };
     let parts = Parts {
-        clock: Clock::start(),
+        clock,
         names: settings.names.clone(),
         layout: settings.layout,
         stamped: settings
@@ -69,11 +120,15 @@
         discovery,
         index,
         memory,
+        trail,
         exit: Box::new(move || {
             let _ = done.send(());
         }),
     };
-    let node = Node::new(Core::new(settings, sockets, memory), parts);
+    let node = Node::new(Core::new(settings.clone(), sockets, memory), parts);
+    if let Some((start, active)) = &fleet {
+        begin(&node, start, *active, &settings);
+    }
     // Told even if there is none: it is what makes the node ask for the list.
     node.feed(Input::Listed { kind: ListKind::Cached, endpoints });
     let mut tries = 0..LISTEN_TRIES;
@@ -94,10 +149,13 @@
     spawn(move || timed.keep_time());
     tracing::info!(name, %listen, %discovery, sockets, memory_mb, "started");
     untold(&config);
-    let mut config = config;
+    let of_fleet = fleet.is_some();
+    if let Some((start, active)) = fleet {
+        start.run(Arc::clone(&node), settings, config.seed, active);
+    }
     while let Some(signal) = signals.forever().next() {
         if signal == SIGHUP {
-            reload(&node, &mut config, variable);
+            reload(&node, &mut config, of_fleet, variable);
             continue;
         }
         tracing::info!(signal, "stopping");
@@ -116,6 +174,32 @@
     ExitCode::SUCCESS
 }
 
+/// Reads the fleet's file, and goes on by the terms that this node went by last. Returns their version.
+fn join(path: &str, config: &mut Config) -> Result<(Start, u64), String> {
+    let fleet = fleet::config::fleet(Path::new(path))?;
+    let start = Start::open(fleet).map_err(|why| format!("{path}: fleet.folder: {why}"))?;
+    let kept = start.terms(&config.settings, config.seed);
+    let active = if kept.is_some() { start.record.active.version } else { 0 };
+    if let Some(settings) = kept {
+        config.settings = settings;
+    }
+    Ok((start, active))
+}
+
+/// What a node of a fleet is told before it serves.
+fn begin(node: &Arc<Node>, start: &Start, active: u64, settings: &linestack_settings::Settings) {
+    if active > 0 {
+        let what = What::Active { version: active, digest: start.record.active.digest() };
+        if let Some(trail) = node.trail() {
+            trail.write(node.clock.now(), what);
+        }
+        node.feed(Input::Terms { settings: Box::new(settings.clone()), version: active });
+    }
+    if start.fleet().mode == Mode::Strict {
+        node.feed(Input::Leave { until: 0 });
+    }
+}
+
 /// No page gives a protocol for messages between nodes.
 fn untold(config: &Config) {
     if config.settings.may_tell {
@@ -125,18 +209,24 @@
 
 /// Reads the configuration again. A file with a fault changes nothing; what is right is taken over, as far as
 /// that can be done in a running node.
-fn reload(node: &Arc<Node>, present: &mut Config, variable: impl Fn(&str) -> Option<String>) {
+fn reload(node: &Arc<Node>, present: &mut Config, of_fleet: bool, variable: impl Fn(&str) -> Option<String>) {
     match config::again(present, variable, |path| std::fs::read_to_string(path)) {
         Ok(newer) => {
-            let keys = present.restart_for(&newer);
+            let mut keys = present.restart_for(&newer);
+            keys.retain(|key| !of_fleet || !key.starts_with("settings."));
             if let Some(key) = keys.iter().find(|key| key.starts_with("settings.")) {
                 // Half of a change would be neither the old terms nor the new ones.
                 tracing::error!(key, "configuration read again: wants a restart, so the old one stays whole");
                 return;
             }
-            if present.differs_in_settings(&newer) {
+            if of_fleet && present.differs_in_settings(&newer) {
+                // One node alone would be mixed with the others.
+                tracing::error!(
+                    "configuration read again: settings are the fleet's, and are not taken from here"
+                );
+            } else if present.differs_in_settings(&newer) {
                 present.take_settings(&newer);
-                node.feed(Input::Terms { settings: Box::new(newer.settings.clone()) });
+                node.feed(Input::Terms { settings: Box::new(newer.settings.clone()), version: 0 });
                 tracing::info!("settings taken over; reports, shares, limits and answer times start afresh");
                 untold(&newer);
             }
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -18,6 +18,7 @@
 use may::net::TcpStream;
 use serde::Deserialize;
 
+use crate::fleet::trail::Trail;
 use clock::{Alarm, Clock};
 use linestack_core::{Client, Core, Effect, Input, Link};
 
@@ -134,6 +135,7 @@
     /// Whether stamped products' marks are asked for, by product.
     pub stamped: Vec<bool>,
     pub(crate) watch: Mutex<Watch>,
+    pub(crate) trail: Option<Trail>,
     logged: Mutex<Nanos>,
     /// For what clients send and are sent, and for what executors answer.
     pub(crate) client_room: Room,
@@ -166,6 +168,8 @@
     pub index: Option<u64>,
     /// Bytes that the program may have.
     pub memory: usize,
+    /// Where a history of this node goes, if one is kept.
+    pub trail: Option<Trail>,
     /// Called when the node has stopped and answered what it had taken.
     pub exit: Box<dyn FnOnce() + Send>,
 }
@@ -173,7 +177,7 @@
 impl Node {
     #[must_use]
     pub fn new(core: Core, parts: Parts) -> Arc<Self> {
-        let Parts { clock, names, layout, stamped, discovery, index, memory, exit } = parts;
+        let Parts { clock, names, layout, stamped, discovery, index, memory, trail, exit } = parts;
         let (effects, links, clients) = (Vec::new(), HashMap::new(), HashMap::new());
         Arc::new(Self {
             inner: Mutex::new(Inner { core, effects, links, clients, next_client: 0 }),
@@ -183,6 +187,7 @@
             layout,
             stamped,
             watch: Mutex::new(Watch { discovery, number: 0, index, hurry: 0, running: false, socket: None }),
+            trail,
             logged: Mutex::new(0),
             client_room: Room::new(memory / 4),
             link_room: Room::new(memory / 4),
@@ -196,7 +201,15 @@
         let mut inner = lock(&self.inner);
         let inner = &mut *inner;
         let mut effects = std::mem::take(&mut inner.effects);
-        inner.core.take(self.clock.now(), input, &mut effects);
+        match &self.trail {
+            None => inner.core.take(self.clock.now(), input, &mut effects),
+            Some(trail) => {
+                let (now, asked) = (self.clock.now(), trail.before(&input));
+                let (version, taken) = (inner.core.version(), inner.core.taken());
+                inner.core.take(now, input, &mut effects);
+                trail.after(now, asked, (inner.core.taken() > taken).then_some(version), &effects);
+            }
+        }
         for effect in effects.drain(..) {
             self.carry_out(inner, effect);
         }
@@ -204,8 +217,13 @@
         self.alarm.set(inner.core.next_due());
     }
 
+    /// Where its history goes, if one is kept.
+    pub fn trail(&self) -> Option<&Trail> {
+        self.trail.as_ref()
+    }
+
     pub fn ready(&self) -> bool {
-        lock(&self.inner).core.ready()
+        lock(&self.inner).core.ready(self.clock.now())
     }
 
     /// Whether a line that clients can cause may be logged now. Written out each time, it would be clients
@@ -287,12 +305,14 @@
             }
         };
         match effect {
-            Effect::Answer { client: to, answer, last } => {
+            Effect::Answer { client: to, answer, last, .. } => {
                 client(to, clients::Letter::Answer { answer, last })
             }
             Effect::CloseClient { client: to } => client(to, clients::Letter::CloseIfIdle),
             Effect::DropClient { client: to } => client(to, clients::Letter::Drop),
-            Effect::Send { link: to, shipment, wait } => link(to, executors::Letter::Send { shipment, wait }),
+            Effect::Send { link: to, shipment, wait, .. } => {
+                link(to, executors::Letter::Send { shipment, wait })
+            }
             Effect::Probe { link: to } => link(to, executors::Letter::Probe),
             Effect::CloseLink { link: to } => {
                 link(to, executors::Letter::Close);
@@ -319,6 +339,7 @@
                     dismissed = stats.dismissed,
                     aborted = stats.aborted,
                     left = stats.left,
+                    fenced = stats.fenced,
                     turned_down = stats.turned_down,
                     put_out = stats.put_out,
                     executions = stats.executions,
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -86,6 +86,8 @@
         give_up_ms: u64 = 0,
         /// A fault that the process is started with; it exists in test builds only.
         fault: String = String::new(),
+        /// The start is to fail.
+        refused: bool = false,
     }
 }
 
@@ -100,6 +102,10 @@
     /// Keep a copy of what is stored; and start with that copy later.
     Copy,
     StartOlder,
+    /// The same in the files that are there, as a disk does that goes back.
+    StartRolledBack,
+    /// Wait until it has ended by itself, and not with 0.
+    Gone,
     Pause,
     Resume,
     /// Tell it to stop, and wait until it has.
@@ -137,6 +143,11 @@
     Impossible(String),
 }
 
+/// Whichever coordinator spoke for the fleet last.
+pub const SPEAKER: &str = "speaker";
+/// All processes that do not run.
+pub const DOWN: &str = "down";
+
 /// Whether a way or a process is meant by a pattern, in which `*` stands for any name's rest.
 #[must_use]
 pub fn meant(pattern: &str, name: &str) -> bool {
@@ -228,7 +239,8 @@
             }
             let names = if step.r#do.on_ways() { &ways } else { &processes };
             for to in &step.to {
-                must(names.iter().any(|n| meant(to, n)), &key("to"), "nothing has this name");
+                let who = to == DOWN || (to == SPEAKER && self.coordinators > 0);
+                must(who || names.iter().any(|n| meant(to, n)), &key("to"), "nothing has this name");
             }
             let nobody = matches!(step.r#do, Deed::Nothing | Deed::Propose | Deed::Abort);
             must(nobody || !step.to.is_empty(), &key("to"), "nobody is named");
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -18,6 +18,8 @@
     program: PathBuf,
     words: Vec<String>,
     pub variables: Vec<(String, String)>,
+    /// Words for its next start alone.
+    pub once: Vec<String>,
     child: Option<Child>,
     pub paused: bool,
 }
@@ -33,7 +35,16 @@
     pub fn new(name: &str, folder: PathBuf, program: &Path, words: &[&str]) -> Self {
         let words = words.iter().map(|w| (*w).to_owned()).collect();
         let (name, program) = (name.to_owned(), program.to_owned());
-        Self { name, folder, program, words, variables: Vec::new(), child: None, paused: false }
+        Self {
+            name,
+            folder,
+            program,
+            words,
+            variables: Vec::new(),
+            once: Vec::new(),
+            child: None,
+            paused: false,
+        }
     }
 
     /// What must last is in here, and what the process was told is not.
@@ -70,7 +81,7 @@
         {
             command.env_remove(key);
         }
-        command.args(&self.words).envs(self.variables.iter().map(|(k, v)| (k, v)));
+        command.args(&self.words).args(self.once.drain(..)).envs(self.variables.iter().map(|(k, v)| (k, v)));
         self.child = Some(command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?);
         self.paused = false;
         Ok(())
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -20,7 +20,7 @@
 
 use crate::check::{Finding, Promise, check, doubled};
 use crate::clients;
-use crate::plan::{Deed, Plan, Step, meant};
+use crate::plan::{DOWN, Deed, Plan, SPEAKER, Step, meant};
 use crate::process::{PATIENCE, Process, copy};
 use crate::stand::Fleet;
 use crate::way::{Side, Trick, Way};
@@ -162,6 +162,23 @@
 ///
 /// The plan could not be played: a process did not start, or what a step waits for never came.
 pub fn run(plan: &Plan, program: &Path, folder: &Path) -> io::Result<Outcome> {
+    run_told(plan, program, folder, &|_| {})
+}
+
+/// Where a fleet that has started can be reached.
+#[derive(Clone, Debug)]
+pub struct Up {
+    pub coordinators: Vec<String>,
+    pub nodes: Vec<String>,
+}
+
+/// As [`run`]; `told` hears where the fleet is, once it serves.
+///
+/// # Errors
+///
+/// As there.
+pub fn run_told(plan: &Plan, program: &Path, folder: &Path, told: &dyn Fn(&Up)) -> io::Result<Outcome> {
+    let up = told;
     plan.check().map_err(io::Error::other)?;
     let (lines, told) = channel();
     let observe = |by: &'static str| -> crate::stand::Observer {
@@ -188,6 +205,11 @@
     rig.prepare()?;
     rig.start(&plan.processes())?;
     rig.serving()?;
+    let reach = |start: &str| -> Vec<String> {
+        let named = rig.ways.iter().filter(|(name, _)| name.starts_with(start));
+        named.map(|(_, w)| w.address.to_string()).collect()
+    };
+    up(&Up { coordinators: reach("o>"), nodes: reach("k>") });
     let (counted, seconds) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
     let began = monotonic();
     let stop = Arc::new(AtomicBool::new(false));
@@ -374,9 +396,9 @@
             let name = format!("c{c}");
             let folder = self.folder.join(&name);
             let path = folder.join("coordinator.toml");
-            let words = ["coordinate", &path.display().to_string()].map(str::to_owned);
-            let words: Vec<&str> = words.iter().map(String::as_str).collect();
-            let process = Process::new(&name, folder.clone(), &self.program, &words);
+            let file = path.display().to_string();
+            let mut process = Process::new(&name, folder.clone(), &self.program, &["coordinate", &file]);
+            process.once.push("--first".into());
             fs::create_dir_all(process.store())?;
             let first = folder.join("policy.json");
             fs::write(&first, self.terms(1).to_string())?;
@@ -597,8 +619,14 @@
             Deed::Abort => return self.abort(step),
             _ => {}
         }
-        let named: Vec<String> =
-            self.processes.keys().filter(|n| step.to.iter().any(|to| meant(to, n))).cloned().collect();
+        let to: Vec<String> =
+            step.to.iter().map(|to| if to == SPEAKER { self.speaker() } else { to.clone() }).collect();
+        let named: Vec<String> = self
+            .processes
+            .iter()
+            .filter(|(n, p)| to.iter().any(|to| meant(to, n) || (to == DOWN && !p.running())))
+            .map(|(n, _)| n.clone())
+            .collect();
         // What is done to many is done to all of them at once, as far as that can be.
         for name in &named {
             let began = matches!(step.r#do, Deed::Kill | Deed::Pause | Deed::Stop);
@@ -621,11 +649,17 @@
                     let _ = fs::remove_dir_all(&older);
                     copy(&process.store(), &older)?;
                 }
-                Deed::Start | Deed::StartEmpty | Deed::StartOlder => {
-                    if step.r#do != Deed::Start {
+                Deed::Gone => {
+                    let failed = process.wait(PATIENCE)?.is_some_and(|s| !s.success());
+                    failed
+                        .then_some(())
+                        .ok_or_else(|| io::Error::other(format!("{name} did not end by itself")))?;
+                }
+                Deed::Start | Deed::StartEmpty | Deed::StartOlder | Deed::StartRolledBack => {
+                    if matches!(step.r#do, Deed::StartEmpty | Deed::StartOlder) {
                         fs::remove_dir_all(process.store())?;
                     }
-                    if step.r#do == Deed::StartOlder {
+                    if matches!(step.r#do, Deed::StartOlder | Deed::StartRolledBack) {
                         copy(&older, &process.store())?;
                     }
                     process.variables.retain(|(k, _)| k != "LINESTACK_FAULT");
@@ -651,10 +685,64 @@
                 self.note(&deed, name);
             }
         }
-        if matches!(step.r#do, Deed::Start | Deed::StartEmpty | Deed::StartOlder) {
-            self.start(&named)?;
+        let starts = [Deed::Start, Deed::StartEmpty, Deed::StartOlder, Deed::StartRolledBack];
+        if !starts.contains(&step.r#do) {
+            return Ok(());
+        }
+        match self.start(&named) {
+            Err(_) if step.refused => Ok(()),
+            Ok(()) if step.refused => {
+                Err(io::Error::other(format!("{named:?} started, and should not have")))
+            }
+            other => other,
+        }
+    }
+
+    /// The last one of which a history says that it speaks; the first, where none does.
+    fn speaker(&self) -> String {
+        let mut newest = (0, "c0".to_owned());
+        for line in self.histories("c") {
+            if let What::Established { round } = line.what
+                && round >= newest.0
+            {
+                newest = (round, line.by);
+            }
+        }
+        newest.1
+    }
+
+    /// What is written so far by processes whose names begin so.
+    fn histories(&self, start: &str) -> Vec<Line> {
+        let named = self.processes.iter().filter(|(name, _)| name.starts_with(start));
+        let files = named.filter_map(|(_, p)| fs::File::open(p.folder.join("history")).ok());
+        files.flat_map(|f| read(&mut io::BufReader::new(f)).unwrap_or_default()).collect()
+    }
+
+    /// Once faults are over every wait is: all nodes that run serve, by the version that was decided last.
+    fn rested(&self) -> Vec<String> {
+        let begin = Instant::now();
+        loop {
+            let decided =
+                |l: &Line| if let What::Decided { version, .. } = l.what { Some(version) } else { None };
+            let last = self.histories("c").iter().filter_map(decided).max().unwrap_or(0);
+            let mut active: HashMap<String, u64> = HashMap::new();
+            for line in self.histories("n") {
+                if let What::Active { version, .. } = line.what {
+                    active.insert(line.by, version);
+                }
+            }
+            let nodes = self.processes.iter().filter(|(n, p)| n.starts_with('n') && p.running() && !p.paused);
+            let restless: Vec<String> = nodes
+                .filter(|(n, _)| active.get(*n) != Some(&last) || !self.healthy(n))
+                .map(|(n, _)| {
+                    format!("{n} goes by {:?} of {last}, healthy: {}", active.get(n), self.healthy(n))
+                })
+                .collect();
+            if restless.is_empty() || begin.elapsed() > PATIENCE {
+                return restless;
+            }
+            std::thread::sleep(Duration::from_millis(20));
         }
-        Ok(())
     }
 
     fn operator(&self, words: &[String], request: &str) -> std::thread::JoinHandle<()> {
@@ -711,6 +799,9 @@
         for thread in self.operators.drain(..) {
             let _ = thread.join();
         }
+        if self.plan.coordinators > 0 {
+            faults.extend(self.rested());
+        }
         let names = self.plan.processes();
         for name in &names {
             let Some(process) = self.processes.get_mut(name) else { continue };
--- a/crates/world/src/broken.rs
+++ b/crates/world/src/broken.rs
@@ -64,7 +64,7 @@
         match &input {
             Input::LinkUp { link } if *link >= OWN => {
                 if let Some((shipment, wait)) = self.own.remove(link) {
-                    effects.push(Effect::Send { link: *link, shipment, wait });
+                    effects.push(Effect::Send { link: *link, shipment, wait, version: 0 });
                 }
                 return;
             }
@@ -108,7 +108,7 @@
         }
         for effect in asked {
             match (self.way, effect) {
-                (_, Effect::Send { link, shipment, wait }) => {
+                (_, Effect::Send { link, shipment, wait, version }) => {
                     self.out.insert(link, Arc::clone(&shipment));
                     match (self.way, self.drained.first(), self.cold) {
                         (Way::SendsToDrained, Some(address), _) => {
@@ -119,23 +119,29 @@
                         }
                         _ => {}
                     }
-                    effects.push(Effect::Send { link, shipment, wait });
+                    effects.push(Effect::Send { link, shipment, wait, version });
                 }
                 (Way::AnswersNothing, Effect::Answer { .. }) => {}
-                (Way::AnswersTwice, Effect::Answer { client, answer, last }) => {
-                    effects.push(Effect::Answer { client, answer: answer.clone(), last });
-                    effects.push(Effect::Answer { client, answer, last });
+                (Way::AnswersTwice, Effect::Answer { client, answer, last, version }) => {
+                    effects.push(Effect::Answer { client, answer: answer.clone(), last, version });
+                    effects.push(Effect::Answer { client, answer, last, version });
                 }
-                (Way::MakesUp, Effect::Answer { client, last, .. }) => {
-                    effects.push(Effect::Answer { client, answer: Answer::Satisfied("".into()), last });
+                (Way::MakesUp, Effect::Answer { client, last, version, .. }) => {
+                    effects.push(Effect::Answer {
+                        client,
+                        answer: Answer::Satisfied("".into()),
+                        last,
+                        version,
+                    });
                 }
-                (Way::DismissesWhatRan, Effect::Answer { client, answer: Answer::Aborted, last })
-                    if self.lost.contains(&client) =>
-                {
-                    effects.push(Effect::Answer { client, answer: Answer::Dismissed(None), last });
+                (
+                    Way::DismissesWhatRan,
+                    Effect::Answer { client, answer: Answer::Aborted, last, version },
+                ) if self.lost.contains(&client) => {
+                    effects.push(Effect::Answer { client, answer: Answer::Dismissed(None), last, version });
                 }
-                (Way::SendsAfterAnswer, Effect::Answer { client, answer, last }) => {
-                    effects.push(Effect::Answer { client, answer, last });
+                (Way::SendsAfterAnswer, Effect::Answer { client, answer, last, version }) => {
+                    effects.push(Effect::Answer { client, answer, last, version });
                     let id = format!("{client}").into();
                     let shipment = Arc::new(Shipment { id, ..Shipment::default() });
                     if let Some(address) = self.all.first().copied() {
@@ -151,8 +157,8 @@
         self.node.next_due()
     }
 
-    fn ready(&self) -> bool {
-        self.node.ready()
+    fn ready(&self, now: Nanos) -> bool {
+        self.node.ready(now)
     }
 
     fn crowded(&self) -> bool {
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -28,7 +28,7 @@
 pub trait Machine {
     fn take(&mut self, now: Nanos, input: Input, effects: &mut Vec<Effect>);
     fn next_due(&self) -> Nanos;
-    fn ready(&self) -> bool;
+    fn ready(&self, now: Nanos) -> bool;
     fn crowded(&self) -> bool;
     fn stats(&self) -> Stats;
     fn address(&self, worker: Worker) -> Option<SocketAddr>;
@@ -43,8 +43,8 @@
         Self::next_due(self)
     }
 
-    fn ready(&self) -> bool {
-        Self::ready(self)
+    fn ready(&self, now: Nanos) -> bool {
+        Self::ready(self, now)
     }
 
     fn crowded(&self) -> bool {
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -442,7 +442,7 @@
             Happening::Stops { node } => self.stops(node),
             Happening::Notice { node } => {
                 let slot = &mut self.nodes[node];
-                slot.admitted = slot.machine.as_ref().is_some_and(|m| m.ready());
+                slot.admitted = slot.machine.as_ref().is_some_and(|m| m.ready(self.now));
             }
             Happening::Drains { executor } => self.drains(executor),
             Happening::Leaves { executor } => {
@@ -1457,7 +1457,7 @@
                         (settings.orders.may_probe, settings.orders.may_duplicate) = (false, false);
                         settings.orders.connection_price = 0.08;
                     }
-                    self.feed(node, life, Input::Terms { settings });
+                    self.feed(node, life, Input::Terms { settings, version: 0 });
                 }
             }
             Fault::NodePause if begins => {
