A store that survives being cut, and one-shots that are known after a kill

crates/store: segments of checksummed records made full of zeros first, an index in memory, checkpoints, cleaning of the oldest, one write and one sync a commit. crates/recovery and core: that it may have run lasts before the first byte leaves (Effect::Keep, Input::Kept); asked again it is answered, aborted or taken by what is known; a disk that fails or does not keep up means that one-shots are dismissed. linestack store init, verify, dump, compact, repair; docs/store.md, docs/store-operations.md. Off unless PROXY_STORE names a file.

Shown: the power cut at every step with any part of the unsynced lost, each call failing in turn, files cut and bits turned, repairs that invent nothing, random cuts against a map.

--- a/crates/core/src/executions.rs
+++ b/crates/core/src/executions.rs
@@ -1,5 +1,7 @@
 //! Executions of submissions, from the order to the outcome.
 
+use linestack_recovery::Fate;
+
 use super::*;
 
 impl Core {
@@ -64,6 +66,9 @@
             Outcome::NotSent => self.stats.not_sent += 1,
             _ => {}
         }
+        if let (Outcome::Satisfied, Some(result)) = (outcome, &result) {
+            self.fated(submission, Fate::Satisfied(result.clone()));
+        }
         let owed = |core: &Self| core.taken[submission as usize].as_ref().is_some_and(|t| t.client.is_some());
         if let (Outcome::Satisfied, Some(result), true) = (outcome, result, owed(self)) {
             self.answer(submission, Answer::Satisfied(result));
--- /dev/null
+++ b/crates/core/src/fates.rs
@@ -0,0 +1,148 @@
+//! One-shots that may have run, where the node keeps them over a restart. "It may have run" lasts before the first byte
+//! of an execution leaves; what asks again under the same key is answered from what is known, and never run twice.
+
+use linestack_dispatch::types::Repeats;
+use linestack_recovery::{Age, Fate, Fates};
+
+use super::*;
+
+/// So many records that wait for the disk mean that it does not keep up: one-shots are dismissed until it does.
+const STALLED: usize = 256;
+
+/// What a node that remembers is told at its start.
+pub struct Remembered {
+    pub fates: Fates,
+    /// How old the store is at the time that the node starts.
+    pub age: Age,
+    pub now: Nanos,
+    /// Clients keep `Idempotency-Key` when they ask again, or else `Req-Id`.
+    pub by_stamp: bool,
+}
+
+pub(crate) struct Book {
+    fates: Fates,
+    age: Age,
+    since: Nanos,
+    by_stamp: bool,
+    waiting: usize,
+    /// The disk has failed: nothing more can be made to last.
+    failed: bool,
+}
+
+/// An execution that waits until it is written down that it may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    link: Link,
+    submission: Submission,
+    number: u64,
+    execution: Execution,
+}
+
+impl Core {
+    /// From now on one-shots are remembered over a restart. To be called before anything is taken.
+    pub fn remember(&mut self, remembered: Remembered) {
+        let Remembered { fates, age, now, by_stamp } = remembered;
+        self.book = Some(Book { fates, age, since: now, by_stamp, waiting: 0, failed: false });
+    }
+
+    /// How a submission with this key stands, for whoever asks.
+    #[must_use]
+    pub fn fate(&self, key: &[u8]) -> Option<&Fate> {
+        self.book.as_ref()?.fates.fate(key)
+    }
+
+    /// Whether one-shots can be taken, where they are to be remembered.
+    #[must_use]
+    pub fn remembers(&self) -> bool {
+        self.book.as_ref().is_none_or(|b| !b.failed)
+    }
+
+    fn key(&self, shipment: &Shipment) -> Option<Bytes> {
+        let book = self.book.as_ref()?;
+        if book.by_stamp { shipment.stamp.clone() } else { Some(shipment.id.clone()) }
+    }
+
+    fn one_shot(&self, product: u8) -> bool {
+        self.products.get(usize::from(product)).is_some_and(|p| p.repeats == Repeats::OneShot)
+    }
+
+    /// The answer to one that asks again, or that can't be remembered; none where it is to be taken.
+    pub(crate) fn settled(&self, intake: &Intake) -> Option<Answer> {
+        let book = self.book.as_ref().filter(|_| self.one_shot(intake.product))?;
+        // Without a key it could not be known again, and would run again.
+        let turned_away = Answer::Dismissed(self.come_back.map(|most| most / 8));
+        let Some(key) = self.key(&intake.shipment) else { return Some(turned_away) };
+        match book.fates.fate(&key) {
+            Some(Fate::Satisfied(result)) => Some(Answer::Satisfied(result.clone())),
+            Some(Fate::MayHaveRun) => Some(Answer::Aborted),
+            _ if book.failed || book.waiting >= STALLED || book.fates.full() => Some(turned_away),
+            Some(Fate::Unsent) | None => None,
+        }
+    }
+
+    fn age_now(&self) -> Age {
+        self.book.as_ref().map_or(0, |b| b.age + self.now.saturating_sub(b.since))
+    }
+
+    /// Whether an execution has to wait until it is written down; it is asked for then.
+    pub(crate) fn waits(&mut self, link: Link, submission: Submission, execution: Execution) -> bool {
+        let Some(taken) = self.taken.get(submission as usize).and_then(Option::as_ref) else { return false };
+        if taken.kept || !self.one_shot(taken.product) {
+            return false;
+        }
+        let (number, shipment) = (taken.number, Arc::clone(&taken.shipment));
+        let (Some(key), now) = (self.key(&shipment), self.age_now()) else { return false };
+        let Some(book) = &mut self.book else { return false };
+        book.waiting += 1;
+        let keep = book.fates.sending(&key, now);
+        let ticket = Some(Ticket { link, submission, number, execution });
+        self.effects.push(Effect::Keep { keep, ticket });
+        true
+    }
+
+    /// It is written down, or can't be.
+    pub(crate) fn kept(&mut self, ticket: Ticket, lasts: bool) {
+        let Ticket { link, submission, number, execution } = ticket;
+        if let Some(book) = &mut self.book {
+            book.waiting -= 1;
+            book.failed |= !lasts;
+        }
+        let load = Load::Execution(submission, execution);
+        let taken = self.taken.get_mut(submission as usize).and_then(Option::as_mut);
+        let Some(taken) = taken.filter(|t| t.number == number) else { return };
+        taken.kept |= lasts;
+        let (shipment, version) = (Arc::clone(&taken.shipment), taken.version);
+        // The connection may have broken meanwhile, or the order been called off.
+        let Some(line) = self.links.get_mut(&link).filter(|l| l.load == Some(load)) else { return };
+        let worker = line.worker;
+        if lasts && self.stands(worker, load) {
+            let until = self.sent(submission, execution).map_or(0, |sent| sent.until);
+            let wait = until.saturating_sub(self.now);
+            return self.effects.push(Effect::Send { link, shipment, wait, version });
+        }
+        if let Some(line) = self.links.get_mut(&link) {
+            line.load = None;
+        }
+        self.rest(link);
+        self.unsent(worker, load);
+    }
+
+    /// How a submission that was written down ended, as far as that makes it more certain.
+    pub(crate) fn fated(&mut self, submission: Submission, fate: Fate) {
+        let Some(taken) = self.taken.get(submission as usize).and_then(Option::as_ref) else { return };
+        if !self.one_shot(taken.product) {
+            return;
+        }
+        let (Some(key), now) = (self.key(&taken.shipment), self.age_now()) else { return };
+        if let Some(keep) = self.book.as_mut().and_then(|b| b.fates.ended(&key, fate, now)) {
+            self.effects.push(Effect::Keep { keep, ticket: None });
+        }
+    }
+
+    pub(crate) fn forget_fates(&mut self) {
+        let now = self.age_now();
+        if let Some(book) = &mut self.book {
+            book.fates.forget(now);
+        }
+    }
+}
--- a/crates/core/src/guests.rs
+++ b/crates/core/src/guests.rs
@@ -1,5 +1,7 @@
 //! Clients' connections and what they hand in.
 
+use linestack_recovery::Fate;
+
 use super::*;
 
 impl Core {
@@ -75,6 +77,7 @@
     }
 
     pub(crate) fn submitted(&mut self, client: Client, intake: Intake) {
+        let settled = self.settled(&intake);
         let Some(guest) = self.clients.get_mut(&client) else { return };
         must!(self, guest.submission.is_none(), "two submissions at once on a connection");
         // Checked here and by the time that this input came with, lest a node that was asleep takes what it may
@@ -87,6 +90,13 @@
             let (last, version) = (self.refusing, self.version);
             return self.effects.push(Effect::Answer { client, answer, last, version });
         }
+        if let Some(answer) = settled {
+            self.stats.remembered += 1;
+            guest.newcomer = None;
+            self.client_phase(client, Phase::Answering);
+            let (last, version) = (self.refusing, self.version);
+            return self.effects.push(Effect::Answer { client, answer, last, version });
+        }
         // It would be a second copy of what its holder has out, and an executor that is asked twice for one
         // id looks as if it failed.
         if !self.ids.insert(intake.shipment.id.clone()) {
@@ -109,8 +119,16 @@
         let cut_off = (self.now + intake.patience.min(self.longest_wait)).min(self.last_call);
         let Intake { product, tenant, slots, memory, shipment, .. } = intake;
         let (number, client, executions) = (self.stats.taken, Some(client), Vec::new());
-        self.taken[submission as usize] =
-            Some(Taken { number, client, version: self.version, product, cut_off, shipment, executions });
+        self.taken[submission as usize] = Some(Taken {
+            number,
+            client,
+            version: self.version,
+            kept: false,
+            product,
+            cut_off,
+            shipment,
+            executions,
+        });
         self.arm(cut_off, Timer::CutOff(submission, number));
         let job = Job { product, tenant, cut_off, slots, memory };
         self.pending.push_back(Event::Submitted { submission, job });
@@ -137,6 +155,9 @@
             Answer::Aborted => self.stats.aborted += 1,
             Answer::Repeated => {}
         }
+        if matches!(answer, Answer::Dismissed(_)) {
+            self.fated(submission, Fate::Unsent);
+        }
         self.client_phase(client, Phase::Answering);
         self.effects.push(Effect::Answer { client, answer, last: self.refusing, version });
     }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -5,8 +5,11 @@
 
 use bytes::Bytes;
 use linestack_dispatch::types::{Health, ListKind, Nanos, Outcome, Report};
+use linestack_recovery::Keep;
 use linestack_settings::Settings;
 
+use crate::fates::Ticket;
+
 /// A client's connection, numbered by the node and never again.
 pub type Client = u64;
 /// A connection to an executor, numbered likewise.
@@ -84,6 +87,11 @@
     Leave {
         until: Nanos,
     },
+    /// What [`Effect::Keep`] asked for lasts, or can't be made to.
+    Kept {
+        ticket: Ticket,
+        lasts: bool,
+    },
     Listed {
         kind: ListKind,
         endpoints: Vec<Endpoint>,
@@ -179,6 +187,11 @@
         link: Link,
     },
     Watch,
+    /// Write this down durably; with a ticket, say when it lasts: something waits for it.
+    Keep {
+        keep: Keep,
+        ticket: Option<Ticket>,
+    },
     /// Something that must hold did not; it has been counted.
     Fault(&'static str),
     Report(Stats),
@@ -195,6 +208,8 @@
     pub left: u64,
     /// Dismissed without being taken, since there was no leave to take them.
     pub fenced: u64,
+    /// Answered from what was remembered of them, or dismissed since they could not be remembered.
+    pub remembered: u64,
     /// Requests that were not taken, and connections closed to make room.
     pub turned_down: u64,
     pub put_out: u64,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 }
 
 mod executions;
+mod fates;
 mod guests;
 mod io;
 mod limits;
@@ -32,6 +33,7 @@
 };
 use linestack_settings::Settings;
 
+pub use fates::{Remembered, Ticket};
 pub use io::*;
 pub use linestack_dispatch::types::{Nanos, Outcome};
 
@@ -114,6 +116,8 @@
     client: Option<Client>,
     /// Of the terms that held when it was taken; it keeps it to its end.
     version: u64,
+    /// That it may have run is written down, where it has to be.
+    kept: bool,
     product: u8,
     cut_off: Nanos,
     shipment: Arc<Shipment>,
@@ -206,6 +210,7 @@
     leave: Nanos,
     /// The longest come-back time that may be named.
     come_back: Option<Nanos>,
+    book: Option<fates::Book>,
     /// How long it may go on after it was told to stop.
     last_span: Nanos,
     /// When all that is taken from now on must be answered.
@@ -287,6 +292,7 @@
             version: 0,
             leave: Nanos::MAX,
             come_back: orders.come_back,
+            book: None,
             last_call: Nanos::MAX,
             most_clients: most.min(spare / 2),
             most_links: most.min(spare * 3 / 8),
@@ -379,6 +385,7 @@
                 self.go_on_under(*settings);
             }
             Input::Leave { until } => self.leave = until,
+            Input::Kept { ticket, lasts } => self.kept(ticket, lasts),
             Input::Listed { kind, endpoints } => self.listed(kind, endpoints),
             Input::ClientUp { client } => self.client_up(client),
             Input::ClientPhase { client, phase } => self.client_phase(client, phase),
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -85,6 +85,7 @@
                 self.effects.extend(idle.into_iter().map(|client| Effect::CloseClient { client }));
             }
             Timer::Report => {
+                self.forget_fates();
                 self.effects.push(Effect::Report(self.stats()));
                 self.arm(self.now.max(at) + REPORT_EVERY, Timer::Report);
             }
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -108,9 +108,12 @@
                 let Some(sent) = self.sent(submission, execution) else { return };
                 sent.link = Some(link);
                 let until = sent.until;
-                let taken = self.taken[submission as usize].as_ref().map(|t| (t.shipment.clone(), t.version));
-                let (shipment, version) = taken.unwrap_or_default();
-                self.effects.push(Effect::Send { link, shipment, wait: until - now, version });
+                if !self.waits(link, submission, execution) {
+                    let taken =
+                        self.taken[submission as usize].as_ref().map(|t| (t.shipment.clone(), t.version));
+                    let (shipment, version) = taken.unwrap_or_default();
+                    self.effects.push(Effect::Send { link, shipment, wait: until - now, version });
+                }
                 until
             }
         };
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -726,6 +726,87 @@
     node.under_way(LOOK);
 }
 
+/// A node that remembers one-shots by their ids.
+fn remembering(fates: linestack_recovery::Fates) -> Node {
+    let mut node = Node::new(2);
+    node.core.remember(Remembered { fates, age: 0, now: node.now, by_stamp: false });
+    node
+}
+
+fn fates() -> linestack_recovery::Fates {
+    linestack_recovery::Fates::new(1_000_000 * MS, 100, 1 << 20)
+}
+
+fn keeps(node: &Node) -> Vec<(linestack_recovery::Fate, Option<Ticket>)> {
+    let keeps = node.effects.iter().filter_map(|e| match e {
+        Effect::Keep { keep, ticket } => Some((keep.fate.clone(), *ticket)),
+        _ => None,
+    });
+    keeps.collect()
+}
+
+// Not a byte of a one-shot leaves before it lasts that it may have run; harmless ones do not wait.
+#[rstest]
+#[case::lasts(true, true)]
+#[case::can_not_last(false, true)]
+#[case::too_late(true, false)]
+fn what_may_have_run_lasts_first(#[case] lasts: bool, #[case] in_time: bool) {
+    let mut node = remembering(fates());
+    node.under_way(LOOK);
+    let client = node.submit(PAY, 5_000 * MS);
+    let (link, _) = node.opened().unwrap();
+    node.feed(Input::LinkUp { link });
+    assert_eq!(node.sent(), None);
+    let [(linestack_recovery::Fate::MayHaveRun, Some(ticket))] = keeps(&node)[..] else { panic!() };
+    if !in_time {
+        node.feed(Input::ClientGone { client });
+    }
+    node.feed(Input::Kept { ticket, lasts });
+    assert_eq!(node.sent(), Some(link).filter(|_| lasts && in_time));
+    if lasts {
+        return;
+    }
+    // It never left, and no more are taken; harmless ones are.
+    node.pass(6_000 * MS);
+    let late = node.submit(PAY, 5_000 * MS);
+    assert!(matches!(node.answers()[..], [(c, Answer::Dismissed(_))] if c == late));
+    assert!(!node.core.remembers());
+    let taken = node.core.stats().taken;
+    node.submit(LOOK, 5_000 * MS);
+    assert_eq!(node.core.stats().taken, taken + 1);
+}
+
+// Asked again: told what it was, aborted if it may have run, taken if it never did.
+#[test]
+fn asked_again_after_a_restart() {
+    use linestack_recovery::{Fate, Keep};
+    let result = Bytes::from_static(b"done");
+    let mut known = fates();
+    let kept = [("1", Fate::MayHaveRun), ("2", Fate::Satisfied(result.clone())), ("3", Fate::Unsent)];
+    known.restore(kept.map(|(key, fate)| Keep { key: key.into(), fate, at: 0 }));
+    let mut node = remembering(known);
+    let first = node.submit(PAY, 5_000 * MS);
+    assert_eq!(node.answers(), [(first, Answer::Aborted)]);
+    let second = node.submit(PAY, 5_000 * MS);
+    assert_eq!(node.answers(), [(second, Answer::Satisfied(result))]);
+    assert_eq!((node.core.stats().remembered, node.core.stats().taken), (2, 0));
+    node.submit(PAY, 5_000 * MS);
+    assert!(node.answers().is_empty() && node.core.stats().taken == 1);
+}
+
+// Its end makes it more certain: what was satisfied is told so, what was dismissed never ran.
+#[test]
+fn ends_are_kept() {
+    let mut node = remembering(fates());
+    node.submit(PAY, 5_000 * MS);
+    let (link, _) = node.opened().unwrap();
+    node.feed(Input::LinkUp { link });
+    let ticket = keeps(&node)[0].1.unwrap();
+    node.feed(Input::Kept { ticket, lasts: true });
+    node.end(link, Outcome::Satisfied);
+    assert_eq!(keeps(&node), [(linestack_recovery::Fate::Satisfied(Bytes::from_static(b"r")), None)]);
+}
+
 /// Decisions that order the same twice, whatever is allowed.
 struct Twice(Order);
 
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -37,6 +37,9 @@
         from: u64,
         #[arg(long)]
         program: Option<PathBuf>,
+        /// Plans played side by side.
+        #[arg(long, default_value_t = 1)]
+        jobs: usize,
         /// Plays that shrinking one may take.
         #[arg(long, default_value_t = 30)]
         tries: usize,
@@ -166,17 +169,35 @@
             }
             Ok(ExitCode::from(u8::from(!sound)))
         }
-        Command::Hunt { seeds, from, program: given, tries, out } => {
+        Command::Hunt { seeds, from, program: given, jobs, tries, out } => {
             let program = program(given)?;
-            let mut failed = 0;
-            for seed in *from..from + seeds {
-                let plan = draw(seed);
-                let outcome = play(&plan, &program, None)?;
-                if outcome.sound() {
-                    continue;
+            let pool = rayon::ThreadPoolBuilder::new().num_threads((*jobs).clamp(1, 32)).build()?;
+            let bar = indicatif::ProgressBar::new(*seeds);
+            let played: Vec<(Plan, Result<Outcome, String>)> = pool.install(|| {
+                let one = |seed| {
+                    let plan = draw(seed);
+                    let outcome = play(&plan, &program, None).map_err(|e| e.to_string());
+                    bar.inc(1);
+                    (plan, outcome)
+                };
+                let broken = |(_, o): &(Plan, Result<Outcome, String>)| {
+                    o.as_ref().is_ok_and(|o| !o.sound()) || o.is_err()
+                };
+                (*from..from + seeds)
+                    .collect::<Vec<u64>>()
+                    .into_par_iter()
+                    .with_max_len(1)
+                    .map(one)
+                    .filter(broken)
+                    .collect()
+            });
+            bar.finish_and_clear();
+            let failed = played.len();
+            for (plan, outcome) in played {
+                match outcome {
+                    Ok(outcome) => told(&plan, &outcome, json),
+                    Err(why) => println!("{}: {why}", plan.name),
                 }
-                failed += 1;
-                told(&plan, &outcome, json);
                 let fails = |p: &Plan| play(p, &program, None).is_ok_and(|o| !o.sound());
                 let small = shrink(&plan, fails, *tries);
                 std::fs::create_dir_all(out)?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod file;
 pub mod fleet;
 pub mod hunt;
+pub mod keep;
 pub mod play;
 pub mod policies;
 pub mod report;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,6 +10,7 @@
 use linestack_lab::file;
 use linestack_lab::fleet;
 use linestack_lab::hunt::{Prey, search, shrink, to_file};
+use linestack_lab::keep;
 use linestack_lab::play::{Played, mean, play_all, seeds};
 use linestack_lab::policies::Policy;
 use linestack_lab::report::page;
@@ -160,6 +161,16 @@
     },
     /// Two real nodes and a small fleet, loaded through a fault for some seconds.
     Demo,
+    /// What a store costs on this disk: commits by size with and without a sync, and how long it takes to come back.
+    Store {
+        /// Made and removed here, some gigabytes at ten million records.
+        #[arg(long, default_value = ".")]
+        folder: PathBuf,
+        #[arg(long, value_delimiter = ',', default_value = "10000,100000,1000000")]
+        records: Vec<usize>,
+        #[arg(long, default_value_t = 2.0)]
+        span: f64,
+    },
     /// Several processes of the program, with faults between them.
     Fleet {
         #[command(subcommand)]
@@ -282,6 +293,45 @@
             many_starts(&program, &plan)
         }
         Command::Demo => demo(),
+        Command::Store { folder, records, span } => {
+            let span = Duration::try_from_secs_f64(*span).map_err(|_| "a span of time is over 0")?;
+            if !arguments.json {
+                println!("sync   batch  records/s   median us  p99 us    written/given");
+            }
+            for sync in [true, false] {
+                for batch in [1, 8, 64, 512] {
+                    let place = tempfile::tempdir_in(folder)?;
+                    let c = keep::commits(place.path(), sync, batch, span)?;
+                    if arguments.json {
+                        println!("{}", serde_json::to_string(&c)?);
+                    } else {
+                        println!(
+                            "{sync:<5}  {batch:>5}  {:>9.0}   {:>9.1}  {:>8.1}  {:.2}",
+                            c.records_per_s, c.median_us, c.p99_us, c.amplification
+                        );
+                    }
+                }
+            }
+            if !arguments.json {
+                println!("records     bytes        s from a checkpoint  s without  index bytes a record");
+            }
+            for records in records {
+                let place = tempfile::tempdir_in(folder)?;
+                let b = keep::back(place.path(), *records)?;
+                if arguments.json {
+                    println!("{}", serde_json::to_string(&b)?);
+                } else {
+                    println!(
+                        "{records:<10}  {:<11}  {:>19.3}  {:>9.3}  {:.0}",
+                        b.bytes,
+                        b.from_checkpoint_s,
+                        b.without_s,
+                        b.index_bytes as f64 / *records as f64
+                    );
+                }
+            }
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Fleet { command } => fleet::go(command, arguments.json),
         Command::Replay { scenarios } => {
             let all = scenarios.iter().map(|p| file::read(p)).collect::<Result<Vec<_>, _>>()?;
--- a/crates/node/src/fleet/config.rs
+++ b/crates/node/src/fleet/config.rs
@@ -135,11 +135,20 @@
     std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-fn table<T: for<'a> Deserialize<'a>>(path: &Path, text: &str) -> Result<T, String> {
-    toml::from_str(text).map_err(|e: toml::de::Error| {
+/// Reads a table, or tells where it is wrong: file, line and key.
+pub(crate) fn table<T: for<'a> Deserialize<'a>>(path: &Path, text: &str) -> Result<T, String> {
+    let place = |e: &toml::de::Error| {
         let at = e.span().map_or(0, |s| s.start);
         let line = text[..at.min(text.len())].lines().count().max(1);
-        format!("{}:{line}: {}", path.display(), e.message().replace('\n', "; "))
+        (format!("{}:{line}", path.display()), e.message().replace('\n', "; "))
+    };
+    let parsed = toml::Deserializer::parse(text).map_err(|e| {
+        let (place, why) = place(&e);
+        format!("{place}: {why}")
+    })?;
+    serde_path_to_error::deserialize(parsed).map_err(|e| {
+        let (place, why) = place(e.inner());
+        format!("{place}: {}: {why}", e.path())
     })
 }
 
--- a/crates/node/src/fleet/coordinate.rs
+++ b/crates/node/src/fleet/coordinate.rs
@@ -386,7 +386,8 @@
 
     fn take(&mut self, input: Input) -> Result<(), ExitCode> {
         let mark = self.coordinator.record().mark;
-        let step = self.coordinator.take(monotonic(), input);
+        let now = monotonic();
+        let step = self.coordinator.take(now, input);
         let outs = step.finish(&mut self.disk).map_err(|why| {
             // Whether it is on the disk nobody knows, and nobody has been told that it is.
             tracing::error!(%why, "store failed; this coordinator ends");
@@ -397,7 +398,7 @@
             match out {
                 Out::Letter { to, letter } => self.post(to, letter),
                 Out::Guest { guest, reply } => self.reply(guest, reply),
-                Out::Note(note) => self.note(note),
+                Out::Note(note) => self.note(now, note),
                 Out::Halt => {
                     tracing::error!(
                         "what is stored here is older than what others have seen of it; it must not vote"
@@ -427,8 +428,8 @@
         }
     }
 
-    fn note(&mut self, note: Note) {
-        let at = monotonic();
+    /// At the time by which it was decided: a process that is stopped just then writes it down when it wakes.
+    fn note(&mut self, at: u64, note: Note) {
         let what = match note {
             Note::Established { round } => {
                 tracing::info!(round, "speaks for the fleet");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod config;
 pub mod fleet;
 pub mod http;
+pub mod keep;
 pub mod net;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -12,6 +12,7 @@
 use linestack::fleet::config::Mode;
 use linestack::fleet::session::Start;
 use linestack::fleet::trail::Trail;
+use linestack::keep::{self, Keeper};
 use linestack::net::{Node, Parts, clients, clock::Clock, spawn};
 use linestack_core::{Core, Input};
 use linestack_dispatch::types::{ListKind, Repeats};
@@ -45,6 +46,11 @@
     },
     /// Ask the coordinators of a fleet.
     Fleet(fleet::operate::Arguments),
+    /// Look after a node's store.
+    Store {
+        #[command(subcommand)]
+        command: keep::Command,
+    },
 }
 
 fn main() -> ExitCode {
@@ -52,6 +58,15 @@
     if let Some(Command::Fleet(arguments)) = &command {
         return fleet::operate::run(arguments);
     }
+    if let Some(Command::Store { command }) = &command {
+        return match keep::run(command) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(why) => {
+                eprintln!("linestack: {why}");
+                ExitCode::FAILURE
+            }
+        };
+    }
     // Lines are written by a thread of their own and dropped when nobody reads them: no coroutine waits.
     let writer = NonBlockingBuilder::default().buffered_lines_limit(LOG_LINES).lossy(true);
     let (writer, guard) = writer.finish(std::io::stderr());
@@ -95,6 +110,14 @@
     let Config { name, listen, discovery, known, settings, sockets, memory_mb, .. } = config.clone();
     let (index, endpoints) = known.map_or((None, Vec::new()), |known| (Some(known.index), known.endpoints));
     let memory = usize::try_from(memory_mb << 20).unwrap_or(usize::MAX);
+    let keeper = variable("PROXY_STORE").map(|path| keep::config(Path::new(&path)).and_then(Keeper::open));
+    let mut keeper = match keeper.transpose() {
+        Ok(keeper) => keeper,
+        Err(fault) => {
+            tracing::error!(fault, "store");
+            return ExitCode::FAILURE;
+        }
+    };
     let clock = Clock::start();
     let trail =
         fleet.as_ref().and_then(|(start, _)| start.fleet().history.as_ref().map(|path| (start, path)));
@@ -107,6 +130,11 @@
             return ExitCode::FAILURE;
         }
     };
+    let mut core = Core::new(settings.clone(), sockets, memory);
+    if let Some(keeper) = &mut keeper {
+        keeper.tell(&mut core, memory, clock.now());
+    }
+    let (keeper, writer) = keeper.map(Keeper::run).unzip();
     let parts = Parts {
         clock,
         names: settings.names.clone(),
@@ -121,11 +149,15 @@
         index,
         memory,
         trail,
+        keeper,
         exit: Box::new(move || {
             let _ = done.send(());
         }),
     };
-    let node = Node::new(Core::new(settings.clone(), sockets, memory), parts);
+    let node = Node::new(core, parts);
+    if let Some(writer) = writer {
+        writer.start(Arc::clone(&node));
+    }
     if let Some((start, active)) = &fleet {
         begin(&node, start, *active, &settings);
     }
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -311,6 +311,17 @@
 fn requested(node: &Node, request: &Request, text: &Bytes) -> Result<Asked, Fault> {
     let last = request.close;
     match (&text[request.method.clone()], &text[request.path.clone()]) {
+        (b"GET", b"/healthz") if node.remembered(b"").is_some_and(|(takes, _)| !takes) && node.ready() => {
+            Ok(Asked::Health(told(200, "the store has failed: one-shots are dismissed\n", last), last))
+        }
+        (b"GET", path) if path.starts_with(SUBMISSIONS) && node.remembered(b"").is_some() => {
+            let fate = node.remembered(&path[SUBMISSIONS.len()..]).and_then(|(_, fate)| fate);
+            let out = match fate {
+                Some(fate) => told(200, &format!("{{\"fate\":\"{}\"}}\n", fate.word()), last),
+                None => told(404, "{\"fate\":\"not known\"}\n", last),
+            };
+            Ok(Asked::Health(out, last))
+        }
         (b"GET", b"/healthz") => Ok(Asked::Health(bare(if node.ready() { 200 } else { 503 }, last), last)),
         (b"GET", _) => Ok(Asked::Health(bare(404, last), last)),
         (b"POST", _) => Ok(Asked::Execution(intake(node, request, text)?, last)),
@@ -373,6 +384,19 @@
     State::Answering { out: bare(fault.status, true), last: true }
 }
 
+/// Where a client can ask how a submission stands, by the key that it keeps.
+const SUBMISSIONS: &[u8] = b"/v1/submissions/";
+
+fn told(status: u16, text: &str, last: bool) -> Out {
+    let mut out = Out::default();
+    let length = text.len();
+    out.push(Bytes::from(format!("HTTP/1.1 {status} {}\r\nContent-Length: {length}\r\n", reason(status))));
+    out.push(if last { LAST } else { b"" });
+    out.push(&b"\r\n"[..]);
+    out.push(Bytes::from(text.to_owned()));
+    out
+}
+
 const LAST: &[u8] = b"Connection: close\r\n";
 
 fn bare(status: u16, last: bool) -> Out {
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -9,6 +9,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicIsize, Ordering};
+use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -20,7 +21,8 @@
 
 use crate::fleet::trail::Trail;
 use clock::{Alarm, Clock};
-use linestack_core::{Client, Core, Effect, Input, Link};
+use linestack_core::{Client, Core, Effect, Input, Link, Ticket};
+use linestack_recovery::{Fate, Keep};
 
 /// A pause for a connection that brings more than one message's worth at once. Giving way would not do: may
 /// looks at its sockets only when no coroutine can run.
@@ -136,6 +138,7 @@
     pub stamped: Vec<bool>,
     pub(crate) watch: Mutex<Watch>,
     pub(crate) trail: Option<Trail>,
+    keeper: Option<Sender<(Keep, Option<Ticket>)>>,
     logged: Mutex<Nanos>,
     /// For what clients send and are sent, and for what executors answer.
     pub(crate) client_room: Room,
@@ -170,6 +173,8 @@
     pub memory: usize,
     /// Where a history of this node goes, if one is kept.
     pub trail: Option<Trail>,
+    /// Where what must last goes, if anything does.
+    pub keeper: Option<Sender<(Keep, Option<Ticket>)>>,
     /// Called when the node has stopped and answered what it had taken.
     pub exit: Box<dyn FnOnce() + Send>,
 }
@@ -177,7 +182,7 @@
 impl Node {
     #[must_use]
     pub fn new(core: Core, parts: Parts) -> Arc<Self> {
-        let Parts { clock, names, layout, stamped, discovery, index, memory, trail, exit } = parts;
+        let Parts { clock, names, layout, stamped, discovery, index, memory, trail, keeper, exit } = parts;
         let (effects, links, clients) = (Vec::new(), HashMap::new(), HashMap::new());
         Arc::new(Self {
             inner: Mutex::new(Inner { core, effects, links, clients, next_client: 0 }),
@@ -188,6 +193,7 @@
             stamped,
             watch: Mutex::new(Watch { discovery, number: 0, index, hurry: 0, running: false, socket: None }),
             trail,
+            keeper,
             logged: Mutex::new(0),
             client_room: Room::new(memory / 4),
             link_room: Room::new(memory / 4),
@@ -217,6 +223,13 @@
         self.alarm.set(inner.core.next_due());
     }
 
+    /// Whether one-shots can be taken, and how one stands; none where nothing is remembered.
+    pub(crate) fn remembered(&self, key: &[u8]) -> Option<(bool, Option<Fate>)> {
+        self.keeper.as_ref()?;
+        let inner = lock(&self.inner);
+        Some((inner.core.remembers(), inner.core.fate(key).cloned()))
+    }
+
     /// Where its history goes, if one is kept.
     pub fn trail(&self) -> Option<&Trail> {
         self.trail.as_ref()
@@ -331,6 +344,11 @@
                     spawn(move || discovery::watch(&node, number));
                 }
             }
+            Effect::Keep { keep, ticket } => {
+                if let Some(keeper) = &self.keeper {
+                    let _ = keeper.send((keep, ticket));
+                }
+            }
             Effect::Fault(what) => tracing::error!(what, "invariant broken"),
             Effect::Report(stats) => {
                 tracing::info!(
@@ -340,6 +358,7 @@
                     aborted = stats.aborted,
                     left = stats.left,
                     fenced = stats.fenced,
+                    remembered = stats.remembered,
                     turned_down = stats.turned_down,
                     put_out = stats.put_out,
                     executions = stats.executions,
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -125,3 +125,47 @@
     assert_eq!(fault.key, key, "{fault}");
     assert!(fault.to_string().starts_with(key));
 }
+
+fn written(text: &str) -> (tempfile::TempDir, std::path::PathBuf) {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("file.toml");
+    std::fs::write(&path, text).unwrap();
+    (folder, path)
+}
+
+// An operator's files for a fleet: each fault by its key, all at once.
+#[rstest]
+#[case::two("coordinators = [\"127.0.0.1:1\", \"127.0.0.1:2\"]", &["fleet.coordinators"])]
+#[case::no_address("coordinators = [\"here\"]", &["fleet.coordinators"])]
+#[case::mode("coordinators = [\"127.0.0.1:1\"]\nmode = \"lax\"", &["fleet.mode"])]
+#[case::unknown("coordinators = [\"127.0.0.1:1\"]\ncolour = 1", &["colour"])]
+#[case::two_faults("coordinators = []\nfolder = \"x\"", &["fleet.coordinators", "fleet.id"])]
+fn a_fleet_is_refused_by_key(#[case] lines: &str, #[case] keys: &[&str]) {
+    let id = if keys.contains(&"fleet.id") { "a b" } else { "f" };
+    let folder = if lines.contains("folder") { "" } else { "folder = \"x\"\n" };
+    let (_held, path) = written(&format!("[fleet]\nid = \"{id}\"\nmember = \"n0\"\n{folder}{lines}\n"));
+    let why = linestack::fleet::config::fleet(&path).unwrap_err();
+    assert!(keys.iter().all(|key| why.contains(key)), "{why}");
+}
+
+#[rstest]
+#[case::number("number = 3", &["coordinator.number"])]
+#[case::hold("number = 0\nhold-ms = 2000", &["coordinator.hold-ms"])]
+#[case::lease("number = 0\nlease-ms = 50\nhold-ms = 25", &["coordinator.lease-ms"])]
+#[case::many("number = 9\ndrift = 900", &["coordinator.number", "coordinator.drift"])]
+fn a_coordinator_is_refused_by_key(#[case] lines: &str, #[case] keys: &[&str]) {
+    let peers = "peers = [\"127.0.0.1:1\", \"127.0.0.1:2\", \"127.0.0.1:3\"]";
+    let text = "[coordinator]\nfleet = \"f\"\nlisten = \"127.0.0.1:0\"\nfolder = \"x\"\nfirst-policy = \"y\"";
+    let (_held, path) = written(&format!("{text}\n{peers}\n{lines}\n"));
+    let why = linestack::fleet::config::coordinator(&path).unwrap_err();
+    assert!(keys.iter().all(|key| why.contains(key)), "{why}");
+}
+
+// The files that are shipped are read as they are.
+#[test]
+fn shipped_files_are_read() {
+    let deploy = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    linestack::fleet::config::fleet(&deploy.join("fleet.toml")).unwrap();
+    linestack::fleet::config::coordinator(&deploy.join("coordinator.toml")).unwrap();
+    linestack::keep::config(&deploy.join("store.toml")).unwrap();
+}
--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -13,6 +13,8 @@
     pub bound: u64,
     /// Nodes that can't prove their terms current take nothing.
     pub strict: bool,
+    /// Nodes keep a store, and clients come back to the node that they asked: none of what it sent begins twice.
+    pub remembered: bool,
     /// Clients ask again also when the first try may have run, so that doubles are counted and not judged.
     pub asked_when_unknown: bool,
 }
@@ -285,7 +287,7 @@
             _ => {}
         }
     }
-    if !promise.asked_when_unknown {
+    if !promise.asked_when_unknown || promise.remembered {
         for (key, began) in began.iter().filter(|(_, b)| b.len() > 1) {
             add(found, Broken::Twice, began[1].0, format!("{key} began {} times", began.len()));
         }
@@ -295,7 +297,8 @@
 /// How many one-shots began more than once.
 #[must_use]
 pub fn doubled(lines: &[Line]) -> usize {
-    let promise = Promise { coordinated: false, bound: 0, strict: false, asked_when_unknown: false };
+    let promise =
+        Promise { coordinated: false, bound: 0, strict: false, remembered: false, asked_when_unknown: false };
     let mut found = Vec::new();
     submissions(lines, &promise, &mut found);
     found.iter().filter(|f| f.broken == Broken::Twice).count()
--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -45,11 +45,14 @@
         count += 1;
         let one_shot = rng.random::<f64>() < load.one_shot_share;
         let key = format!("k{number}-{count}");
+        let mut node = rng.random_range(0..nodes.len());
         for again in 0..load.tries {
             if stop.load(Ordering::Relaxed) {
                 break;
             }
-            let node = rng.random_range(0..nodes.len());
+            if !load.same_node {
+                node = rng.random_range(0..nodes.len());
+            }
             let id = format!("{number:x}-{count:x}-{again:x}");
             seen(What::Asked { id: id.clone(), key: key.clone(), node: format!("n{node}"), one_shot });
             let told = once(&mut sockets[node], nodes[node], load, &id, &key, one_shot, again > 0);
@@ -73,7 +76,7 @@
                 Told::Unsent => {
                     seen(What::Unsent { id });
                     // A node that is down refuses at once, and must not be asked in a loop.
-                    std::thread::sleep(Duration::from_millis(10));
+                    std::thread::sleep(Duration::from_millis(if load.same_node { 100 } else { 10 }));
                 }
             }
         }
@@ -109,7 +112,7 @@
         (if one_shot { ONE_SHOT } else { HARMLESS }, if again { "Req-Retry: 1\r\n" } else { "" });
     let text = format!(
         "POST /api HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Kind: {product}\r\nReq-Owner: all\r\n\
-         Req-Key: {key}\r\n{retry}Req-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{key}",
+         Req-Key: {key}\r\nIdempotency-Key: {key}\r\n{retry}Req-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{key}",
         load.cut_off_ms,
         key.len()
     );
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -31,6 +31,8 @@
         /// Whether a node that can't prove its terms current stops taking submissions.
         strict: bool = true,
         lease_ms: u64 = 1500,
+        /// Whether nodes keep a store, by the key that clients keep.
+        store: bool = false,
         executors: u32 = 4,
         slots: u32 = 8,
         work_ms: f64 = 20.0,
@@ -51,6 +53,8 @@
         tries: u32 = 3,
         /// Ask again also when the first try may have run. Off: only when it can't have.
         ask_when_unknown: bool = false,
+        /// Ask the same node again, which alone knows what it sent.
+        same_node: bool = false,
         one_shot_share: f64 = 0.5,
     }
 }
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -250,6 +250,7 @@
         // The lease of whoever was granted one just before, and what a busy machine adds.
         bound: plan.lease_ms * 1_000_000 + MACHINE,
         strict: plan.coordinators > 0 && plan.strict,
+        remembered: plan.store && plan.load.same_node,
         asked_when_unknown: plan.load.ask_when_unknown,
     };
     let mut findings = check(&lines, &promise);
@@ -382,6 +383,15 @@
             let path = process.folder.join("node.json");
             fs::write(&path, file.to_string())?;
             process.variables.push(("PROXY_CONFIG".into(), path.display().to_string()));
+            if plan.store {
+                let kept = process.store().join("kept");
+                let told =
+                    json!({"store": {"folder": kept, "same-by": "idempotency-key", "remember-s": 600}});
+                let path = process.folder.join("store.toml");
+                fs::write(&path, toml::to_string(&told).map_err(io::Error::other)?)?;
+                process.variables.push(("PROXY_STORE".into(), path.display().to_string()));
+                self.init(&kept)?;
+            }
             if plan.coordinators > 0 {
                 let told = json!({"fleet": {"id": "rig", "member": name, "coordinators": coordinators(&name),
                     "folder": process.store(), "mode": if plan.strict { "strict" } else { "available" },
@@ -412,6 +422,13 @@
         Ok(())
     }
 
+    /// Makes a node's store, as an operator does.
+    fn init(&self, folder: &Path) -> io::Result<()> {
+        let made = Command::new(&self.program).args(["store", "init"]).arg(folder).output()?;
+        let why = || io::Error::other(String::from_utf8_lossy(&made.stderr).into_owned());
+        made.status.success().then_some(()).ok_or_else(why)
+    }
+
     /// The settings of these terms: they differ in what traffic beyond a share is worth.
     fn terms(&self, number: u64) -> Value {
         let mut policy = self.policy.clone();
@@ -627,6 +644,12 @@
             .filter(|(n, p)| to.iter().any(|to| meant(to, n) || (to == DOWN && !p.running())))
             .map(|(n, _)| n.clone())
             .collect();
+        let starts = [Deed::Start, Deed::StartEmpty, Deed::StartOlder, Deed::StartRolledBack];
+        // One that runs needs no start.
+        let named: Vec<String> = match starts.contains(&step.r#do) {
+            true => named.into_iter().filter(|n| !self.processes[n].running()).collect(),
+            false => named,
+        };
         // What is done to many is done to all of them at once, as far as that can be.
         for name in &named {
             let began = matches!(step.r#do, Deed::Kill | Deed::Pause | Deed::Stop);
@@ -685,10 +708,15 @@
                 self.note(&deed, name);
             }
         }
-        let starts = [Deed::Start, Deed::StartEmpty, Deed::StartOlder, Deed::StartRolledBack];
         if !starts.contains(&step.r#do) {
             return Ok(());
         }
+        if step.r#do == Deed::StartEmpty && self.plan.store {
+            for name in named.iter().filter(|n| n.starts_with('n')) {
+                let kept = self.processes[name].store().join("kept");
+                self.init(&kept)?;
+            }
+        }
         match self.start(&named) {
             Err(_) if step.refused => Ok(()),
             Ok(()) if step.refused => {
--- a/crates/rig/tests/check.rs
+++ b/crates/rig/tests/check.rs
@@ -146,7 +146,13 @@
 )]
 fn judged(#[case] more: Vec<Line>, #[case] broken: Option<Broken>) {
     let lines = [sound(), more].concat();
-    let promise = Promise { coordinated: true, bound: 500 * MS, strict: true, asked_when_unknown: false };
+    let promise = Promise {
+        coordinated: true,
+        bound: 500 * MS,
+        strict: true,
+        remembered: false,
+        asked_when_unknown: false,
+    };
     let found: Vec<Broken> = check(&lines, &promise).into_iter().map(|f| f.broken).collect();
     match broken {
         None => assert_eq!(found, []),
--- /dev/null
+++ b/crates/store/src/disk.rs
@@ -0,0 +1,125 @@
+//! All that a store asks of a disk, so that a faulty one can stand in.
+
+use std::collections::HashMap;
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::io;
+use std::os::unix::fs::FileExt as _;
+use std::path::{Path, PathBuf};
+
+/// A folder of files. What is written lasts when its file was synced; that a file is there, or is gone, lasts when the
+/// folder was.
+pub trait Disk {
+    /// # Errors
+    ///
+    /// The system's, here and below.
+    fn list(&self) -> io::Result<Vec<String>>;
+    fn length(&self, name: &str) -> io::Result<u64>;
+    /// The bytes from `at` on, `length` of them or as many as there are.
+    fn read(&self, name: &str, at: u64, length: usize) -> io::Result<Vec<u8>>;
+    /// A file of so many zeros, in place of any that has the name.
+    fn create(&mut self, name: &str, length: u64) -> io::Result<()>;
+    fn write(&mut self, name: &str, at: u64, bytes: &[u8]) -> io::Result<()>;
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+    fn sync_folder(&mut self) -> io::Result<()>;
+}
+
+/// A folder of the system's, held by one process at a time.
+#[derive(Debug)]
+pub struct Folder {
+    path: PathBuf,
+    open: HashMap<String, File>,
+    _lock: File,
+}
+
+impl Folder {
+    /// # Errors
+    ///
+    /// `WouldBlock` if another process holds it; the system's.
+    pub fn open(path: &Path) -> io::Result<Self> {
+        fs::create_dir_all(path)?;
+        let lock = OpenOptions::new().create(true).truncate(false).write(true).open(path.join("lock"))?;
+        match lock.try_lock() {
+            Ok(()) => Ok(Self { path: path.to_owned(), open: HashMap::new(), _lock: lock }),
+            Err(TryLockError::WouldBlock) => {
+                Err(io::Error::new(io::ErrorKind::WouldBlock, "another process holds this folder"))
+            }
+            Err(TryLockError::Error(why)) => Err(why),
+        }
+    }
+
+    fn writer(&mut self, name: &str) -> io::Result<&File> {
+        if !self.open.contains_key(name) {
+            let file = OpenOptions::new().write(true).open(self.path.join(name))?;
+            self.open.insert(name.to_owned(), file);
+        }
+        self.open.get(name).ok_or(io::Error::from(io::ErrorKind::NotFound))
+    }
+}
+
+impl Disk for Folder {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            let entry = entry?;
+            let name = entry.file_name().to_string_lossy().into_owned();
+            if name != "lock" && entry.file_type()?.is_file() {
+                names.push(name);
+            }
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn length(&self, name: &str) -> io::Result<u64> {
+        Ok(fs::metadata(self.path.join(name))?.len())
+    }
+
+    fn read(&self, name: &str, at: u64, length: usize) -> io::Result<Vec<u8>> {
+        let file = File::open(self.path.join(name))?;
+        let there = usize::try_from(file.metadata()?.len().saturating_sub(at)).unwrap_or(usize::MAX);
+        let mut bytes = vec![0; length.min(there)];
+        file.read_exact_at(&mut bytes, at)?;
+        Ok(bytes)
+    }
+
+    fn create(&mut self, name: &str, length: u64) -> io::Result<()> {
+        let file = OpenOptions::new().create(true).truncate(true).write(true).open(self.path.join(name))?;
+        // Written out, not left as a hole: later writes then change no length and ask for no room.
+        let zeros = [0; 64 * 1024];
+        let mut at = 0;
+        while at < length {
+            let piece = zeros.len().min(usize::try_from(length - at).unwrap_or(zeros.len()));
+            file.write_all_at(&zeros[..piece], at)?;
+            at += piece as u64;
+        }
+        self.open.insert(name.to_owned(), file);
+        Ok(())
+    }
+
+    fn write(&mut self, name: &str, at: u64, bytes: &[u8]) -> io::Result<()> {
+        self.writer(name)?.write_all_at(bytes, at)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.writer(name)?.sync_data()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.open.remove(to);
+        if let Some(file) = self.open.remove(from) {
+            self.open.insert(to.to_owned(), file);
+        }
+        fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open.remove(name);
+        fs::remove_file(self.path.join(name))
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+}
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -791,7 +791,8 @@
                 }
             }
             Effect::Fault(what) => self.judge.breach(Rule::Invariant, self.now, what.into()),
-            Effect::Report(_) => {}
+            // Nothing is remembered over a restart here.
+            Effect::Report(_) | Effect::Keep { .. } => {}
             Effect::Exit => self.node_ends(node),
         }
     }
