A coordinator that lost its store is replaced by agreement, and sleep ends a leave

Need: a lost store left the operator with two of three for good, and a machine that slept kept its leave, since leaves are counted by a clock that stands still meanwhile.

accord: seats. A majority of the others gives the number to another; that one has no vote until it is sent what is agreed; an earlier one ends. Tests: the replacement, the old store back, walks with replacements, and an empty store that votes, which is found (two texts for one version). Real processes: crates/node/tests/fleet.rs, a change decided by the new one and the one that is left. Coordinators count by CLOCK_BOOTTIME; a node compares both clocks at each submission. No test: nothing here puts a machine to sleep.

Members say at once that they go by a change. The rig tells the time to full service.

--- a/crates/accord/src/coordinator.rs
+++ b/crates/accord/src/coordinator.rs
@@ -173,6 +173,9 @@
     sessions: BTreeMap<String, Session>,
     joins: BTreeMap<String, Incarnation>,
     forgets: BTreeSet<String>,
+    replaces: Option<(Option<Id>, Guest, Id)>,
+    /// Up to which write each of the others has accepted under this ballot.
+    has: BTreeMap<Id, u64>,
     proposal: Option<(Option<Id>, Guest, Pending)>,
     abort: Option<String>,
     /// When the change that is pending was first known to be, by its version.
@@ -182,7 +185,12 @@
 #[derive(Clone, Debug, Hash)]
 enum Role {
     Following,
-    Asking { ballot: Ballot, promises: BTreeMap<Id, (Ballot, State)>, again: Nanos },
+    /// With each promise, which one of its number gave it.
+    Asking {
+        ballot: Ballot,
+        promises: BTreeMap<Id, (Ballot, State, u32)>,
+        again: Nanos,
+    },
     Speaking(Box<Speaking>),
 }
 
@@ -200,7 +208,8 @@
     floor: u32,
     /// Sessions of a speaker that steps down, for when it speaks again.
     sessions: BTreeMap<String, Session>,
-    seen: BTreeMap<Id, u64>,
+    /// The highest count of writes seen of each, by its number and seat.
+    seen: BTreeMap<(Id, u32), u64>,
     halted: bool,
     outs: Vec<Out>,
 }
@@ -259,6 +268,7 @@
     pub fn next_due(&self) -> Nanos {
         match &self.role {
             _ if self.halted => Nanos::MAX,
+            Role::Following if self.record.learning => Nanos::MAX,
             Role::Following => self.ask_at(),
             Role::Asking { again, .. } => *again,
             Role::Speaking(s) => {
@@ -289,7 +299,9 @@
         let mut outs = std::mem::take(&mut self.outs);
         for out in &mut outs {
             if let Out::Letter { to, letter } = out {
-                (letter.mark, letter.seen) = (self.record.mark, self.seen.get(to).copied().unwrap_or(0));
+                (letter.mark, letter.seat) = (self.record.mark, self.record.seat);
+                let seat = self.record.state.seat(*to);
+                letter.seen = self.seen.get(&(*to, seat)).copied().unwrap_or(0);
             }
         }
         if self.terms.broken == Some(Broken::Forgets) {
@@ -310,7 +322,7 @@
     }
 
     fn send(&mut self, to: Id, peer: Peer) {
-        self.outs.push(Out::Letter { to, letter: Letter { mark: 0, seen: 0, peer } });
+        self.outs.push(Out::Letter { to, letter: Letter { mark: 0, seen: 0, seat: 0, peer } });
     }
 
     fn reply(&mut self, via: Option<Id>, guest: Guest, reply: Reply) {
@@ -339,7 +351,7 @@
 
     fn tick(&mut self, now: Nanos) {
         match &self.role {
-            Role::Following if now >= self.ask_at() => self.ask(now),
+            Role::Following if now >= self.ask_at() && !self.record.learning => self.ask(now),
             Role::Asking { again, .. } if now >= *again => self.ask(now),
             Role::Speaking(s) => {
                 let over = self.valid_until(s);
@@ -382,7 +394,7 @@
             self.floor = ballot.round;
             self.record.promised = ballot;
             self.dirty = true;
-            let mine = (self.record.accepted, self.record.state.clone());
+            let mine = (self.record.accepted, self.record.state.clone(), self.record.seat);
             self.role = Role::Asking { ballot, promises: BTreeMap::from([(me, mine)]), again };
             ballot
         });
@@ -395,11 +407,13 @@
     /// Whether most have promised.
     fn promised(&mut self, now: Nanos) {
         let Role::Asking { ballot, promises, .. } = &self.role else { return };
-        if promises.len() < self.majority() {
+        let newest = promises.values().max_by_key(|(accepted, state, _)| (*accepted, state.rev));
+        let (ballot, state) = (*ballot, newest.map(|(_, s, _)| s.clone()).unwrap_or_default());
+        // One that was replaced since has no vote: what it promised was forgotten with its store.
+        let votes = promises.iter().filter(|(id, (.., seat))| state.seat(**id) == *seat).count();
+        if votes < self.majority() {
             return;
         }
-        let newest = promises.values().max_by_key(|(accepted, state)| (*accepted, state.rev));
-        let (ballot, state) = (*ballot, newest.map(|(_, s)| s.clone()).unwrap_or_default());
         let blind = if self.terms.broken == Some(Broken::NotBlind) { 0 } else { self.terms.lease };
         self.role = Role::Speaking(Box::new(Speaking {
             ballot,
@@ -412,6 +426,8 @@
             sessions: std::mem::take(&mut self.sessions),
             joins: BTreeMap::new(),
             forgets: BTreeSet::new(),
+            replaces: None,
+            has: BTreeMap::new(),
             proposal: None,
             abort: None,
             pending_since: (0, now),
@@ -433,15 +449,22 @@
 
     /// Tells the others that it speaks, and what is on its way to be written.
     fn beat(&mut self, now: Nanos) {
-        let every = self.beat_every();
+        let (every, count) = (self.beat_every(), self.terms.count);
         let Role::Speaking(s) = &mut self.role else { return };
         s.beat_at = now + every;
         let (ballot, at) = (s.ballot, now);
         let flight = s.flight.as_ref().map(|f| (f.state.clone(), f.accepted.clone()));
+        let behind = |rev: u64| (0..count).filter(|id| s.has.get(id).is_none_or(|has| *has < rev)).collect();
+        let behind: BTreeSet<Id> = s.chosen.as_ref().map_or_else(BTreeSet::new, |c| behind(c.rev));
+        let chosen = s.chosen.clone();
         for to in self.others() {
             let peer = match &flight {
                 Some((state, accepted)) if !accepted.contains(&to) => {
-                    Peer::Accept { ballot, state: state.clone(), at }
+                    Peer::Accept { ballot, state: state.clone(), at, agreed: false }
+                }
+                // One that has missed a write, or has taken another's place, is told what is agreed.
+                None if behind.contains(&to) => {
+                    Peer::Accept { ballot, state: chosen.clone().unwrap_or_default(), at, agreed: true }
                 }
                 _ => Peer::Beat { ballot, at },
             };
@@ -477,6 +500,13 @@
                 nudged.push((session.via, Guest::Member(name.clone())));
             }
         }
+        let replaced =
+            s.replaces.take_if(|(.., id)| old.as_ref().is_some_and(|o| o.seat(*id) < new.seat(*id)));
+        if let Some((.., id)) = &replaced {
+            // What it had, it had in another life.
+            s.has.remove(id);
+            s.acks.remove(id);
+        }
         let taken = s.proposal.take_if(|(_, _, p)| pending == Some(p.policy.version));
         let mut notes = Vec::new();
         if old.is_none() {
@@ -504,6 +534,10 @@
         if let Some((via, guest, pending)) = taken {
             self.reply(via, guest, Reply::Taken { version: pending.policy.version });
         }
+        if let Some((via, guest, id)) = replaced {
+            let number = new.seat(id);
+            self.reply(via, guest, Reply::Seat { number });
+        }
         for (via, guest) in nudged {
             self.reply(via, guest, Reply::Nudge);
         }
@@ -519,11 +553,19 @@
             self.outs.push(Out::Halt);
             return;
         }
-        let seen = self.seen.entry(from).or_default();
+        if letter.seat < self.record.state.seat(from) {
+            // Its number is another's by now; it is told so when it is sent what is agreed.
+            return;
+        }
+        let seat = letter.seat;
+        let seen = self.seen.entry((from, seat)).or_default();
         *seen = (*seen).max(letter.mark);
         match letter.peer {
             Peer::Prepare { ballot } => {
                 self.floor = self.floor.max(ballot.round);
+                if self.record.learning {
+                    return;
+                }
                 // Whoever speaks now may go on counting on not being replaced.
                 if self.speaks(now) || (now < self.held.1 && self.held.0 != Some(from)) {
                     return;
@@ -547,14 +589,27 @@
                 if let Role::Asking { ballot: mine, promises, .. } = &mut self.role
                     && *mine == ballot
                 {
-                    promises.insert(from, (accepted, state));
+                    promises.insert(from, (accepted, state, seat));
                     self.promised(now);
                 }
             }
-            Peer::Accept { ballot, state, at } => {
+            Peer::Accept { ballot, state, at, agreed } => {
+                if agreed && state.seat(self.terms.me) > self.record.seat {
+                    self.halted = true;
+                    self.outs.push(Out::Halt);
+                    return;
+                }
                 if !self.hears(now, from, ballot) {
                     return;
                 }
+                if self.record.learning {
+                    // What is agreed gives it its vote, and nothing less.
+                    if !agreed || state.seat(self.terms.me) != self.record.seat {
+                        return;
+                    }
+                    self.record.learning = false;
+                    self.dirty = true;
+                }
                 let rev = state.rev;
                 let present = (self.record.accepted, self.record.state.rev);
                 if (ballot, rev) > present {
@@ -567,9 +622,13 @@
             }
             Peer::Accepted { ballot, rev, at } => {
                 let Role::Speaking(s) = &mut self.role else { return };
-                if s.ballot == ballot {
+                // Whose number is just being given to another has its vote only once that is agreed.
+                let agreed = s.chosen.as_ref().or(s.flight.as_ref().map(|f| &f.state));
+                if s.ballot == ballot && agreed.is_some_and(|state| state.seat(from) == seat) {
                     let ack = s.acks.entry(from).or_default();
                     *ack = (*ack).max(at);
+                    let has = s.has.entry(from).or_default();
+                    *has = (*has).max(rev);
                     if let Some(flight) = s.flight.as_mut().filter(|f| f.state.rev == rev) {
                         flight.accepted.insert(from);
                         self.accepted(now);
@@ -577,13 +636,14 @@
                 }
             }
             Peer::Beat { ballot, at } => {
-                if self.hears(now, from, ballot) {
+                if self.hears(now, from, ballot) && !self.record.learning {
                     self.send(from, Peer::Beaten { ballot, at });
                 }
             }
             Peer::Beaten { ballot, at } => {
                 if let Role::Speaking(s) = &mut self.role
                     && s.ballot == ballot
+                    && s.chosen.as_ref().is_some_and(|state| state.seat(from) == seat)
                 {
                     let ack = s.acks.entry(from).or_default();
                     *ack = (*ack).max(at);
@@ -779,6 +839,18 @@
                     return self.consider(now);
                 }
             }
+            Ask::Replace { seat } => {
+                let quiet = self.terms.hold * 4;
+                let heard = s.acks.get(&seat).is_some_and(|at| now < at + quiet) || now < s.since + quiet;
+                if seat >= self.terms.count || seat == me {
+                    Reply::TurnedDown(vec![format!("coordinator {seat}: not one of the others")])
+                } else if heard {
+                    Reply::TurnedDown(vec![format!("coordinator {seat}: it is heard, or was a moment ago")])
+                } else {
+                    s.replaces = Some((via, guest, seat));
+                    return self.consider(now);
+                }
+            }
             Ask::Status => {
                 let standing = |(name, incarnation): (&String, &Incarnation)| {
                     let m = s.sessions.get(name).filter(|m| m.incarnation == *incarnation);
@@ -824,6 +896,9 @@
                 s.sessions.remove(&name);
             }
         }
+        if let Some((.., seat)) = &s.replaces {
+            *state.seats.entry(*seat).or_insert(0) += 1;
+        }
         if let Some(pending) = &state.pending {
             let end = s.end_of(now, pending, &state.members, broken);
             if let Some(end) = end {
--- a/crates/accord/src/message.rs
+++ b/crates/accord/src/message.rs
@@ -11,6 +11,8 @@
     pub mark: u64,
     /// The highest such count that the sender has seen of the receiver.
     pub seen: u64,
+    /// Which one of the sender's number it is.
+    pub seat: u32,
     pub peer: Peer,
 }
 
@@ -26,11 +28,12 @@
         accepted: Ballot,
         state: State,
     },
-    /// Phase 2. `at` is the sender's clock, which the answer brings back.
+    /// Phase 2. `at` is the sender's clock, which the answer brings back; `agreed`, that most have accepted it before.
     Accept {
         ballot: Ballot,
         state: State,
         at: Nanos,
+        agreed: bool,
     },
     Accepted {
         ballot: Ballot,
@@ -109,6 +112,10 @@
     Forget {
         member: String,
     },
+    /// Gives the number of a coordinator that is down for good, or has lost its store, to another.
+    Replace {
+        seat: Id,
+    },
     Status,
 }
 
@@ -132,6 +139,10 @@
     /// No change of this name is known.
     Unheard,
     Done,
+    /// Whoever takes the place of the coordinator is to be started as this one of its number.
+    Seat {
+        number: u32,
+    },
     Status(Box<Status>),
 }
 
--- a/crates/accord/src/state.rs
+++ b/crates/accord/src/state.rs
@@ -97,9 +97,18 @@
     pub members: BTreeMap<String, Incarnation>,
     /// The latest last.
     pub ended: Vec<Ended>,
+    /// How often the coordinator with each number was replaced by another with an empty store; none counts as never.
+    #[serde(default)]
+    pub seats: BTreeMap<Id, u32>,
 }
 
 impl State {
+    /// Which coordinator of this number has a vote.
+    #[must_use]
+    pub fn seat(&self, id: Id) -> u32 {
+        self.seats.get(&id).copied().unwrap_or(0)
+    }
+
     /// What a fleet begins with.
     #[must_use]
     pub fn first(text: String) -> Self {
@@ -124,6 +133,12 @@
 pub struct Record {
     /// Counts what was kept: others remember it, so that an older copy is known for one.
     pub mark: u64,
+    /// How many had this number before.
+    #[serde(default)]
+    pub seat: u32,
+    /// It took the place of one that had lost its store, and has not yet been told what is agreed: it has no vote.
+    #[serde(default)]
+    pub learning: bool,
     pub promised: Ballot,
     pub accepted: Ballot,
     pub state: State,
--- a/crates/accord/tests/common/mod.rs
+++ b/crates/accord/tests/common/mod.rs
@@ -104,6 +104,23 @@
         self.coordinators[c] = Some(Coordinator::new(terms, self.disks[c].clone(), self.now));
     }
 
+    /// Gives the number of one that is down to another with an empty store; returns whether that was agreed.
+    pub fn replace(&mut self, c: usize) -> bool {
+        let Some(speaker) = self.speaker() else { return false };
+        let before =
+            self.coordinators[speaker].as_ref().and_then(|s| s.chosen()).map_or(0, |s| s.seat(c as Id));
+        let ask = Ask::Replace { seat: c as Id };
+        self.coordinator(speaker, Input::Guest { guest: Guest::Operator(2), request: Request::Ask(ask) });
+        self.settle(HOLD / 2);
+        let after = self.speaker().and_then(|s| Some(self.coordinators[s].as_ref()?.chosen()?.seat(c as Id)));
+        if after != Some(before + 1) || self.coordinators[c].is_some() {
+            return false;
+        }
+        self.disks[c] = Record { seat: before + 1, learning: true, ..Record::default() };
+        self.start(c);
+        true
+    }
+
     pub fn crash(&mut self, c: usize) {
         self.coordinators[c] = None;
     }
--- a/crates/accord/tests/search.rs
+++ b/crates/accord/tests/search.rs
@@ -7,7 +7,7 @@
 
 use common::{HOLD, LEASE, Mistakes, World};
 use fastrand::Rng;
-use linestack_accord::{Broken, Coordinator, Guest};
+use linestack_accord::{Broken, Coordinator, Guest, Record, State};
 use linestack_member as member;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -202,7 +202,14 @@
                     .into_iter()
                     .for_each(|c| world.start(c));
             }
-            986..988 => {
+            986 => {
+                let c = rng.usize(..count);
+                if world.coordinators[c].is_none() && world.coordinators.iter().flatten().count() == count - 1
+                {
+                    world.replace(c);
+                }
+            }
+            987 => {
                 let to = world.now + rng.u64(1..2 * LEASE);
                 world.pass(to, &paused);
             }
@@ -259,6 +266,71 @@
     Mistakes { coordinator: None, member: Some(broken) }
 }
 
+// A change that two of three know is decided. One of them loses its store, the other dies: were the empty one to vote, the
+// third would go on without the change.
+#[rstest]
+#[case::learning(true)]
+#[case::voting(false)]
+fn an_empty_store_must_not_vote(#[case] learning: bool) {
+    let mut world = World::new(3, 0, Mistakes::default());
+    world.settle(4 * LEASE);
+    let speaker = world.speaker().unwrap();
+    let (knows, misses) = ((speaker + 1) % 3, (speaker + 2) % 3);
+    world.crash(misses);
+    world.propose(speaker, "r1", "one", None);
+    world.settle(2 * HOLD);
+    assert_eq!(world.decided.len(), 2);
+    world.crash(speaker);
+    world.crash(knows);
+    // Nothing is left on the way by which it would hear how much it had kept.
+    world.net.clear();
+    world.disks[knows] = Record { learning, state: State::first("1".into()), ..Record::default() };
+    world.start(knows);
+    world.start(misses);
+    world.settle(4 * LEASE);
+    let Some(speaker) = world.speaker() else {
+        assert!(learning, "they would have to agree");
+        return;
+    };
+    assert!(!learning);
+    world.propose(speaker, "r2", "two", None);
+    world.settle(2 * HOLD);
+    assert_eq!(world.broken.as_deref(), Some("version 2 has two texts"));
+}
+
+// One that lost its store has no vote until another in its place was agreed on and told what is agreed; then it counts
+// as the one before did.
+#[test]
+fn a_lost_store_is_replaced_by_agreement() {
+    let mut world = World::new(3, 2, Mistakes::default());
+    world.settle(4 * LEASE);
+    let lost = (world.speaker().unwrap() + 1) % 3;
+    assert!(!world.replace(lost), "it is heard");
+    world.crash(lost);
+    world.settle(8 * HOLD);
+    world.propose(world.speaker().unwrap(), "r1", "one", None);
+    world.settle(2 * LEASE);
+    let old = world.disks[lost].clone();
+    assert!(world.replace(lost));
+    assert!(world.disks[lost].learning);
+    world.settle(4 * HOLD);
+    assert!(!world.disks[lost].learning && world.disks[lost].state.policy.version == 2);
+    // The one that is new and the one that is left are most of three, and know what was agreed.
+    world.crash(world.speaker().unwrap());
+    world.settle(4 * LEASE);
+    world.propose(world.speaker().unwrap(), "r2", "two", None);
+    world.settle(2 * LEASE);
+    assert_eq!((world.broken.clone(), world.decided.len()), (None, 3));
+    // The old store comes back: it ends, and has said nothing that counts.
+    world.crash(lost);
+    world.disks[lost] = old;
+    let down: Vec<usize> = (0..3).filter(|c| world.coordinators[*c].is_none()).collect();
+    down.into_iter().for_each(|c| world.start(c));
+    world.settle(4 * LEASE);
+    assert!(world.coordinators[lost].is_none());
+    assert_eq!((world.broken.clone(), at_rest(&world)), (None, Ok(())));
+}
+
 #[test]
 fn walks_get_somewhere() {
     let all: Vec<World> = (0..40).map(|seed| walk(seed, Mistakes::default(), 1500)).collect();
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -114,7 +114,7 @@
         let found: Vec<String> =
             outcome.findings.iter().map(|f| format!("{:?}: {}", f.broken, f.why)).collect();
         let line = serde_json::json!({"plan": plan.name, "seed": plan.seed, "broken": found, "faults": outcome.faults,
-            "doubled": outcome.doubled, "mixed_ms": mixed.map(|m| m as f64 / 1e6), "seconds": outcome.seconds});
+            "doubled": outcome.doubled, "mixed_ms": mixed.map(|m| m as f64 / 1e6), "back": outcome.back(), "seconds": outcome.seconds});
         println!("{line}");
         return;
     }
@@ -145,6 +145,21 @@
         Some(mixed) => println!("versions mixed for {:.3} s", mixed as f64 / 1e9),
         None => println!("versions mixed at the end still"),
     }
+    if let Some(back) = outcome.back() {
+        let after = back
+            .after_s
+            .map_or("not within the plan".to_owned(), |s| format!("{s:.1} s after the last was up"));
+        println!(
+            "full service {after}; before {:.0} a second, p99 {:.1} ms; {} missed; connections a second {} steady, {} at \
+             the peak; list calls {} at the peak",
+            back.before.0,
+            back.before.1,
+            back.missed,
+            back.steady_connections,
+            back.peak_connections,
+            back.peak_lists
+        );
+    }
     println!("one-shots begun more than once: {}", outcome.doubled);
     outcome.faults.iter().for_each(|f| println!("fault: {f}"));
     for f in &outcome.findings {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -191,6 +191,10 @@
                         if let Some((_, until)) = waiting {
                             self.serve(until, outs);
                         }
+                        if self.answered {
+                            // So that operators see it at once.
+                            self.next = now;
+                        }
                     }
                     Err(key) => {
                         // It may not serve under what it goes by, and can't go by what holds.
--- a/crates/node/src/fleet/coordinate.rs
+++ b/crates/node/src/fleet/coordinate.rs
@@ -26,7 +26,7 @@
 use super::store::{Fault, Store};
 use super::trail::Diary;
 use super::wire::{self, Body, Own, Pen, Who};
-use super::{draw, monotonic};
+use super::{boottime, draw, monotonic};
 
 /// Sessions at a time, and frames that wait for one that reads slowly, before it is closed.
 const MOST_SESSIONS: usize = 3072;
@@ -74,10 +74,21 @@
     }
 }
 
-/// Runs until it is told to stop. `first` makes the store, from the file's first policy.
+/// What there is of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// Its store is there.
+    Again,
+    /// Nothing yet, and the fleet is new: its store is made from the file's first policy.
+    First,
+    /// Nothing, in place of one that has lost its store: which one of its number it is, as `fleet replace` told.
+    Replacement(u32),
+}
+
+/// Runs until it is told to stop.
 #[must_use]
-pub fn run(path: &Path, first: bool) -> ExitCode {
-    match start(path, first) {
+pub fn run(path: &Path, how: Start) -> ExitCode {
+    match start(path, how) {
         Ok(code) => code,
         Err(why) => {
             for line in why.lines() {
@@ -88,12 +99,12 @@
     }
 }
 
-fn start(path: &Path, first: bool) -> Result<ExitCode, String> {
+fn start(path: &Path, how: Start) -> Result<ExitCode, String> {
     let config = config::coordinator(path)?;
-    let (disk, record) = open(&config, first).map_err(|why| {
+    let (disk, record) = open(&config, how).map_err(|why| {
         let remedy = match why {
             Fault::Missing => {
-                "; one that never ran is made by --first, one that has lost its store must not come back"
+                "; in a new fleet it is made by --first; one that has lost its store wants `linestack fleet replace`"
             }
             Fault::There => "; start it without --first",
             Fault::Copied => "; it must not vote: what it promised since the copy was made is forgotten",
@@ -132,7 +143,7 @@
         check,
         broken,
     };
-    let coordinator = Coordinator::new(terms, record, monotonic());
+    let coordinator = Coordinator::new(terms, record, boottime());
     tracing::info!(fleet = config.fleet, number = me, %listen, "started");
     let mut office = Office {
         coordinator,
@@ -146,9 +157,16 @@
     Ok(office.run(&heard))
 }
 
-fn open(config: &config::Coordinator, first: bool) -> Result<(Disk, Record), Fault> {
+fn open(config: &config::Coordinator, how: Start) -> Result<(Disk, Record), Fault> {
     let owner = format!("coordinator {} of {}", config.number, config.fleet);
-    if first {
+    if let Start::Replacement(seat) = how {
+        let mut store = Store::open(&config.folder, &owner, true)?;
+        let life = Incarnation { home: draw(), life: 1 };
+        let record = Record { seat, learning: true, ..Record::default() };
+        store.keep(&Kept { life, record: record.clone() })?;
+        return Ok((Disk { store, life }, record));
+    }
+    if how == Start::First {
         let damaged =
             |why: String| Fault::Damaged(format!("first-policy: {}: {why}", config.first_policy.display()));
         let text = std::fs::read_to_string(&config.first_policy).map_err(|e| damaged(e.to_string()))?;
@@ -291,7 +309,7 @@
     fn run(&mut self, heard: &Receiver<Event>) -> ExitCode {
         let mut counted = Instant::now();
         loop {
-            let wait = self.coordinator.next_due().saturating_sub(monotonic());
+            let wait = self.coordinator.next_due().saturating_sub(boottime());
             let event = match heard.recv_timeout(Duration::from_nanos(wait).min(COUNTS)) {
                 Ok(event) => Some(event),
                 Err(RecvTimeoutError::Timeout) => None,
@@ -311,7 +329,7 @@
                 return code;
             }
             // A flood of messages must not keep what is due from being done.
-            if self.coordinator.next_due() <= monotonic()
+            if self.coordinator.next_due() <= boottime()
                 && let Err(code) = self.take(Input::Tick)
             {
                 return code;
@@ -319,7 +337,7 @@
             if counted.elapsed() >= COUNTS {
                 counted = Instant::now();
                 let Counts { frames, granted, kept, refused, .. } = &self.counts;
-                let speaks = self.coordinator.speaks(monotonic());
+                let speaks = self.coordinator.speaks(boottime());
                 let sessions = self.lines.len();
                 tracing::info!(speaks, sessions, frames, granted, kept, ?refused, "counts");
             }
@@ -386,7 +404,8 @@
 
     fn take(&mut self, input: Input) -> Result<(), ExitCode> {
         let mark = self.coordinator.record().mark;
-        let now = monotonic();
+        // A speaker whose machine slept must know that it did.
+        let (at, now) = (monotonic(), boottime());
         let step = self.coordinator.take(now, input);
         let outs = step.finish(&mut self.disk).map_err(|why| {
             // Whether it is on the disk nobody knows, and nobody has been told that it is.
@@ -398,7 +417,7 @@
             match out {
                 Out::Letter { to, letter } => self.post(to, letter),
                 Out::Guest { guest, reply } => self.reply(guest, reply),
-                Out::Note(note) => self.note(now, note),
+                Out::Note(note) => self.note(at, note),
                 Out::Halt => {
                     tracing::error!(
                         "what is stored here is older than what others have seen of it; it must not vote"
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -19,6 +19,19 @@
     now.tv_sec.unsigned_abs() * 1_000_000_000 + now.tv_nsec.unsigned_abs()
 }
 
+/// As [`monotonic`], and it goes on while the machine sleeps. What is promised to others is counted by it.
+#[must_use]
+pub fn boottime() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    now.tv_sec.unsigned_abs() * 1_000_000_000 + now.tv_nsec.unsigned_abs()
+}
+
+/// For how long the machine has slept since it was started.
+#[must_use]
+pub fn slept() -> u64 {
+    boottime().saturating_sub(monotonic())
+}
+
 /// Drawn anew in each process.
 #[must_use]
 pub fn draw() -> u64 {
--- a/crates/node/src/fleet/operate.rs
+++ b/crates/node/src/fleet/operate.rs
@@ -73,6 +73,8 @@
     Abort { request: String },
     /// The changes that ended, the latest last.
     History,
+    /// Give the number of a coordinator that is down, and has lost its store, to another with an empty one.
+    Replace { number: u8 },
     /// Take a member that is away off the list.
     Forget { member: String },
 }
@@ -270,6 +272,22 @@
             Some(Reply::TurnedDown(faults)) => a.tell("refused", member, &faults, REFUSED),
             Some(_) => a.tell("not known here", member, &[], REFUSED),
         },
+        Command::Replace { number } => {
+            let name = format!("coordinator {number}");
+            match a.insist(&Ask::Replace { seat: *number }) {
+                None => nobody(),
+                Some(Reply::Seat { number: seat }) if a.json => {
+                    println!("{}", json!({"coordinator": number, "replacement": seat}));
+                    DONE
+                }
+                Some(Reply::Seat { number: seat }) => {
+                    let how = format!("start it, with an empty folder, by --replacement {seat}");
+                    a.tell("replaced", &name, &[how], DONE)
+                }
+                Some(Reply::TurnedDown(faults)) => a.tell("refused", &name, &faults, REFUSED),
+                Some(_) => a.tell("unknown", &name, &[], UNKNOWN),
+            }
+        }
         Command::Status | Command::History => match a.insist(&Ask::Status) {
             Some(Reply::Status(status)) => {
                 if matches!(a.command, Command::History) {
--- a/crates/node/src/fleet/session.rs
+++ b/crates/node/src/fleet/session.rs
@@ -93,7 +93,19 @@
         let staged = record.staged.clone();
         let member = Member::new(record.life, DRIFT, SPAN, active, staged).broken(broken);
         let own = Own { fleet: fleet.id.clone(), who: Who::Member(fleet.member.clone()), life: record.life };
-        let session = Session { node, fleet, store, record, member, present, seed, own, told: None, broken };
+        let session = Session {
+            node,
+            fleet,
+            store,
+            record,
+            member,
+            present,
+            seed,
+            own,
+            told: None,
+            broken,
+            slept: super::slept(),
+        };
         std::thread::spawn(move || session.run());
     }
 }
@@ -109,8 +121,13 @@
     own: Own,
     told: Option<(Told, Instant)>,
     broken: Option<Broken>,
+    /// For how long the machine had slept when this last asked.
+    slept: u64,
 }
 
+/// Two clocks are read one after the other, and a process may be stopped in between.
+const READING: u64 = 50_000_000;
+
 impl Session {
     fn run(mut self) {
         let mut at = self.seed as usize % self.fleet.coordinators.len();
@@ -183,6 +200,14 @@
         let now = self.node.clock.now();
         match out {
             Out::Send(renew) => {
+                // Leaves are counted by a clock that stands still while the machine sleeps. What was asked before it
+                // did counts no more, and what is on its way to this session neither.
+                let slept = super::slept();
+                if slept > self.slept + READING {
+                    self.slept = slept;
+                    self.fence(now);
+                    return Err("the machine has slept".into());
+                }
                 let bytes = pen.write(Body::Request(Request::Renew(renew))).map_err(|e| e.to_string())?;
                 socket.write_all(&bytes).map_err(|e| e.to_string())?;
             }
@@ -214,6 +239,7 @@
                         trail.write(now, What::Leased { version, until: trail.machine(until) });
                     }
                     let until = if self.broken == Some(Broken::Unfenced) { u64::MAX } else { until };
+                    self.node.count_from(self.slept + READING);
                     self.node.feed(CoreInput::Leave { until });
                 }
             }
@@ -222,6 +248,13 @@
         Ok(None)
     }
 
+    fn fence(&self, now: u64) {
+        if self.fleet.mode == Mode::Strict {
+            self.write(now, What::Leased { version: self.member.active(), until: 0 });
+            self.node.feed(CoreInput::Leave { until: 0 });
+        }
+    }
+
     fn write(&self, now: u64, what: What) {
         if let Some(trail) = &self.node.trail {
             trail.write(now, what);
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -10,6 +10,7 @@
 use linestack::config::{self, Config};
 use linestack::fleet;
 use linestack::fleet::config::Mode;
+use linestack::fleet::coordinate::Start as Begin;
 use linestack::fleet::session::Start;
 use linestack::fleet::trail::Trail;
 use linestack::keep::{self, Keeper};
@@ -40,9 +41,12 @@
     /// Run a coordinator of a fleet.
     Coordinate {
         file: PathBuf,
-        /// It never ran: make its store.
-        #[arg(long)]
+        /// The fleet is new: make its store, from the first policy.
+        #[arg(long, conflicts_with = "replacement")]
         first: bool,
+        /// It takes the place of one that has lost its store; `fleet replace` tells the number.
+        #[arg(long)]
+        replacement: Option<u32>,
     },
     /// Ask the coordinators of a fleet.
     Fleet(fleet::operate::Arguments),
@@ -75,8 +79,13 @@
     let most = *level.as_ref().unwrap_or(&tracing::Level::INFO);
     tracing_subscriber::fmt().with_writer(writer).with_ansi(false).with_max_level(most).init();
     std::panic::set_hook(Box::new(|panic| tracing::error!(%panic, "panicked")));
-    if let Some(Command::Coordinate { file, first }) = &command {
-        let code = fleet::coordinate::run(file, *first);
+    if let Some(Command::Coordinate { file, first, replacement }) = &command {
+        let how = match replacement {
+            Some(seat) => Begin::Replacement(*seat),
+            None if *first => Begin::First,
+            None => Begin::Again,
+        };
+        let code = fleet::coordinate::run(file, how);
         drop(guard);
         return code;
     }
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicIsize, Ordering};
+use std::sync::atomic::{AtomicIsize, AtomicU64, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -19,6 +19,7 @@
 use may::net::TcpStream;
 use serde::Deserialize;
 
+use crate::fleet::slept;
 use crate::fleet::trail::Trail;
 use clock::{Alarm, Clock};
 use linestack_core::{Client, Core, Effect, Input, Link, Ticket};
@@ -139,6 +140,9 @@
     pub(crate) watch: Mutex<Watch>,
     pub(crate) trail: Option<Trail>,
     keeper: Option<Sender<(Keep, Option<Ticket>)>>,
+    /// A leave to take submissions is over once the machine has slept for longer than this in all; 0: there is no
+    /// leave to end.
+    awake: AtomicU64,
     logged: Mutex<Nanos>,
     /// For what clients send and are sent, and for what executors answer.
     pub(crate) client_room: Room,
@@ -194,6 +198,7 @@
             watch: Mutex::new(Watch { discovery, number: 0, index, hurry: 0, running: false, socket: None }),
             trail,
             keeper,
+            awake: AtomicU64::new(0),
             logged: Mutex::new(0),
             client_room: Room::new(memory / 4),
             link_room: Room::new(memory / 4),
@@ -204,6 +209,11 @@
     /// Hands the reducer an input and carries out what it asks for. Nothing in here waits: the lock is
     /// never held while a coroutine gives way.
     pub fn feed(self: &Arc<Self>, input: Input) {
+        let awake = self.awake.load(Ordering::Relaxed);
+        if awake > 0 && matches!(input, Input::Submitted { .. }) && slept() > awake {
+            self.awake.store(0, Ordering::Relaxed);
+            self.feed(Input::Leave { until: 0 });
+        }
         let mut inner = lock(&self.inner);
         let inner = &mut *inner;
         let mut effects = std::mem::take(&mut inner.effects);
@@ -235,6 +245,11 @@
         self.trail.as_ref()
     }
 
+    /// From now on leave is over once the machine has slept for longer than this in all.
+    pub fn count_from(&self, slept: u64) {
+        self.awake.store(slept.max(1), Ordering::Relaxed);
+    }
+
     pub fn ready(&self) -> bool {
         lock(&self.inner).core.ready(self.clock.now())
     }
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -171,6 +171,20 @@
     assert_eq!((heard(&outcome, "r2"), decided(&outcome)), ("decided", 3));
 }
 
+// A coordinator whose store is gone does not come back by itself. Another is agreed on in its place; with the one that
+// is left it is most of three, and a change is decided by these two.
+#[test]
+fn a_lost_store_is_replaced_by_agreement() {
+    let more = PROPOSE.replace("r1", "r2").replace("base = 1", "base = 2").replace("terms = 2", "terms = 3");
+    let outcome = play(&plan(&format!(
+        "[[steps]]\nafter-ms = 200\ndo = \"kill\"\nto = [\"c2\"]\n{PROPOSE}{DECIDED}[[steps]]\ndo = \"start-empty\"\nto = [\"c2\"]\n\
+         refused = true\n[[steps]]\ndo = \"replace\"\nto = [\"c2\"]\n[[steps]]\nafter-ms = 600\ndo = \"kill\"\nto = [\"c0\"]\n\
+         {more}{DECIDED}[[steps]]\ndo = \"start\"\nto = [\"c0\"]\n"
+    )));
+    sound(&outcome);
+    assert_eq!((heard(&outcome, "r1"), heard(&outcome, "r2"), decided(&outcome)), ("decided", "decided", 3));
+}
+
 // A full disk ends a coordinator before it says what it could not keep; the others go on.
 #[test]
 fn a_disk_is_full() {
--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -67,7 +67,7 @@
             "kill" | "pause" | "stop" | "cut" | "delay" | "throttle" => {
                 open.entry((who, way)).or_insert(line.at);
             }
-            "start" | "start-empty" | "start-older" | "start-rolled-back" | "resume" | "heal" => {
+            "start" | "start-empty" | "start-older" | "start-rolled-back" | "replace" | "resume" | "heal" => {
                 if let Some(from) = open.remove(&(who.clone(), way)) {
                     all.entry(who).or_default().push((from, line.at));
                 }
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -108,6 +108,8 @@
     StartOlder,
     /// The same in the files that are there, as a disk does that goes back.
     StartRolledBack,
+    /// Ask that another with an empty store gets its number, and start that one.
+    Replace,
     /// Wait until it has ended by itself, and not with 0.
     Gone,
     Pause,
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -47,7 +47,100 @@
     pub began: u64,
 }
 
+/// Whether a fleet serves in full again: how it did before, and from when on it does so again.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Back {
+    /// Satisfied a second, and the 99th of a hundred answer times in ms, in the span before the first process was killed.
+    pub before: (f64, f64),
+    /// Seconds from the last process being up to the first span of full service; none if there was none.
+    pub after_s: Option<f64>,
+    /// Of the second with most: connections made, and list calls.
+    pub peak_connections: u64,
+    pub peak_lists: u64,
+    /// In the second before the first was killed.
+    pub steady_connections: u64,
+    /// Submissions that were not satisfied at their first try, from the kill to full service.
+    pub missed: u64,
+}
+
+/// Full service holds for so long on end.
+const ON_END: u64 = 5_000_000_000;
+/// Windows are looked at in steps of this.
+const STEP: u64 = 100_000_000;
+/// The rate, and the 99th of a hundred answer times, are within this part of what they were; and times within what a
+/// machine's timers are good for.
+const WITHIN: f64 = 0.05;
+const TIMERS_MS: f64 = 5.0;
+
 impl Outcome {
+    /// How long it took to come back, where processes were killed and started again and the plan leaves room to see it.
+    #[must_use]
+    pub fn back(&self) -> Option<Back> {
+        let did = |line: &Line, which: &dyn Fn(&str) -> bool| match &line.what {
+            What::Did { deed, .. } if which(deed) => Some(line.at),
+            _ => None,
+        };
+        let killed = self.lines.iter().find_map(|l| did(l, &|d| d == "kill"))?;
+        let started = |d: &str| d.starts_with("start") || d == "replace";
+        let last = self.lines.iter().filter_map(|l| did(l, &started)).max()?;
+        // The step is done when all that it started listen.
+        let up = self.done.iter().copied().filter(|at| *at >= last).min().unwrap_or(last);
+        let mut asked: HashMap<&str, u64> = HashMap::new();
+        let mut answers: Vec<(u64, f64)> = Vec::new();
+        let mut first_tries: HashMap<&str, (u64, bool)> = HashMap::new();
+        for line in &self.lines {
+            match &line.what {
+                What::Asked { id, .. } => {
+                    asked.insert(id, line.at);
+                    if id.ends_with("-0") {
+                        first_tries.insert(id, (line.at, false));
+                    }
+                }
+                What::Told { id, status: 200 } => {
+                    let from = asked.get(id.as_str()).copied().unwrap_or(line.at);
+                    answers.push((line.at, (line.at - from) as f64 / 1e6));
+                    if let Some(first) = first_tries.get_mut(id.as_str()) {
+                        first.1 = true;
+                    }
+                }
+                _ => {}
+            }
+        }
+        let window = |from: u64, to: u64| {
+            let mut times: Vec<f64> =
+                answers.iter().filter(|(at, _)| (from..to).contains(at)).map(|(_, t)| *t).collect();
+            times.sort_by(f64::total_cmp);
+            let p99 = times
+                .get((times.len() * 99 / 100).min(times.len().saturating_sub(1)))
+                .copied()
+                .unwrap_or(f64::INFINITY);
+            (times.len() as f64 / ((to - from) as f64 / 1e9), p99)
+        };
+        let before = window(killed.saturating_sub(ON_END).max(self.began), killed);
+        let end = answers.last()?.0;
+        let full = |from: u64| {
+            let (rate, p99) = window(from, from + ON_END);
+            rate >= before.0 * (1.0 - WITHIN) && p99 <= before.1 * (1.0 + WITHIN) + TIMERS_MS
+        };
+        let first =
+            (0..).map(|i| up + i * STEP).take_while(|from| from + ON_END <= end).find(|from| full(*from));
+        let until = first.unwrap_or(end);
+        let missed = first_tries.values().filter(|(at, told)| !told && (killed..until).contains(at)).count();
+        let second = |at: u64| (at.saturating_sub(self.began) / 1_000_000_000) as usize;
+        let after = self.seconds.get(second(killed)..).unwrap_or_default();
+        Some(Back {
+            before,
+            after_s: first.map(|from| (from - up) as f64 / 1e9),
+            peak_connections: after.iter().map(|s| s.connections).max().unwrap_or(0),
+            peak_lists: after.iter().map(|s| s.list_calls).max().unwrap_or(0),
+            steady_connections: second(killed)
+                .checked_sub(1)
+                .and_then(|s| self.seconds.get(s))
+                .map_or(0, |s| s.connections),
+            missed: missed as u64,
+        })
+    }
+
     #[must_use]
     pub fn sound(&self) -> bool {
         self.findings.is_empty() && self.faults.is_empty()
@@ -644,7 +737,7 @@
             .filter(|(n, p)| to.iter().any(|to| meant(to, n) || (to == DOWN && !p.running())))
             .map(|(n, _)| n.clone())
             .collect();
-        let starts = [Deed::Start, Deed::StartEmpty, Deed::StartOlder, Deed::StartRolledBack];
+        let starts = [Deed::Start, Deed::StartEmpty, Deed::StartOlder, Deed::StartRolledBack, Deed::Replace];
         // One that runs needs no start.
         let named: Vec<String> = match starts.contains(&step.r#do) {
             true => named.into_iter().filter(|n| !self.processes[n].running()).collect(),
@@ -672,6 +765,13 @@
                     let _ = fs::remove_dir_all(&older);
                     copy(&process.store(), &older)?;
                 }
+                Deed::Replace => {
+                    let number = name.trim_start_matches('c').to_owned();
+                    let seat = self.replaced(&number)?;
+                    let process = self.processes.get_mut(name).ok_or(io::Error::other("no such process"))?;
+                    fs::remove_dir_all(process.store())?;
+                    process.once = vec!["--replacement".into(), seat.to_string()];
+                }
                 Deed::Gone => {
                     let failed = process.wait(PATIENCE)?.is_some_and(|s| !s.success());
                     failed
@@ -796,6 +896,27 @@
         })
     }
 
+    /// Has a coordinator's number given to another, and returns which one of that number it is.
+    fn replaced(&self, number: &str) -> io::Result<u64> {
+        let addresses: Vec<String> =
+            (0..self.plan.coordinators).map(|c| self.ways[&format!("o>c{c}")].address.to_string()).collect();
+        let begin = Instant::now();
+        loop {
+            let mut command = Command::new(&self.program);
+            command.args(["fleet", "--fleet", "rig", "--json", "--coordinators", &addresses.join(",")]);
+            let output = command.args(["replace", number]).output()?;
+            let told: Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+            if let Some(seat) = told["replacement"].as_u64() {
+                return Ok(seat);
+            }
+            // It may have been heard a moment ago.
+            if begin.elapsed() > PATIENCE {
+                return Err(io::Error::other(format!("coordinator {number} was not replaced: {told}")));
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
     fn propose(&mut self, step: &Step) -> io::Result<()> {
         let path = self.folder.join(format!("change-{}.json", step.request));
         fs::write(&path, self.terms(step.terms).to_string())?;
