Two one-shots of one key are not both sent; a seat's count is compared with its own alone

A coordinator that took a lost one's place was told by one that had been cut off how much the *earlier* one had kept, took itself for an older copy and ended (accord, letter): counts tell of which seat they are. Each has a test that fails without its mend.

--- a/crates/accord/src/coordinator.rs
+++ b/crates/accord/src/coordinator.rs
@@ -302,6 +302,7 @@
                 (letter.mark, letter.seat) = (self.record.mark, self.record.seat);
                 let seat = self.record.state.seat(*to);
                 letter.seen = self.seen.get(&(*to, seat)).copied().unwrap_or(0);
+                letter.of = seat;
             }
         }
         if self.terms.broken == Some(Broken::Forgets) {
@@ -322,7 +323,7 @@
     }
 
     fn send(&mut self, to: Id, peer: Peer) {
-        self.outs.push(Out::Letter { to, letter: Letter { mark: 0, seen: 0, seat: 0, peer } });
+        self.outs.push(Out::Letter { to, letter: Letter { mark: 0, seen: 0, of: 0, seat: 0, peer } });
     }
 
     fn reply(&mut self, via: Option<Id>, guest: Guest, reply: Reply) {
@@ -548,7 +549,9 @@
         if from >= self.terms.count || from == self.terms.me {
             return;
         }
-        if letter.seen > self.record.mark && self.terms.broken != Some(Broken::Forgets) {
+        // What was seen of one that this took the place of says nothing of this.
+        let older = letter.of == self.record.seat && letter.seen > self.record.mark;
+        if older && self.terms.broken != Some(Broken::Forgets) {
             self.halted = true;
             self.outs.push(Out::Halt);
             return;
--- a/crates/accord/src/message.rs
+++ b/crates/accord/src/message.rs
@@ -11,6 +11,8 @@
     pub mark: u64,
     /// The highest such count that the sender has seen of the receiver.
     pub seen: u64,
+    /// Of which one of the receiver's number that is.
+    pub of: u32,
     /// Which one of the sender's number it is.
     pub seat: u32,
     pub peer: Peer,
--- a/crates/accord/tests/search.rs
+++ b/crates/accord/tests/search.rs
@@ -331,6 +331,32 @@
     assert_eq!((world.broken.clone(), at_rest(&world)), (None, Ok(())));
 }
 
+// One of five was cut off while another's place was given away, and asks it by what it saw of the one before.
+#[test]
+fn what_was_seen_of_the_one_before_is_no_older_copy() {
+    let mut world = World::new(5, 1, Mistakes::default());
+    world.settle(4 * LEASE);
+    // The one that spoke: it is whom the others have seen.
+    let lost = world.speaker().unwrap();
+    let away = (lost + 4) % 5;
+    for number in 0..3 {
+        world.propose(lost, &format!("r{number}"), "text", None);
+        world.settle(2 * LEASE);
+    }
+    world.crash(lost);
+    let asleep = world.coordinators[away].take();
+    world.settle(8 * HOLD);
+    assert!(world.replace(lost));
+    world.settle(4 * HOLD);
+    assert!(!world.disks[lost].learning);
+    world.coordinators[away] = asleep;
+    // It asks before it has been told anything.
+    world.pass(world.now, &[]);
+    world.settle(4 * LEASE);
+    assert!(world.coordinators[lost].is_some(), "the one that is new has ended");
+    assert_eq!((world.broken.clone(), at_rest(&world)), (None, Ok(())));
+}
+
 #[test]
 fn walks_get_somewhere() {
     let all: Vec<World> = (0..40).map(|seed| walk(seed, Mistakes::default(), 1500)).collect();
--- a/crates/core/src/fates.rs
+++ b/crates/core/src/fates.rs
@@ -25,6 +25,8 @@
     since: Nanos,
     by_stamp: bool,
     waiting: usize,
+    /// Keys of one-shots that are held here: until one is about to be sent nothing else tells of it.
+    open: HashSet<Bytes>,
     /// The disk has failed: nothing more can be made to last.
     failed: bool,
 }
@@ -42,7 +44,8 @@
     /// From now on one-shots are remembered over a restart. To be called before anything is taken.
     pub fn remember(&mut self, remembered: Remembered) {
         let Remembered { fates, age, now, by_stamp } = remembered;
-        self.book = Some(Book { fates, age, since: now, by_stamp, waiting: 0, failed: false });
+        self.book =
+            Some(Book { fates, age, since: now, by_stamp, waiting: 0, open: HashSet::new(), failed: false });
     }
 
     /// How a submission with this key stands, for whoever asks.
@@ -72,6 +75,10 @@
         // Without a key it could not be known again, and would run again.
         let turned_away = Answer::Dismissed(self.come_back.map(|most| most / 8));
         let Some(key) = self.key(&intake.shipment) else { return Some(turned_away) };
+        if book.open.contains(&key) {
+            // Both would be sent, and neither has an end yet.
+            return Some(Answer::Repeated);
+        }
         match book.fates.fate(&key) {
             Some(Fate::Satisfied(result)) => Some(Answer::Satisfied(result.clone())),
             Some(Fate::MayHaveRun) => Some(Answer::Aborted),
@@ -80,6 +87,20 @@
         }
     }
 
+    /// A submission is held from now on, or no more.
+    pub(crate) fn hold_key(&mut self, product: u8, shipment: &Shipment, held: bool) {
+        if !self.one_shot(product) {
+            return;
+        }
+        if let (Some(key), Some(book)) = (self.key(shipment), &mut self.book) {
+            if held {
+                book.open.insert(key)
+            } else {
+                book.open.remove(&key)
+            };
+        }
+    }
+
     fn age_now(&self) -> Age {
         self.book.as_ref().map_or(0, |b| b.age + self.now.saturating_sub(b.since))
     }
--- a/crates/core/src/guests.rs
+++ b/crates/core/src/guests.rs
@@ -118,6 +118,7 @@
         self.stats.taken += 1;
         let cut_off = (self.now + intake.patience.min(self.longest_wait)).min(self.last_call);
         let Intake { product, tenant, slots, memory, shipment, .. } = intake;
+        self.hold_key(product, &shipment, true);
         let (number, client, executions) = (self.stats.taken, Some(client), Vec::new());
         self.taken[submission as usize] = Some(Taken {
             number,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -490,6 +490,7 @@
                 let taken = self.taken.get_mut(submission as usize).and_then(Option::take);
                 if let Some(taken) = &taken {
                     self.ids.remove(&taken.shipment.id);
+                    self.hold_key(taken.product, &taken.shipment, false);
                 }
                 let over = taken
                     .as_ref()
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -794,6 +794,33 @@
     assert!(node.answers().is_empty() && node.core.stats().taken == 1);
 }
 
+// The same key again while the first is held and not sent yet: nothing is written of it, and both would go out.
+#[test]
+fn one_of_a_key_at_a_time() {
+    let mut node = Node::new(2);
+    node.core.remember(Remembered { fates: fates(), age: 0, now: node.now, by_stamp: true });
+    let ask = |node: &mut Node, id: &'static str| {
+        node.clients += 1;
+        let client = node.clients;
+        node.feed(Input::ClientUp { client });
+        let (id, stamp) = (Bytes::from_static(id.as_bytes()), Some(Bytes::from_static(b"k")));
+        let shipment = Arc::new(Shipment { id, stamp, ..Shipment::default() });
+        let patience = 1_000 * MS;
+        let intake = Intake { product: PAY, tenant: 0, patience, slots: 1.0, memory: 0.0, shipment };
+        node.feed(Input::Submitted { client, intake });
+        client
+    };
+    let first = ask(&mut node, "a");
+    assert!(node.answers().is_empty());
+    let second = ask(&mut node, "b");
+    assert_eq!(node.answers(), [(second, Answer::Repeated)]);
+    // It never got a connection; what ended unsent may be asked for again.
+    node.pass(1_100 * MS);
+    assert!(node.answers().iter().any(|(c, _)| *c == first));
+    ask(&mut node, "c");
+    assert_eq!(node.core.stats().taken, 2);
+}
+
 // Its end makes it more certain: what was satisfied is told so, what was dismissed never ran.
 #[test]
 fn ends_are_kept() {
--- a/crates/node/tests/coordinator.rs
+++ b/crates/node/tests/coordinator.rs
@@ -161,7 +161,7 @@
 fn a_letter(address: SocketAddr) -> TcpStream {
     let (mut socket, _, mut pen) = wire::greet(address, &member()).unwrap();
     let peer = Peer::Prepare { ballot: Ballot { round: 1_000_000, by: 0 } };
-    let letter = Letter { mark: 0, seen: u64::MAX, seat: 0, peer };
+    let letter = Letter { mark: 0, seen: u64::MAX, of: 0, seat: 0, peer };
     socket.write_all(&pen.write(Body::Letter(letter)).unwrap()).unwrap();
     socket
 }
