A machine that slept is let in again; a member is forgotten before it is told so

Members counted by a clock that stands still in sleep and coordinators by one that does not: after a sleep a member's clock looked slow and it was refused for as long as its process ran (coordinator.rs, renew). Members count by CLOCK_BOOTTIME now; two readings that lie apart are read again, lest a stop between them makes a leave longer. No test: nothing here puts a machine to sleep. Forget was answered before it was agreed (ask_of): now after, with a test that fails without it.

--- a/crates/accord/src/coordinator.rs
+++ b/crates/accord/src/coordinator.rs
@@ -172,7 +172,8 @@
     beat_at: Nanos,
     sessions: BTreeMap<String, Session>,
     joins: BTreeMap<String, Incarnation>,
-    forgets: BTreeSet<String>,
+    /// Members to be taken off the list, and who is told when they are.
+    forgets: Vec<(Option<Id>, Guest, String)>,
     replaces: Option<(Option<Id>, Guest, Id)>,
     /// Up to which write each of the others has accepted under this ballot.
     has: BTreeMap<Id, u64>,
@@ -426,7 +427,7 @@
             beat_at: now,
             sessions: std::mem::take(&mut self.sessions),
             joins: BTreeMap::new(),
-            forgets: BTreeSet::new(),
+            forgets: Vec::new(),
             replaces: None,
             has: BTreeMap::new(),
             proposal: None,
@@ -508,6 +509,13 @@
             s.has.remove(id);
             s.acks.remove(id);
         }
+        let (gone, forgets): (Vec<_>, Vec<_>) = std::mem::take(&mut s.forgets)
+            .into_iter()
+            .partition(|(.., name)| !new.members.contains_key(name));
+        s.forgets = forgets;
+        for (.., name) in &gone {
+            s.sessions.remove(name);
+        }
         let taken = s.proposal.take_if(|(_, _, p)| pending == Some(p.policy.version));
         let mut notes = Vec::new();
         if old.is_none() {
@@ -539,6 +547,9 @@
             let number = new.seat(id);
             self.reply(via, guest, Reply::Seat { number });
         }
+        for (via, guest, _) in gone {
+            self.reply(via, guest, Reply::Done);
+        }
         for (via, guest) in nudged {
             self.reply(via, guest, Reply::Nudge);
         }
@@ -837,8 +848,7 @@
                 } else if live {
                     Reply::TurnedDown(vec![format!("{member} may serve still")])
                 } else {
-                    s.forgets.insert(member);
-                    self.reply(via, guest, Reply::Done);
+                    s.forgets.push((via, guest, member));
                     return self.consider(now);
                 }
             }
@@ -893,11 +903,10 @@
         for (name, incarnation) in &s.joins {
             state.members.insert(name.clone(), *incarnation);
         }
-        for name in std::mem::take(&mut s.forgets) {
-            if s.sessions.get(&name).is_none_or(|m| now >= m.until) {
-                state.members.remove(&name);
-                s.sessions.remove(&name);
-            }
+        // One that came back meanwhile stays, and whoever wanted it gone asks again.
+        s.forgets.retain(|(.., name)| s.sessions.get(name).is_none_or(|m| now >= m.until));
+        for (.., name) in &s.forgets {
+            state.members.remove(name);
         }
         if let Some((.., seat)) = &s.replaces {
             *state.seats.entry(*seat).or_insert(0) += 1;
--- a/crates/accord/tests/common/mod.rs
+++ b/crates/accord/tests/common/mod.rs
@@ -59,6 +59,8 @@
     pub decided: BTreeMap<u64, (Nanos, u32)>,
     pub dropped: BTreeMap<u64, String>,
     pub mistakes: Mistakes,
+    /// What operators were told.
+    pub heard: Vec<Reply>,
     /// What did not hold.
     pub broken: Option<String>,
 }
@@ -80,6 +82,7 @@
             decided: BTreeMap::new(),
             dropped: BTreeMap::new(),
             mistakes,
+            heard: Vec::new(),
             broken: None,
         };
         (0..coordinators).for_each(|c| world.start(c));
@@ -157,7 +160,7 @@
                     let m: usize = name.parse().unwrap_or(0);
                     self.send(To::Member(m), Message::Reply(reply));
                 }
-                Out::Guest { .. } => {}
+                Out::Guest { reply, .. } => self.heard.push(reply),
                 Out::Note(note) => self.noted(note),
                 Out::Halt => self.crash(c),
             }
--- a/crates/accord/tests/search.rs
+++ b/crates/accord/tests/search.rs
@@ -7,7 +7,7 @@
 
 use common::{HOLD, LEASE, Mistakes, World};
 use fastrand::Rng;
-use linestack_accord::{Broken, Coordinator, Guest, Record, State};
+use linestack_accord::{Ask, Broken, Coordinator, Guest, Input, Record, Reply, Request, State};
 use linestack_member as member;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -357,6 +357,29 @@
     assert_eq!((world.broken.clone(), at_rest(&world)), (None, Ok(())));
 }
 
+// Whoever wants a member off the list is told so when it is, and not before most know.
+#[test]
+fn forgotten_is_told_once_it_is_agreed() {
+    let mut world = World::new(3, 2, Mistakes::default());
+    world.settle(4 * LEASE);
+    let speaker = world.speaker().unwrap();
+    let ask = |world: &mut World| {
+        let (guest, ask) = (Guest::Operator(3), Ask::Forget { member: "1".into() });
+        world.coordinator(speaker, Input::Guest { guest, request: Request::Ask(ask) });
+        world.heard.clone()
+    };
+    assert!(matches!(ask(&mut world)[..], [Reply::TurnedDown(_)]), "it may serve");
+    // It is never heard again.
+    world.members[1].take(world.now, member::Input::Down, &mut Vec::new());
+    world.settle(2 * LEASE);
+    world.heard.clear();
+    assert_eq!(ask(&mut world), []);
+    world.settle(HOLD);
+    assert_eq!(world.heard, [Reply::Done]);
+    let state = world.coordinators[speaker].as_ref().and_then(Coordinator::chosen).unwrap();
+    assert!(!state.members.contains_key("1") && state.members.contains_key("0"));
+}
+
 #[test]
 fn walks_get_somewhere() {
     let all: Vec<World> = (0..40).map(|seed| walk(seed, Mistakes::default(), 1500)).collect();
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -26,10 +26,19 @@
     now.tv_sec.unsigned_abs() * 1_000_000_000 + now.tv_nsec.unsigned_abs()
 }
 
-/// For how long the machine has slept since it was started.
+/// What two readings of clocks may lie apart: far less than the drift that every leave allows for.
+const TOGETHER: u64 = 200_000;
+
+/// For how long the machine has slept since it was started, within [`TOGETHER`].
 #[must_use]
 pub fn slept() -> u64 {
-    boottime().saturating_sub(monotonic())
+    loop {
+        let (before, boot, after) = (monotonic(), boottime(), monotonic());
+        // A process that was stopped between two readings would take the stop for less sleep, and a leave for longer.
+        if after - before <= TOGETHER {
+            return boot.saturating_sub(after);
+        }
+    }
 }
 
 /// Drawn anew in each process.
--- a/crates/node/src/fleet/session.rs
+++ b/crates/node/src/fleet/session.rs
@@ -93,19 +93,7 @@
         let staged = record.staged.clone();
         let member = Member::new(record.life, DRIFT, SPAN, active, staged).broken(broken);
         let own = Own { fleet: fleet.id.clone(), who: Who::Member(fleet.member.clone()), life: record.life };
-        let session = Session {
-            node,
-            fleet,
-            store,
-            record,
-            member,
-            present,
-            seed,
-            own,
-            told: None,
-            broken,
-            slept: super::slept(),
-        };
+        let session = Session { node, fleet, store, record, member, present, seed, own, told: None, broken };
         std::thread::spawn(move || session.run());
     }
 }
@@ -121,14 +109,18 @@
     own: Own,
     told: Option<(Told, Instant)>,
     broken: Option<Broken>,
-    /// For how long the machine had slept when this last asked.
-    slept: u64,
 }
 
-/// Two clocks are read one after the other, and a process may be stopped in between.
+/// Far over what two readings of the clocks lie apart, and far under any sleep.
 const READING: u64 = 50_000_000;
 
 impl Session {
+    /// The member's clock: the node's, and it goes on while the machine sleeps. By the node's alone a leave would
+    /// outlast a sleep, and coordinators would take the member's clock for a slow one ever after.
+    fn now(&self) -> u64 {
+        self.node.clock.now() + super::slept()
+    }
+
     fn run(mut self) {
         let mut at = self.seed as usize % self.fleet.coordinators.len();
         let mut quiet = Instant::now() - QUIET;
@@ -146,7 +138,7 @@
                 Err(_) => {}
             }
             let mut none = Vec::new();
-            self.member.take(self.node.clock.now(), Input::Down, &mut none);
+            self.member.take(self.now(), Input::Down, &mut none);
             at = (at + 1) % self.fleet.coordinators.len();
             std::thread::sleep(AGAIN);
         }
@@ -155,13 +147,13 @@
     /// Returns why it is over.
     fn converse(&mut self, mut socket: TcpStream, mut ear: Ear, mut pen: Pen) -> String {
         let mut outs = Vec::new();
-        self.member.take(self.node.clock.now(), Input::Up, &mut outs);
+        self.member.take(self.now(), Input::Up, &mut outs);
         loop {
             let mut at = 0;
             while at < outs.len() {
                 match self.carry_out(outs[at].clone(), &mut socket, &mut pen) {
                     Ok(None) => {}
-                    Ok(Some(input)) => self.member.take(self.node.clock.now(), input, &mut outs),
+                    Ok(Some(input)) => self.member.take(self.now(), input, &mut outs),
                     Err(why) => return why,
                 }
                 at += 1;
@@ -170,7 +162,7 @@
             match ear.take() {
                 Ok(Some(frame)) => {
                     if let Body::Reply(reply) = frame.body {
-                        self.member.take(self.node.clock.now(), Input::Reply(reply), &mut outs);
+                        self.member.take(self.now(), Input::Reply(reply), &mut outs);
                         continue;
                     }
                     return "not what was due".into();
@@ -178,7 +170,7 @@
                 Ok(None) => {}
                 Err(why) => return why.to_string(),
             }
-            let wait = self.member.next_due().saturating_sub(self.node.clock.now());
+            let wait = self.member.next_due().saturating_sub(self.now());
             // A time limit of nothing would be none.
             let wait = Duration::from_nanos(wait).clamp(Duration::from_millis(1), Duration::from_secs(1));
             if let Err(why) = socket.set_read_timeout(Some(wait)) {
@@ -187,7 +179,7 @@
             if let Err(why) = ear.read(&mut socket) {
                 return why.to_string();
             }
-            self.member.take(self.node.clock.now(), Input::Tick, &mut outs);
+            self.member.take(self.now(), Input::Tick, &mut outs);
         }
     }
 
@@ -200,14 +192,6 @@
         let now = self.node.clock.now();
         match out {
             Out::Send(renew) => {
-                // Leaves are counted by a clock that stands still while the machine sleeps. What was asked before it
-                // did counts no more, and what is on its way to this session neither.
-                let slept = super::slept();
-                if slept > self.slept + READING {
-                    self.slept = slept;
-                    self.fence(now);
-                    return Err("the machine has slept".into());
-                }
                 let bytes = pen.write(Body::Request(Request::Renew(renew))).map_err(|e| e.to_string())?;
                 socket.write_all(&bytes).map_err(|e| e.to_string())?;
             }
@@ -234,12 +218,15 @@
             }
             Out::Serve { version, until } => {
                 if self.fleet.mode == Mode::Strict {
+                    // On the node's clock it lasts for as long as the machine does not sleep again.
+                    let slept = super::slept();
+                    let until = until.saturating_sub(slept);
                     // Told to the history first: what is taken by this leave must not come before it there.
                     if let Some(trail) = &self.node.trail {
                         trail.write(now, What::Leased { version, until: trail.machine(until) });
                     }
                     let until = if self.broken == Some(Broken::Unfenced) { u64::MAX } else { until };
-                    self.node.count_from(self.slept + READING);
+                    self.node.count_from(slept + READING);
                     self.node.feed(CoreInput::Leave { until });
                 }
             }
@@ -248,13 +235,6 @@
         Ok(None)
     }
 
-    fn fence(&self, now: u64) {
-        if self.fleet.mode == Mode::Strict {
-            self.write(now, What::Leased { version: self.member.active(), until: 0 });
-            self.node.feed(CoreInput::Leave { until: 0 });
-        }
-    }
-
     fn write(&self, now: u64, what: What) {
         if let Some(trail) = &self.node.trail {
             trail.write(now, what);
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -11,7 +11,6 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use linestack_frames::KINDS;
 use linestack_history::{Line, What, read};
 use linestack_world::{Executors, Product, Repeats, Scenario, Tenant};
 use rustix::process::Signal;
@@ -975,9 +974,3 @@
         Ok(faults)
     }
 }
-
-/// The names of frames' kinds, for those who write plans.
-#[must_use]
-pub fn kinds() -> &'static [&'static str] {
-    &KINDS
-}
