The store reads segments by one function, and all records at a start once

Reading a segment stood in three places (store.rs: open, clean, verify), each with its own loop over records; one function, walk, does it now. A node read its records one by one by index at the start (keep.rs, open), each a read of the disk: each() reads a segment once. A result that did not fit into a record would have failed the store: the bounds are compared when the program is built. contents() in cut.rs holds both ways of reading against each other at every cut.

--- a/crates/node/src/keep.rs
+++ b/crates/node/src/keep.rs
@@ -7,15 +7,18 @@
 
 use linestack_core::{Core, Input, Nanos, Remembered, Ticket};
 use linestack_recovery::{Age, Fate, Fates, Keep};
-use linestack_store::{Damage, Fault, Folder, Limits, Op, Store, repair};
+use linestack_store::{Damage, Fault, Folder, LARGEST, Limits, Op, Store, repair};
 use serde::Deserialize;
 
+use crate::http;
 use crate::net::Node;
 
 /// The kind of record that a one-shot's fate is.
 const FATE: u8 = 1;
 /// Records that go in one commit, at most.
 const GROUP: usize = 512;
+/// A result that did not fit would fail the store.
+const _: () = assert!(http::HEAD + 2 * http::BODY < LARGEST);
 /// Of the memory, what fates may take.
 const MEMORY_PART: usize = 8;
 
@@ -143,12 +146,14 @@
         let limits = limits(span, config.budget_mb, config.sync);
         let store = Store::open(folder, limits, false, 0).map_err(|e| fault(&e))?;
         let mut fates = Vec::new();
-        for entry in store.entries().filter(|e| e.kind == FATE) {
-            let value = store.get(FATE, &entry.key).map_err(|e| fault(&e))?.unwrap_or_default();
-            // Of a later version: it may have run, for all that this one can tell.
-            let fate = Fate::from_bytes(&value).unwrap_or(Fate::MayHaveRun);
-            fates.push(Keep { key: entry.key.into(), fate, at: entry.at });
-        }
+        let read = store.each(|entry, value| {
+            if entry.kind == FATE {
+                // Of a later version: it may have run, for all that this one can tell.
+                let fate = Fate::from_bytes(&value).unwrap_or(Fate::MayHaveRun);
+                fates.push(Keep { key: entry.key.into(), fate, at: entry.at });
+            }
+        });
+        read.map_err(|e| fault(&e))?;
         // No clock of day is asked: only the time in which nodes ran makes anything old.
         let age = fates.iter().map(|k| k.at).max().map_or(0, |at| at + 1);
         Ok(Self { store, config, age, fates })
@@ -250,11 +255,10 @@
         }
         Command::Dump { folder: path } => {
             let store = Store::open(folder(path)?, any(), false, seed).map_err(|e| told(path, &e))?;
-            let mut entries: Vec<_> = store.entries().collect();
-            entries.sort_by(|a, b| (a.at, &a.key).cmp(&(b.at, &b.key)));
-            for entry in entries {
-                let value =
-                    store.get(entry.kind, &entry.key).map_err(|e| told(path, &e))?.unwrap_or_default();
+            let mut entries = Vec::new();
+            store.each(|entry, value| entries.push((entry, value))).map_err(|e| told(path, &e))?;
+            entries.sort_by(|(a, _), (b, _)| (a.at, &a.key).cmp(&(b.at, &b.key)));
+            for (entry, value) in entries {
                 let key = String::from_utf8_lossy(&entry.key);
                 let word = Fate::from_bytes(&value).map_or("not understood", |f| f.word());
                 println!("{:.3} {} {key} {word}", entry.at as f64 / 1e9, entry.kind);
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -113,6 +113,30 @@
     mixed ^ mixed >> 29 | 1
 }
 
+/// Reads records up to `end`, or with `open` to the first place at which nothing was written. Returns where it ended.
+fn walk(
+    name: &str,
+    bytes: &[u8],
+    salt: u64,
+    end: usize,
+    open: bool,
+    mut seen: impl FnMut(Record, usize, usize),
+) -> Result<usize, Fault> {
+    let mut at = SEGMENT_HEAD;
+    while at < end {
+        match decode(bytes, at, salt) {
+            Found::Record(record, size) => {
+                seen(record, at, size);
+                at += size;
+            }
+            Found::End if open => return Ok(at),
+            Found::End => return Err(damaged(name, at as u64, "ends before its end")),
+            Found::Damage(why) => return Err(damaged(name, at as u64, why)),
+        }
+    }
+    if at == end { Ok(at) } else { Err(damaged(name, at as u64, "a record beyond what is in use")) }
+}
+
 impl<D: Disk> Store<D> {
     /// Opens the store that is there; with `new`, makes one where there is none. `seed` is any number that another
     /// store hardly has.
@@ -214,19 +238,9 @@
             }
             let (bytes, salt) = self.segment(*number)?;
             self.salts.insert(*number, salt);
-            let mut at = SEGMENT_HEAD;
             let end = if last { bytes.len() } else { *used as usize };
-            while at < end {
-                match decode(&bytes, at, salt) {
-                    Found::Record(record, size) => {
-                        self.learn(&record, *number, at, size);
-                        at += size;
-                    }
-                    Found::End if last => break,
-                    Found::End => return Err(damaged(&name, at as u64, "ends before its end")),
-                    Found::Damage(why) => return Err(damaged(&name, at as u64, why)),
-                }
-            }
+            let learn = |record: Record, at, size| self.learn(&record, *number, at, size);
+            let at = walk(&name, &bytes, salt, end, last, learn)?;
             if last {
                 self.at = at as u64;
                 // What was begun and never kept must not be taken for a record once others lie before it.
@@ -235,8 +249,6 @@
                     self.disk.write(&name, at as u64, &zeros)?;
                     self.disk.sync(&name)?;
                 }
-            } else if at != end {
-                return Err(damaged(&name, at as u64, "a record beyond what is in use"));
             }
         }
         Ok(())
@@ -450,28 +462,22 @@
         }
         let (number, used) = self.manifest.segments[0];
         let (bytes, salt) = self.segment(number)?;
-        let (mut at, mut kept, mut gone) = (SEGMENT_HEAD, Vec::new(), Vec::new());
-        while at < used as usize {
-            match decode(&bytes, at, salt) {
-                Found::Record(record, size) => {
-                    let key = (record.kind, record.key.clone().into_boxed_slice());
-                    let place = self.index.get(&key);
-                    if place.is_some_and(|p| p.segment == number && p.at as usize == at) {
-                        if self.run_out(record.kind, record.at, now) {
-                            gone.push(key);
-                        } else if full && self.limits.yields.contains(&record.kind) {
-                            self.stats.yielded += 1;
-                            gone.push(key);
-                        } else {
-                            kept.push(record);
-                        }
-                    }
-                    at += size;
-                }
-                Found::End => return Err(damaged(&segment_name(number), at as u64, "ends before its end")),
-                Found::Damage(why) => return Err(damaged(&segment_name(number), at as u64, why)),
+        let (mut kept, mut gone, mut yielded) = (Vec::new(), Vec::new(), 0);
+        walk(&segment_name(number), &bytes, salt, used as usize, false, |record, at, _| {
+            let key = (record.kind, record.key.clone().into_boxed_slice());
+            if !self.index.get(&key).is_some_and(|p| p.segment == number && p.at as usize == at) {
+                return;
             }
-        }
+            if self.run_out(record.kind, record.at, now) {
+                gone.push(key);
+            } else if full && self.limits.yields.contains(&record.kind) {
+                yielded += 1;
+                gone.push(key);
+            } else {
+                kept.push(record);
+            }
+        })?;
+        self.stats.yielded += yielded;
         // They last in their new place before the old one goes.
         self.append(&kept)?;
         let mut manifest = self.manifest.clone();
@@ -576,23 +582,8 @@
     /// The disk's.
     pub fn verify(&self) -> Result<Vec<Damage>, Fault> {
         let mut all = Vec::new();
-        let last = self.last();
         for (number, used) in &self.manifest.segments {
-            let end = if *number == last { self.at } else { *used } as usize;
-            let found = self.segment(*number).and_then(|(bytes, salt)| {
-                let mut at = SEGMENT_HEAD;
-                while at < end {
-                    match decode(&bytes, at, salt) {
-                        Found::Record(_, size) => at += size,
-                        Found::End => {
-                            return Err(damaged(&segment_name(*number), at as u64, "ends before its end"));
-                        }
-                        Found::Damage(why) => return Err(damaged(&segment_name(*number), at as u64, why)),
-                    }
-                }
-                Ok(())
-            });
-            match found {
+            match self.read_through(*number, *used, |_, _| {}) {
                 Ok(()) => {}
                 Err(Fault::Damaged { file, at, why }) => all.push(Damage { file, at, why: why.into() }),
                 Err(other) => return Err(other),
@@ -601,6 +592,31 @@
         Ok(all)
     }
 
+    fn read_through(&self, number: u64, used: u64, mut seen: impl FnMut(Record, usize)) -> Result<(), Fault> {
+        let end = if number == self.last() { self.at } else { used } as usize;
+        let (bytes, salt) = self.segment(number)?;
+        walk(&segment_name(number), &bytes, salt, end, false, |record, at, _| seen(record, at)).map(drop)
+    }
+
+    /// All that is kept with its values, by reading each segment once.
+    ///
+    /// # Errors
+    ///
+    /// A segment is damaged; the disk's.
+    pub fn each(&self, mut seen: impl FnMut(Entry, Vec<u8>)) -> Result<(), Fault> {
+        self.alive()?;
+        for (number, used) in &self.manifest.segments {
+            self.read_through(*number, *used, |record, at| {
+                let Record { kind, key, value, at: time, .. } = record;
+                let place = self.index.get(&(kind, key.clone().into_boxed_slice()));
+                if place.is_some_and(|p| p.segment == *number && p.at as usize == at) {
+                    seen(Entry { kind, key, at: time }, value);
+                }
+            })?;
+        }
+        Ok(())
+    }
+
     /// The disk, for whoever wants it back.
     pub fn close(self) -> D {
         self.disk
--- a/crates/store/tests/cut.rs
+++ b/crates/store/tests/cut.rs
@@ -46,10 +46,15 @@
 
 fn contents<D: Disk>(store: &Store<D>) -> Result<Map, Fault> {
     let entries: Vec<_> = store.entries().collect();
-    entries
+    // One by one and all at once is the same.
+    let mut all = Map::new();
+    store.each(|entry, value| drop(all.insert((entry.kind, entry.key), value)))?;
+    let one_by_one: Map = entries
         .into_iter()
         .map(|e| Ok(((e.kind, e.key.clone()), store.get(e.kind, &e.key)?.expect("it is listed"))))
-        .collect()
+        .collect::<Result<_, Fault>>()?;
+    assert_eq!(all, one_by_one);
+    Ok(all)
 }
 
 /// Commits until one fails. Returns how many operations were told to last and how many were begun.
