--- a/crates/accord/src/coordinator.rs
+++ b/crates/accord/src/coordinator.rs
@@ -147,6 +147,7 @@
     active: u64,
     staged: u64,
     declined: Option<(u64, String)>,
+    stage: String,
     /// Its clock and this one when it was first heard: their rates are compared.
     first: (Nanos, Nanos),
 }
@@ -726,7 +727,8 @@
         let Role::Speaking(s) = &mut self.role else { return };
         let Some(chosen) = &s.chosen else { return };
         let known = chosen.members.get(&name).copied();
-        let Renew { incarnation, at, active, staged, declined } = renew;
+        let Renew { incarnation, at, active, staged, declined, mut stage } = renew;
+        stage.truncate(stage.floor_char_boundary(LONGEST_NAME));
         if known != Some(incarnation) {
             let live = s.sessions.get(&name).is_some_and(|m| now < m.until && m.incarnation != incarnation);
             let why = match known {
@@ -741,7 +743,8 @@
                 return self.refuse(via, name, why);
             }
             // It is nobody's session until it is written down whose the name is.
-            let session = Session { incarnation, via, until: 0, active, staged, declined, first: (at, now) };
+            let first = (at, now);
+            let session = Session { incarnation, via, until: 0, active, staged, declined, stage, first };
             s.sessions.insert(name.clone(), session);
             s.joins.insert(name, incarnation);
             return self.consider(now);
@@ -751,13 +754,15 @@
         if flying != known || s.joins.contains_key(&name) {
             return;
         }
-        let fresh = Session { incarnation, via, until: 0, active, staged, declined: None, first: (at, now) };
+        let (first, none) = ((at, now), String::new());
+        let fresh =
+            Session { incarnation, via, until: 0, active, staged, declined: None, stage: none, first };
         let session = s.sessions.entry(name.clone()).or_insert(fresh);
         if session.incarnation != incarnation {
             // One that asked to have the name meanwhile; it is not its own.
             let first = (at, now);
-            *session =
-                Session { incarnation, via, until: session.until, active, staged, declined: None, first };
+            let (until, stage) = (session.until, String::new());
+            *session = Session { incarnation, via, until, active, staged, declined: None, stage, first };
         }
         // A clock that goes slower would make its leave last longer than it is counted here. What a message
         // takes is noise of a lease at most: one that took longer brings a leave that is over.
@@ -766,6 +771,7 @@
             return self.refuse(via, name, "its clock is slower than the drift allowed");
         }
         (session.via, session.active, session.staged, session.declined) = (via, active, staged, declined);
+        session.stage = stage;
         let deciding =
             s.flight.as_ref().map(|f| f.state.policy.version).filter(|v| *v != chosen.policy.version);
         if deciding.is_some_and(|v| session.staged != v) {
@@ -874,6 +880,7 @@
                         active: m.map(|m| m.active),
                         staged: m.map_or(0, |m| m.staged),
                         declined: m.and_then(|m| m.declined.clone()),
+                        stage: m.map_or(String::new(), |m| m.stage.clone()),
                     }
                 };
                 Reply::Status(Box::new(Status {
--- a/crates/accord/src/message.rs
+++ b/crates/accord/src/message.rs
@@ -92,6 +92,9 @@
     /// The change that it has kept, 0 for none.
     pub staged: u64,
     pub declined: Option<(u64, String)>,
+    /// How far its start has come, for people; empty where that is nothing to tell.
+    #[serde(default)]
+    pub stage: String,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -185,4 +188,6 @@
     pub active: Option<u64>,
     pub staged: u64,
     pub declined: Option<(u64, String)>,
+    #[serde(default)]
+    pub stage: String,
 }
--- a/crates/accord/tests/clocks.rs
+++ b/crates/accord/tests/clocks.rs
@@ -21,7 +21,7 @@
 
 fn reply(c: &mut Coordinator, now: Nanos, at: Nanos) -> Option<Reply> {
     let incarnation = Incarnation { home: 1, life: 1 };
-    let renew = Renew { incarnation, at, active: 1, staged: 0, declined: None };
+    let renew = Renew { incarnation, at, active: 1, staged: 0, declined: None, stage: String::new() };
     let (guest, request) = (Guest::Member("n0".into()), Request::Renew(renew));
     let Ok(outs) = c.take(now, Input::Guest { guest, request }).finish(&mut Nowhere);
     outs.into_iter().find_map(|o| match o {
--- a/crates/core/src/executions.rs
+++ b/crates/core/src/executions.rs
@@ -59,6 +59,7 @@
         let Some(sent) = self.sent(submission, execution) else { return };
         sent.link = None;
         let (worker, took) = (sent.worker, now - sent.at);
+        self.seen_at_start(worker, outcome);
         match outcome {
             Outcome::Reset => self.stats.resets += 1,
             Outcome::ConnectFailed => self.stats.connect_failed += 1,
--- a/crates/core/src/fates.rs
+++ b/crates/core/src/fates.rs
@@ -17,6 +17,8 @@
     pub now: Nanos,
     /// Clients keep `Idempotency-Key` when they ask again, or else `Req-Id`.
     pub by_stamp: bool,
+    /// What an earlier store knew is lost: until then a one-shot that is not known may have run.
+    pub doubtful: Nanos,
 }
 
 pub(crate) struct Book {
@@ -24,6 +26,7 @@
     age: Age,
     since: Nanos,
     by_stamp: bool,
+    doubtful: Nanos,
     waiting: usize,
     /// Keys of one-shots that are held here: until one is about to be sent nothing else tells of it.
     open: HashSet<Bytes>,
@@ -43,9 +46,16 @@
 impl Core {
     /// From now on one-shots are remembered over a restart. To be called before anything is taken.
     pub fn remember(&mut self, remembered: Remembered) {
-        let Remembered { fates, age, now, by_stamp } = remembered;
+        let Remembered { fates, age, now, by_stamp, doubtful } = remembered;
+        let open = HashSet::new();
         self.book =
-            Some(Book { fates, age, since: now, by_stamp, waiting: 0, open: HashSet::new(), failed: false });
+            Some(Book { fates, age, since: now, by_stamp, doubtful, waiting: 0, open, failed: false });
+    }
+
+    /// Whether all that may have run is known.
+    #[must_use]
+    pub fn sure(&self) -> bool {
+        self.book.as_ref().is_none_or(|b| b.doubtful <= self.now)
     }
 
     /// How a submission with this key stands, for whoever asks.
@@ -82,6 +92,8 @@
         match book.fates.fate(&key) {
             Some(Fate::Satisfied(result)) => Some(Answer::Satisfied(result.clone())),
             Some(Fate::MayHaveRun) => Some(Answer::Aborted),
+            // Dismissed, it would be told that asking again is harmless.
+            None if self.now < book.doubtful => Some(Answer::Aborted),
             _ if book.failed || book.waiting >= STALLED || book.fates.full() => Some(turned_away),
             Some(Fate::Unsent) | None => None,
         }
--- a/crates/core/src/guests.rs
+++ b/crates/core/src/guests.rs
@@ -78,6 +78,7 @@
 
     pub(crate) fn submitted(&mut self, client: Client, intake: Intake) {
         let settled = self.settled(&intake);
+        let too_many = if settled.is_none() { self.too_many_yet() } else { None };
         let Some(guest) = self.clients.get_mut(&client) else { return };
         must!(self, guest.submission.is_none(), "two submissions at once on a connection");
         // Checked here and by the time that this input came with, lest a node that was asleep takes what it may
@@ -97,6 +98,12 @@
             let (last, version) = (self.refusing, self.version);
             return self.effects.push(Effect::Answer { client, answer, last, version });
         }
+        if let Some(come_back) = too_many {
+            guest.newcomer = None;
+            self.client_phase(client, Phase::Answering);
+            let (last, version, answer) = (self.refusing, self.version, Answer::Dismissed(come_back));
+            return self.effects.push(Effect::Answer { client, answer, last, version });
+        }
         // It would be a second copy of what its holder has out, and an executor that is asked twice for one
         // id looks as if it failed.
         if !self.ids.insert(intake.shipment.id.clone()) {
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use linestack_dispatch::types::{Health, ListKind, Nanos, Outcome, Report};
 use linestack_recovery::Keep;
+use linestack_recovery::start::Stage;
 use linestack_settings::Settings;
 
 use crate::fates::Ticket;
@@ -192,6 +193,8 @@
         keep: Keep,
         ticket: Option<Ticket>,
     },
+    /// The start has come so far.
+    Stage(Stage),
     /// Something that must hold did not; it has been counted.
     Fault(&'static str),
     Report(Stats),
@@ -213,6 +216,8 @@
     /// Requests that were not taken, and connections closed to make room.
     pub turned_down: u64,
     pub put_out: u64,
+    /// Turned away for being more than a start may take yet.
+    pub held_back: u64,
     pub executions: u64,
     pub resets: u64,
     /// Kept connections that were found closed when something was to be sent.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 mod limits;
 mod links;
 mod list;
+mod starting;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
@@ -33,6 +34,8 @@
 };
 use linestack_settings::Settings;
 
+use linestack_recovery::start::Stage as Step;
+
 pub use fates::{Remembered, Ticket};
 pub use io::*;
 pub use linestack_dispatch::types::{Nanos, Outcome};
@@ -85,6 +88,10 @@
     Refuse,
     Leave,
     Report,
+    /// The start may go on by time alone.
+    Stage,
+    /// A connection's turn has come.
+    Open(Link),
 }
 
 /// A time limit that is moved often and seldom reached: one timer stands for all its moves.
@@ -169,6 +176,10 @@
     health: Health,
     kind: u16,
     zone: u16,
+    group: u16,
+    weight: f32,
+    /// What the list told last of its start, and what that is taken for here.
+    started: (Nanos, Nanos),
     idle: Vec<Link>,
     /// Connections to it, and executions there of submissions that are still known: while there are any, its
     /// index can mean no other.
@@ -211,6 +222,7 @@
     /// The longest come-back time that may be named.
     come_back: Option<Nanos>,
     book: Option<fates::Book>,
+    start: Option<starting::Starting>,
     /// How long it may go on after it was told to stop.
     last_span: Nanos,
     /// When all that is taken from now on must be answered.
@@ -293,6 +305,7 @@
             leave: Nanos::MAX,
             come_back: orders.come_back,
             book: None,
+            start: None,
             last_call: Nanos::MAX,
             most_clients: most.min(spare / 2),
             most_links: most.min(spare * 3 / 8),
@@ -344,7 +357,7 @@
     /// Whether clients should come.
     #[must_use]
     pub fn ready(&self, now: Nanos) -> bool {
-        self.listed && !self.stopping && now < self.leave
+        self.listed && !self.stopping && now < self.leave && self.stage().is_none_or(Step::serves)
     }
 
     /// Submissions taken since the start.
@@ -384,7 +397,10 @@
                 self.version = version;
                 self.go_on_under(*settings);
             }
-            Input::Leave { until } => self.leave = until,
+            Input::Leave { until } => {
+                self.leave = until;
+                self.proved();
+            }
             Input::Kept { ticket, lasts } => self.kept(ticket, lasts),
             Input::Listed { kind, endpoints } => self.listed(kind, endpoints),
             Input::ClientUp { client } => self.client_up(client),
@@ -432,6 +448,7 @@
             }
         }
         self.settle();
+        self.go_on_starting();
         if self.leaving && self.clients.is_empty() {
             self.effects.push(Effect::Exit);
         }
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -73,7 +73,13 @@
                     self.pending.push_back(Event::Left { submission });
                 }
             }
-            Timer::Watch => self.effects.push(Effect::Watch),
+            Timer::Watch => match self.list_in() {
+                Some(later) => self.arm(later, Timer::Watch),
+                None => self.effects.push(Effect::Watch),
+            },
+            // The reducer looks where the start is after each input.
+            Timer::Stage => {}
+            Timer::Open(link) => self.turn_came(link),
             Timer::Leave => self.leaving = true,
             Timer::Refuse => {
                 self.refusing = true;
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -59,7 +59,11 @@
         };
         self.links.insert(link, line);
         self.workers[worker as usize].lines += 1;
-        self.limit_link(link, self.now + limit);
+        let turn = self.turn();
+        self.limit_link(link, turn + limit);
+        if turn > self.now {
+            return self.arm(turn, Timer::Open(link));
+        }
         let address = self.workers[worker as usize].address;
         self.effects.push(Effect::Open { link, address, limit });
     }
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -14,6 +14,8 @@
             self.stats.lists += 1;
             // An old list that names nobody says nothing.
             self.listed |= kind != ListKind::Cached || !endpoints.is_empty();
+            let ready = endpoints.iter().filter(|e| e.health == Health::Ready).count();
+            self.told_at_start(kind, ready);
         }
         if matches!(kind, ListKind::Whole | ListKind::Cached) {
             self.workers.iter_mut().for_each(|w| w.health = Health::Gone);
@@ -21,8 +23,10 @@
         let mut listings = Vec::with_capacity(endpoints.len());
         for e in endpoints {
             let worker = self.index(&e);
+            let now = self.now;
             let place = &mut self.workers[worker as usize];
             place.health = e.health;
+            let started = place.started(e.started, now);
             let moved = std::mem::replace(&mut place.address, e.address) != e.address;
             if moved {
                 let idle = std::mem::take(&mut place.idle);
@@ -31,8 +35,8 @@
             let kind = position(&mut self.kinds, &e.kind);
             let zone = position(&mut self.zones, &e.zone);
             let place = &mut self.workers[worker as usize];
-            (place.kind, place.zone) = (kind, zone);
-            let (health, cell, started, weight) = (e.health, e.group, e.started, e.weight);
+            (place.kind, place.zone, place.group, place.weight) = (kind, zone, e.group, e.weight);
+            let (health, cell, weight) = (e.health, e.group, e.weight);
             listings.push(Listing { worker, health, kind, zone, cell, started, weight });
         }
         // What a whole list lacks has left, and so do the connections kept for it.
@@ -54,6 +58,26 @@
         self.retire();
     }
 
+    /// All that are not gone, as they were told last.
+    #[must_use]
+    pub fn endpoints(&self) -> Vec<Endpoint> {
+        let there =
+            self.workers.iter().filter(|w| w.health != Health::Gone && self.names.contains_key(&w.name));
+        let word = |names: &[String], place: u16| names.get(usize::from(place)).cloned().unwrap_or_default();
+        there
+            .map(|w| Endpoint {
+                name: w.name.to_string(),
+                address: w.address,
+                zone: word(&self.zones, w.zone),
+                kind: word(&self.kinds, w.kind),
+                group: w.group,
+                health: w.health,
+                started: w.started.1,
+                weight: w.weight,
+            })
+            .collect()
+    }
+
     /// The index of an executor: its own, or one that means nobody.
     fn index(&mut self, e: &Endpoint) -> Worker {
         if let Some(worker) = self.names.get(e.name.as_str()) {
@@ -66,6 +90,9 @@
             health: e.health,
             kind: u16::MAX,
             zone: u16::MAX,
+            group: e.group,
+            weight: e.weight,
+            started: (0, 0),
             idle: Vec::new(),
             lines: 0,
             known: 0,
@@ -106,6 +133,20 @@
     }
 }
 
+/// A start told for so long from now is one by another clock: this machine's was set, or its.
+const AHEAD: Nanos = 60 * SECOND;
+
+impl Place {
+    /// When it started, as far as that can be told: one that lies years ahead would make it cold for years, so it
+    /// counts from when it was first told.
+    fn started(&mut self, told: Nanos, now: Nanos) -> Nanos {
+        if self.started.0 != told {
+            self.started = (told, if told > now + AHEAD { now } else { told });
+        }
+        self.started.1
+    }
+}
+
 /// The place of a name among those known; a new one is added while there is room.
 fn position(names: &mut Vec<String>, name: &str) -> u16 {
     let known = names.iter().position(|n| n == name).or_else(|| {
--- /dev/null
+++ b/crates/core/src/starting.rs
@@ -0,0 +1,102 @@
+//! A start in stages, where an operator asks for one: what may be taken, and when connections are made and lists
+//! asked for. Without it a node takes what comes as soon as it has a list.
+
+use linestack_recovery::start::{Stage, Start};
+
+use super::*;
+
+pub(crate) struct Starting {
+    start: Start,
+    /// A list of an age that is not known, for when discovery stays silent.
+    old: Vec<Endpoint>,
+    armed: Nanos,
+}
+
+impl Core {
+    /// From now on the start goes by stages; `old` is a list of an age that is not known. To be called before anything
+    /// else.
+    pub fn start_by(&mut self, now: Nanos, start: Start, old: Vec<Endpoint>) {
+        self.now = self.now.max(now);
+        self.effects.push(Effect::Stage(start.stage()));
+        self.start = Some(Starting { start, old, armed: 0 });
+    }
+
+    /// How far the start has come; none where it does not go by stages.
+    #[must_use]
+    pub fn stage(&self) -> Option<Stage> {
+        self.start.as_ref().map(|s| s.start.stage())
+    }
+
+    pub(crate) fn proved(&mut self) {
+        let (now, leave) = (self.now, self.leave);
+        if let Some(s) = self.start.as_mut().filter(|_| now < leave) {
+            s.start.proved();
+        }
+    }
+
+    pub(crate) fn go_on_starting(&mut self) {
+        let Some(Starting { start, old, armed }) = &mut self.start else { return };
+        while let Some(stage) = start.step(self.now) {
+            self.effects.push(Effect::Stage(stage));
+        }
+        let due = start.next_due();
+        let rearm = due < Nanos::MAX && (*armed <= self.now || due < *armed);
+        if rearm {
+            *armed = due.max(self.now + 1);
+        }
+        let (at, by_old) = (*armed, if start.by_old() { std::mem::take(old) } else { Vec::new() });
+        if rearm {
+            self.arm(at, Timer::Stage);
+        }
+        if !by_old.is_empty() {
+            // When they started nobody knows: they bear what one does that has just started.
+            let now = self.now;
+            let endpoints = by_old.into_iter().map(|e| Endpoint { started: now, ..e }).collect();
+            self.listed(ListKind::Cached, endpoints);
+        }
+    }
+
+    pub(crate) fn told_at_start(&mut self, kind: ListKind, ready: usize) {
+        if let Some(s) = &mut self.start {
+            s.start.listed(kind != ListKind::Cached, ready);
+        }
+    }
+
+    pub(crate) fn seen_at_start(&mut self, worker: Worker, outcome: Outcome) {
+        let Some(Starting { start, .. }) = &mut self.start else { return };
+        match outcome {
+            Outcome::Satisfied | Outcome::Error | Outcome::Unusable => start.answered(worker),
+            Outcome::Full | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => start.refused(),
+            Outcome::Stale | Outcome::Cancelled | Outcome::NotSent => {}
+        }
+    }
+
+    /// The come-back time for one more, where there are too many for a start. They are spread, lest the repeats come
+    /// as one wave.
+    pub(crate) fn too_many_yet(&mut self) -> Option<Option<Nanos>> {
+        let s = self.start.as_mut()?;
+        if s.start.admits(self.now, self.ids.len()) {
+            return None;
+        }
+        self.stats.held_back += 1;
+        Some(self.come_back.map(|most| most / 8 + self.chance.u64(..=most / 2)))
+    }
+
+    /// When the next connection may be made.
+    pub(crate) fn turn(&mut self) -> Nanos {
+        self.start.as_mut().map_or(self.now, |s| s.start.connect_at(self.now))
+    }
+
+    pub(crate) fn turn_came(&mut self, link: Link) {
+        let Some(line) = self.links.get(&link) else { return };
+        let (address, limit) = (self.workers[line.worker as usize].address, line.limit.until);
+        let limit = limit.saturating_sub(self.now);
+        self.effects.push(Effect::Open { link, address, limit });
+    }
+
+    /// When the list may be asked for, where that is later.
+    pub(crate) fn list_in(&mut self) -> Option<Nanos> {
+        let at = self.start.as_mut()?.start.list_at(self.now);
+        (at > self.now).then_some(at)
+    }
+}
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -729,7 +729,7 @@
 /// A node that remembers one-shots by their ids.
 fn remembering(fates: linestack_recovery::Fates) -> Node {
     let mut node = Node::new(2);
-    node.core.remember(Remembered { fates, age: 0, now: node.now, by_stamp: false });
+    node.core.remember(Remembered { fates, age: 0, now: node.now, by_stamp: false, doubtful: 0 });
     node
 }
 
@@ -737,6 +737,109 @@
     linestack_recovery::Fates::new(1_000_000 * MS, 100, 1 << 20)
 }
 
+// What an earlier store knew is gone: one that is not known may have run, until that is over.
+#[test]
+fn an_earlier_store_was_lost() {
+    let mut node = Node::new(2);
+    let doubtful = node.now + 1000 * MS;
+    node.core.remember(Remembered { fates: fates(), age: 0, now: node.now, by_stamp: false, doubtful });
+    let client = node.submit(PAY, 5_000 * MS);
+    assert_eq!(node.answers(), [(client, Answer::Aborted)]);
+    assert!(!node.core.sure());
+    node.submit(LOOK, 5_000 * MS);
+    assert!(node.answers().is_empty());
+    node.pass(1000 * MS);
+    let taken = node.core.stats().taken;
+    node.submit(PAY, 5_000 * MS);
+    assert!(node.core.stats().taken == taken + 1 && node.core.sure());
+}
+
+// A start told for a time that is years ahead is by another clock: it counts from when it was told first, and telling it
+// again makes it no newer.
+#[test]
+fn a_start_years_ahead() {
+    let mut node = Node::new(0);
+    let told = node.now + 1_000_000_000 * MS;
+    let line = || vec![Endpoint { started: told, ..endpoint(0, Health::Ready) }];
+    node.list(ListKind::Whole, line());
+    let first = node.core.endpoints()[0].started;
+    assert_eq!(first, node.now);
+    node.pass(50 * MS);
+    node.list(ListKind::Whole, line());
+    assert_eq!(node.core.endpoints()[0].started, first);
+}
+
+/// A node that starts by stages, with an old list of four.
+fn starting(per_s: f64) -> Node {
+    use linestack_recovery::start::{Found, Start, Terms};
+    let settings = linestack_settings::read(common::SETTINGS.as_bytes(), 7).unwrap();
+    let core = Core::new(settings, 64, 32 << 20);
+    let mut node = Node { core, now: 1_000_000 * MS, effects: Vec::new(), clients: 0 };
+    let within = 500 * MS;
+    let (nodes, connects_per_s, lists_per_s, sessions_per_s) = (1, per_s, per_s, per_s);
+    let terms = Terms {
+        nodes,
+        connects_per_s,
+        lists_per_s,
+        sessions_per_s,
+        list_within: within,
+        known_within: within,
+        share_within: within,
+    };
+    let start = Start::new(terms, Found { proved: true, fresh: false, old: true }, [0.0; 2], node.now);
+    node.core.start_by(node.now, start, (0..4).map(|w| endpoint(w, Health::Ready)).collect());
+    node.list(ListKind::Cached, Vec::new());
+    node
+}
+
+// Nothing is taken before there is a list to go by; an old one is, once discovery was silent for long enough, and its
+// executors count as started just now.
+#[test]
+fn by_an_old_list_when_discovery_is_silent() {
+    let mut node = starting(0.0);
+    let client = node.submit(LOOK, 5_000 * MS);
+    assert!(matches!(node.answers()[..], [(c, Answer::Dismissed(_))] if c == client));
+    assert!(!node.core.ready(node.now) && node.core.endpoints().is_empty());
+    node.pass(500 * MS);
+    assert!(node.core.ready(node.now));
+    assert!(
+        node.core.endpoints().len() == 4
+            && node.core.endpoints().iter().all(|e| e.started + 2 * MS >= node.now)
+    );
+    node.submit(LOOK, 5_000 * MS);
+    assert_eq!((node.core.stats().held_back, node.core.stats().taken), (1, 1));
+}
+
+// More than a start may take is turned away at once, with come-back times that differ; connections are made one after the
+// other, and what waits for one is sent when its turn has come.
+#[test]
+fn a_start_is_no_stampede() {
+    let mut node = starting(10.0);
+    node.list(ListKind::Whole, (0..4).map(|w| endpoint(w, Health::Ready)).collect());
+    let (mut opened, mut turned_away) = (Vec::new(), Vec::new());
+    for _ in 0..12 {
+        node.submit(LOOK, 5_000 * MS);
+        opened.extend(node.opened());
+        turned_away.extend(node.answers());
+    }
+    assert_eq!((opened.len(), turned_away.len()), (1, 8));
+    let mut waits: Vec<Option<Nanos>> = Vec::new();
+    for (_, answer) in &turned_away {
+        let Answer::Dismissed(wait) = answer else { panic!("{answer:?}") };
+        waits.push(*wait);
+    }
+    waits.sort_unstable();
+    waits.dedup();
+    assert!(waits.len() > 4, "{waits:?}");
+    let mut gaps = Vec::new();
+    for _ in 0..300 {
+        node.pass(MS);
+        let opens = node.effects.iter().filter(|e| matches!(e, Effect::Open { .. })).count();
+        gaps.extend((0..opens).map(|_| node.now));
+    }
+    assert!(gaps.len() >= 2 && gaps.windows(2).all(|w| w[1] - w[0] >= 90 * MS), "{gaps:?}");
+}
+
 fn keeps(node: &Node) -> Vec<(linestack_recovery::Fate, Option<Ticket>)> {
     let keeps = node.effects.iter().filter_map(|e| match e {
         Effect::Keep { keep, ticket } => Some((keep.fate.clone(), *ticket)),
@@ -798,7 +901,7 @@
 #[test]
 fn one_of_a_key_at_a_time() {
     let mut node = Node::new(2);
-    node.core.remember(Remembered { fates: fates(), age: 0, now: node.now, by_stamp: true });
+    node.core.remember(Remembered { fates: fates(), age: 0, now: node.now, by_stamp: true, doubtful: 0 });
     let ask = |node: &mut Node, id: &'static str| {
         node.clients += 1;
         let client = node.clients;
--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 /// Of the form. A reader refuses any other.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// The longest line that a reader takes, in bytes.
 pub const LONGEST: usize = 64 * 1024;
 
@@ -40,6 +40,8 @@
 pub enum What {
     /// A process has begun.
     Started,
+    /// A node's start has come so far.
+    Stage { stage: String },
     /// A node took a submission, under this version of the policy.
     Taken { id: String, version: u64 },
     /// A node turned one away because it may serve nothing.
@@ -77,9 +79,11 @@
     /// A client's request never got as far as being whole.
     Unsent { id: String },
     /// An executor took an execution.
-    Took { id: String, key: String },
+    Took { id: String, key: String, executor: String },
     /// An executor dropped one that had not begun.
     Unbegun { id: String },
+    /// A cold executor was handed more than it bears by all nodes together.
+    PushedOver { executor: String },
     /// The rig did something to a process or a way.
     Did { deed: String, to: String },
 }
--- a/crates/history/tests/lines.rs
+++ b/crates/history/tests/lines.rs
@@ -25,8 +25,8 @@
 }
 
 #[rstest]
-#[case::other_form(b"{\"v\":2,\"at\":1,\"by\":\"n\",\"life\":1,\"what\":\"started\"}\n", true)]
-#[case::unknown(b"{\"v\":1,\"at\":1,\"by\":\"n\",\"life\":1,\"what\":\"flew\"}\n", false)]
+#[case::other_form(b"{\"v\":9,\"at\":1,\"by\":\"n\",\"life\":1,\"what\":\"started\"}\n", true)]
+#[case::unknown(b"{\"v\":2,\"at\":1,\"by\":\"n\",\"life\":1,\"what\":\"flew\"}\n", false)]
 #[case::garbage(b"\xff\xfe\n", false)]
 fn refused(#[case] text: &[u8], #[case] version: bool) {
     let fault = read(&mut &text[..]).unwrap_err();
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -120,11 +120,12 @@
     }
     println!("{} (seed {}): {} nodes, {} coordinators", plan.name, plan.seed, plan.nodes, plan.coordinators);
     println!(
-        "  s  asked  satisfied  late  dismissed  aborted  unknown  unsent  lists  connections  executions"
+        "  s  asked  satisfied  late  dismissed  aborted  unknown  unsent  lists  connections  to executors  to \
+         coordinators  executions"
     );
     for (i, s) in outcome.seconds.iter().enumerate() {
         println!(
-            "{i:>3}  {:>5}  {:>9}  {:>4}  {:>9}  {:>7}  {:>7}  {:>6}  {:>5}  {:>11}  {:>10}",
+            "{i:>3}  {:>5}  {:>9}  {:>4}  {:>9}  {:>7}  {:>7}  {:>6}  {:>5}  {:>11}  {:>12}  {:>15}  {:>10}",
             s.asked,
             s.satisfied,
             s.late,
@@ -134,6 +135,8 @@
             s.unsent,
             s.list_calls,
             s.connections,
+            s.connects,
+            s.sessions,
             s.executions
         );
     }
@@ -150,14 +153,19 @@
             .after_s
             .map_or("not within the plan".to_owned(), |s| format!("{s:.1} s after the last was up"));
         println!(
-            "full service {after}; before {:.0} a second, p99 {:.1} ms; {} missed; connections a second {} steady, {} at \
-             the peak; list calls {} at the peak",
+            "full service {after}; before {:.0} a second, p99 {:.1} ms; {} missed; steady a second and at the peak: \
+             clients' connections {:.0}, {}; to executors {:.1}, {}; to coordinators {:.1}, {}; list calls {:.1}, {}",
             back.before.0,
             back.before.1,
             back.missed,
-            back.steady_connections,
-            back.peak_connections,
-            back.peak_lists
+            back.steady[0],
+            back.peak[0],
+            back.steady[1],
+            back.peak[1],
+            back.steady[2],
+            back.peak[2],
+            back.steady[3],
+            back.peak[3]
         );
     }
     println!("one-shots begun more than once: {}", outcome.doubled);
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -76,6 +76,8 @@
     /// Being kept: nothing may be said of it before it is.
     staging: Option<Policy>,
     declined: Option<(u64, String)>,
+    /// How far its start has come, for people.
+    stage: String,
     until: Nanos,
     /// How long a leave lasted last.
     span: Nanos,
@@ -111,6 +113,7 @@
             staged,
             staging: None,
             declined: None,
+            stage: String::new(),
             until: 0,
             span,
             asked: 0,
@@ -147,6 +150,13 @@
         now < self.until || (self.until > 0 && self.broken == Some(Broken::Unfenced))
     }
 
+    /// What operators are told of its start from now on.
+    pub fn at_stage(&mut self, stage: &str) {
+        if self.stage != stage {
+            stage.clone_into(&mut self.stage);
+        }
+    }
+
     /// When it wants a tick.
     #[must_use]
     pub fn next_due(&self) -> Nanos {
@@ -214,7 +224,8 @@
         self.next = now + (self.span / 6).max(1);
         let (active, declined) = (self.active, self.declined.clone());
         let staged = self.staged.as_ref().map_or(0, |s| s.version);
-        outs.push(Out::Send(Renew { incarnation: self.incarnation, at: now, active, staged, declined }));
+        let (incarnation, stage) = (self.incarnation, self.stage.clone());
+        outs.push(Out::Send(Renew { incarnation, at: now, active, staged, declined, stage }));
     }
 
     fn serve(&mut self, until: Nanos, outs: &mut Vec<Out>) {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -100,6 +100,25 @@
 const LEAST_SOCKETS: usize = 32;
 const LEAST_MEMORY_MB: u64 = 32;
 
+/// Whether the system leaves this process as many descriptors as a node needs at the least.
+///
+/// # Errors
+///
+/// How many there are.
+pub fn descriptors() -> Result<(), String> {
+    let most = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    let most = most.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
+    // One is used by looking.
+    let open = std::fs::read_dir("/proc/self/fd").map(|all| all.count().saturating_sub(1));
+    match open {
+        Ok(open) if most.saturating_sub(open) >= LEAST_SOCKETS => Ok(()),
+        Ok(open) => Err(format!(
+            "{open} of the {most} descriptors that the system allows are in use, and {LEAST_SOCKETS} are needed"
+        )),
+        Err(why) => Err(why.to_string()),
+    }
+}
+
 /// How much is logged. It is read first, so that the rest can be logged.
 pub fn level(variable: impl Fn(&str) -> Option<String>) -> Result<Level, Fault> {
     const KEY: &str = "PROXY_LOG";
--- a/crates/node/src/fleet/operate.rs
+++ b/crates/node/src/fleet/operate.rs
@@ -207,15 +207,19 @@
         if let Some((request, version)) = &s.pending {
             println!("pending: {request}, version {version}");
         }
-        println!("{:<24} {:<6} {:<8} {:<8} declined", "member", "serves", "goes by", "has kept");
+        println!(
+            "{:<24} {:<6} {:<8} {:<8} {:<8} declined",
+            "member", "serves", "goes by", "has kept", "start"
+        );
         for m in &s.members {
             let active = m.active.map_or("-".to_owned(), |v| v.to_string());
             let staged = if m.staged > 0 { m.staged.to_string() } else { "-".into() };
             let declined = m.declined.as_ref().map_or(String::new(), |(v, key)| format!("{v}: {key}"));
             println!(
-                "{:<24} {:<6} {active:<8} {staged:<8} {declined}",
+                "{:<24} {:<6} {active:<8} {staged:<8} {:<8} {declined}",
                 m.name,
-                if m.live { "yes" } else { "no" }
+                if m.live { "yes" } else { "no" },
+                if m.stage.is_empty() { "-" } else { &m.stage },
             );
         }
     }
--- a/crates/node/src/fleet/session.rs
+++ b/crates/node/src/fleet/session.rs
@@ -3,6 +3,7 @@
 
 use std::io::Write as _;
 use std::net::TcpStream;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 use linestack_core::Input as CoreInput;
 use linestack_history::What;
 use linestack_member::{Broken, Input, Member, Out, Told};
+use linestack_recovery::start::{Terms, session_after};
 use linestack_settings::Settings;
 use serde::{Deserialize, Serialize};
 
@@ -18,6 +20,7 @@
 use super::store::{Fault, Store};
 use super::wire::{self, Body, Ear, Own, Pen, Who};
 use crate::net::Node;
+use crate::tries;
 
 /// Thousandths by which clocks may differ in rate, and how long a leave is taken to last before the first.
 const DRIFT: u64 = 10;
@@ -26,6 +29,8 @@
 const AGAIN: Duration = Duration::from_millis(20);
 /// A line of the same kind is logged so often at most.
 const QUIET: Duration = Duration::from_secs(1);
+/// Starts in a row that died while they read what was kept, before it is set aside.
+const TRIES: u32 = 3;
 
 /// What a member must not forget.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -50,15 +55,30 @@
     /// It is another's, damaged, or can't be written.
     pub fn open(fleet: Fleet) -> Result<Self, Fault> {
         let owner = format!("member {} of {}", fleet.member, fleet.id);
-        let mut store = match Store::open(&fleet.folder, &owner, false) {
-            Err(Fault::Missing) => Store::open(&fleet.folder, &owner, true)?,
-            other => other?,
+        let open = |folder: &Path| match Store::open(folder, &owner, false) {
+            Err(Fault::Missing) => Store::open(folder, &owner, true),
+            other => other,
         };
-        let mut record: Record = match store.load() {
+        let mut store = open(&fleet.folder)?;
+        if tries::enter(&fleet.folder)? >= TRIES {
+            // It comes back as a new run that knows nothing: coordinators tell it all again.
+            drop(store);
+            let aside = tries::set_aside(&fleet.folder, |name| name.ends_with(".redb"))?;
+            tracing::error!(aside = %aside.display(), "starts died reading what this member kept: set aside");
+            store = open(&fleet.folder)?;
+        }
+        let loaded = store.load();
+        if super::fault().as_deref() == Some("dies-loading") && matches!(loaded, Ok(Some(_))) {
+            std::process::abort();
+        }
+        let mut record: Record = match loaded {
             Ok(record) => record.unwrap_or_default(),
             // What it had kept is asked for again; but it may be the second of its kind.
             Err(Fault::Copied) => Record::default(),
-            Err(why) => return Err(why),
+            Err(why) => {
+                tries::leave(&fleet.folder);
+                return Err(why);
+            }
         };
         if record.life.home == 0 {
             record.life = Incarnation { home: super::draw(), life: 0 };
@@ -77,12 +97,14 @@
     #[must_use]
     pub fn terms(&self, own: &Settings, seed: u64) -> Option<Settings> {
         let known = &self.record.active;
-        let settings = settings(&known.text, own.orders.zone, seed).ok().filter(|_| known.version > 0)?;
+        let settings = settings(&known.text, own.orders.zone, seed).ok().filter(|_| known.version > 0);
+        tries::leave(&self.fleet.folder);
+        let settings = settings?;
         own.restart_for(&settings).is_none().then_some(settings)
     }
 
     /// Runs the session for as long as the program does.
-    pub fn run(self, node: Arc<Node>, present: Settings, seed: u64, active: u64) {
+    pub fn run(self, node: Arc<Node>, present: Settings, seed: u64, active: u64, bounds: Option<Terms>) {
         let Self { fleet, store, record } = self;
         let broken = super::fault().and_then(|f| match f.as_str() {
             "early" => Some(Broken::Early),
@@ -93,7 +115,8 @@
         let staged = record.staged.clone();
         let member = Member::new(record.life, DRIFT, SPAN, active, staged).broken(broken);
         let own = Own { fleet: fleet.id.clone(), who: Who::Member(fleet.member.clone()), life: record.life };
-        let session = Session { node, fleet, store, record, member, present, seed, own, told: None, broken };
+        let session =
+            Session { node, fleet, store, record, member, present, seed, own, told: None, broken, bounds };
         std::thread::spawn(move || session.run());
     }
 }
@@ -109,6 +132,8 @@
     own: Own,
     told: Option<(Told, Instant)>,
     broken: Option<Broken>,
+    /// What the fleet's coordinators bear, where that is bounded.
+    bounds: Option<Terms>,
 }
 
 /// Far over what two readings of the clocks lie apart, and far under any sleep.
@@ -124,6 +149,13 @@
     fn run(mut self) {
         let mut at = self.seed as usize % self.fleet.coordinators.len();
         let mut quiet = Instant::now() - QUIET;
+        // Others may have started in the same instant.
+        let mut chance = fastrand::Rng::with_seed(self.seed ^ super::draw());
+        let mut turn = |terms: &Option<Terms>, again: Duration| {
+            let wait = terms.map_or(0, |terms| session_after(&terms, chance.f64()));
+            std::thread::sleep(again.max(Duration::from_nanos(wait)));
+        };
+        turn(&self.bounds, Duration::ZERO);
         loop {
             let to = self.fleet.coordinators[at];
             match wire::greet(to, &self.own) {
@@ -140,7 +172,7 @@
             let mut none = Vec::new();
             self.member.take(self.now(), Input::Down, &mut none);
             at = (at + 1) % self.fleet.coordinators.len();
-            std::thread::sleep(AGAIN);
+            turn(&self.bounds, AGAIN);
         }
     }
 
@@ -170,6 +202,9 @@
                 Ok(None) => {}
                 Err(why) => return why.to_string(),
             }
+            if let Some(stage) = self.node.stage() {
+                self.member.at_stage(stage.word());
+            }
             let wait = self.member.next_due().saturating_sub(self.now());
             // A time limit of nothing would be none.
             let wait = Duration::from_nanos(wait).clamp(Duration::from_millis(1), Duration::from_secs(1));
--- a/crates/node/src/fleet/store.rs
+++ b/crates/node/src/fleet/store.rs
@@ -51,7 +51,7 @@
 /// Which file it is: its device, its number there, and when it was made. Numbers are given out again.
 type Identity = (u64, u64, u64);
 
-fn identity(path: &Path) -> io::Result<Identity> {
+pub(crate) fn identity(path: &Path) -> io::Result<Identity> {
     let meta = fs::metadata(path)?;
     let made = meta.created().ok().and_then(|at| at.duration_since(std::time::UNIX_EPOCH).ok());
     Ok((meta.dev(), meta.ino(), made.map_or(0, |at| at.as_nanos() as u64)))
--- a/crates/node/src/keep.rs
+++ b/crates/node/src/keep.rs
@@ -4,17 +4,27 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
 
 use linestack_core::{Core, Input, Nanos, Remembered, Ticket};
+use linestack_recovery::start::{Kept, fresh};
 use linestack_recovery::{Age, Fate, Fates, Keep};
 use linestack_store::{Damage, Fault, Folder, LARGEST, Limits, Op, Store, repair};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
-use crate::http;
 use crate::net::Node;
+use crate::net::discovery::List;
+use crate::{begin, http, tries};
 
-/// The kind of record that a one-shot's fate is.
+/// Kinds of record: a one-shot's fate, the list of executors, when discovery was heard last, whose store it is, and
+/// that one before it was lost. But for fates there is one of each.
 const FATE: u8 = 1;
+const LIST: u8 = 2;
+const HEARD: u8 = 3;
+const OWNER: u8 = 4;
+const LOST: u8 = 5;
+/// Starts in a row that died while they read the store, before it is set aside.
+const TRIES: u32 = 3;
 /// Records that go in one commit, at most.
 const GROUP: usize = 512;
 /// A result that did not fit would fail the store.
@@ -118,11 +128,62 @@
     Limits { budget: budget_mb << 20, spans: vec![(FATE, span)], sync, ..Limits::default() }
 }
 
+/// What is to be kept.
+pub enum Note {
+    Fate(Keep, Option<Ticket>),
+    /// The list as it stands now.
+    List(List),
+    /// Discovery was heard, and the list stands.
+    Heard,
+}
+
+/// Whose store it is, and which folder it was made in: a copy is another.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Owner {
+    node: String,
+    place: (u64, u64, u64),
+}
+
+/// When something was kept.
+#[derive(Serialize, Deserialize)]
+struct Stamp {
+    boot: u128,
+    at: u64,
+}
+
+impl Stamp {
+    fn now() -> Vec<u8> {
+        let Kept { boot, at } = begin::stamp();
+        serde_json::to_vec(&Self { boot, at }).unwrap_or_default()
+    }
+}
+
 pub struct Keeper {
     store: Store<Folder>,
     config: Config,
     age: Age,
     fates: Vec<Keep>,
+    list: Option<List>,
+    heard: Option<Kept>,
+    /// One before it was lost: what that one sent is not known.
+    lost: bool,
+}
+
+/// That a store stands for one that was lost.
+fn lost_mark() -> Op {
+    Op::Put { kind: LOST, key: b"lost".to_vec(), value: Vec::new(), at: 0 }
+}
+
+fn owner_mark(node: &str, folder: &Path) -> Result<Op, Fault> {
+    let owner = Owner { node: node.to_owned(), place: crate::fleet::store::identity(&folder.join("lock"))? };
+    let value = serde_json::to_vec(&owner).unwrap_or_default();
+    Ok(Op::Put { kind: OWNER, key: b"owner".to_vec(), value, at: 0 })
+}
+
+/// The only record of a kind.
+fn only(store: &Store<Folder>, kind: u8) -> Option<Vec<u8>> {
+    let entry = store.entries().find(|e| e.kind == kind)?;
+    store.get(kind, &entry.key).ok().flatten()
 }
 
 impl Keeper {
@@ -130,8 +191,8 @@
     ///
     /// # Errors
     ///
-    /// There is none, another process holds it, or it is damaged: with what to do.
-    pub fn open(config: Config) -> Result<Self, String> {
+    /// There is none, another process holds it, or it is damaged or another's: with what to do.
+    pub fn open(config: Config, node: &str) -> Result<Self, String> {
         let place = config.folder.display().to_string();
         let fault = |why: &Fault| {
             let remedy = match why {
@@ -141,37 +202,80 @@
             };
             format!("store.folder: {place}: {why}{remedy}")
         };
-        let folder = Folder::open(&config.folder).map_err(|e| fault(&e.into()))?;
-        let span = config.remember_s * 1_000_000_000;
-        let limits = limits(span, config.budget_mb, config.sync);
-        let store = Store::open(folder, limits, false, 0).map_err(|e| fault(&e))?;
-        let mut fates = Vec::new();
-        let read = store.each(|entry, value| {
-            if entry.kind == FATE {
-                // Of a later version: it may have run, for all that this one can tell.
-                let fate = Fate::from_bytes(&value).unwrap_or(Fate::MayHaveRun);
-                fates.push(Keep { key: entry.key.into(), fate, at: entry.at });
+        let path = config.folder.clone();
+        let folder = Folder::open(&path).map_err(|e| fault(&e.into()))?;
+        let limits = || limits(config.remember_s * 1_000_000_000, config.budget_mb, config.sync);
+        let died = tries::enter(&path).map_err(|e| fault(&e.into()))?;
+        let (mut store, mut fates) = if died >= TRIES {
+            let whole = |name: &str| name != "lock" && name != "tries";
+            let aside = tries::set_aside(&path, whole).map_err(|e| fault(&e.into()))?;
+            tracing::error!(aside = %aside.display(), "starts died reading the store: set aside, a new one is begun");
+            let mut store =
+                Store::open(folder, limits(), true, crate::fleet::draw()).map_err(|e| fault(&e))?;
+            store.commit(&[lost_mark()], 0).map_err(|e| fault(&e))?;
+            (store, Vec::new())
+        } else {
+            let opened = Store::open(folder, limits(), false, 0);
+            let store = opened.inspect_err(|_| tries::leave(&path)).map_err(|e| fault(&e))?;
+            let fates = fates_of(&store).inspect_err(|_| tries::leave(&path)).map_err(|e| fault(&e))?;
+            (store, fates)
+        };
+        tries::leave(&path);
+        let mark = owner_mark(node, &path).map_err(|e| fault(&e))?;
+        match (only(&store, OWNER), &mark) {
+            (None, _) => store.commit(std::slice::from_ref(&mark), 0).map_err(|e| fault(&e))?,
+            (Some(known), Op::Put { value, .. }) if known == *value => {}
+            (Some(known), _) => {
+                let known: Option<Owner> = serde_json::from_slice(&known).ok();
+                let whose = match known {
+                    Some(o) if o.node == node => {
+                        "a copy: what was sent since it was made is not in it".to_owned()
+                    }
+                    Some(o) => format!("of node {}, not of {node}", o.node),
+                    None => "of a node that is not understood".to_owned(),
+                };
+                return Err(format!(
+                    "store.folder: {place}: {whose}; `linestack store adopt {place}` takes it over"
+                ));
             }
-        });
-        read.map_err(|e| fault(&e))?;
+        }
+        fates.sort_by_key(|k| k.at);
+        let list = only(&store, LIST).and_then(|text| List::read(&text).ok());
+        let heard: Option<Stamp> = only(&store, HEARD).and_then(|text| serde_json::from_slice(&text).ok());
+        let heard = heard.map(|Stamp { boot, at }| Kept { boot, at });
+        let lost = only(&store, LOST).is_some();
         // No clock of day is asked: only the time in which nodes ran makes anything old.
         let age = fates.iter().map(|k| k.at).max().map_or(0, |at| at + 1);
-        Ok(Self { store, config, age, fates })
+        Ok(Self { store, config, age, fates, list, heard, lost })
+    }
+
+    /// The list that was kept, and whether it is as young as one just told.
+    #[must_use]
+    pub fn list(&self, within: u64) -> Option<(List, bool)> {
+        let list = self.list.clone().filter(|l| !l.endpoints.is_empty())?;
+        let age = self.heard.and_then(|kept| kept.age(&begin::stamp()));
+        tracing::info!(entries = list.endpoints.len(), age_ms = age.map(|a| a / 1_000_000), "list read");
+        Some((list, fresh(age, within)))
     }
 
     /// What the reducer is to know of it. `memory` is what the program may have, in bytes.
-    pub fn tell(&mut self, core: &mut Core, memory: usize, now: Nanos) {
+    pub fn tell(&mut self, core: &mut Core, memory: usize, now: Nanos, longest_cut_off: Nanos) {
         let span = self.config.remember_s * 1_000_000_000;
         let mut fates = Fates::new(span, usize::MAX, memory / MEMORY_PART);
         fates.restore(std::mem::take(&mut self.fates));
         fates.forget(self.age);
         tracing::info!(known = fates.len(), folder = %self.config.folder.display(), "store read");
         let by_stamp = self.config.same_by == SameBy::IdempotencyKey;
-        core.remember(Remembered { fates, age: self.age, now, by_stamp });
+        // Whoever waits for what the one before had taken notices at once, and asks again within its own cut-off.
+        let doubtful = if self.lost { now + longest_cut_off + LOST_SLACK } else { 0 };
+        if self.lost {
+            tracing::error!("an earlier store was lost: one-shots are aborted until what it sent is over");
+        }
+        core.remember(Remembered { fates, age: self.age, now, by_stamp, doubtful });
     }
 
     /// Runs the thread that writes, and returns where to send what is to be written.
-    pub fn run(self) -> (Sender<(Keep, Option<Ticket>)>, Writer) {
+    pub fn run(self) -> (Sender<Note>, Writer) {
         let (to, from) = channel();
         (to, Writer { keeper: self, from })
     }
@@ -179,7 +283,29 @@
 
 pub struct Writer {
     keeper: Keeper,
-    from: Receiver<(Keep, Option<Ticket>)>,
+    from: Receiver<Note>,
+}
+
+/// Beyond the longest cut-off, for clients and networks.
+const LOST_SLACK: Nanos = 1_000_000_000;
+/// How often it is written down that discovery was heard.
+const STAMPED: Duration = Duration::from_millis(500);
+
+/// The fates that are kept.
+fn fates_of(store: &Store<Folder>) -> Result<Vec<Keep>, Fault> {
+    let poisoned = crate::fleet::fault().and_then(|f| f.strip_prefix("dies-reading=").map(str::to_owned));
+    let mut fates = Vec::new();
+    store.each(|entry, value| {
+        if poisoned.as_ref().is_some_and(|key| entry.kind == FATE && entry.key.starts_with(key.as_bytes())) {
+            std::process::abort();
+        }
+        if entry.kind == FATE {
+            // Of a later version: it may have run, for all that this one can tell.
+            let fate = Fate::from_bytes(&value).unwrap_or(Fate::MayHaveRun);
+            fates.push(Keep { key: entry.key.into(), fate, at: entry.at });
+        }
+    })?;
+    Ok(fates)
 }
 
 impl Writer {
@@ -190,18 +316,42 @@
 
     fn work(self, node: &Arc<Node>) {
         let Self { mut keeper, from } = self;
-        let mut failed = false;
+        let (mut failed, mut last, mut stamped) = (false, keeper.age, None::<Instant>);
         while let Ok(first) = from.recv() {
             // All that came while the one before was at the disk goes together.
             let group: Vec<_> = std::iter::once(first).chain(from.try_iter().take(GROUP - 1)).collect();
-            let op = |keep: &Keep| Op::Put {
-                kind: FATE,
-                key: keep.key.to_vec(),
-                value: keep.fate.to_bytes(),
-                at: keep.at,
+            let put = |kind: u8, key: &[u8], value: Vec<u8>, at: Age| Op::Put {
+                kind,
+                key: key.to_vec(),
+                value,
+                at,
             };
-            let ops: Vec<Op> = group.iter().map(|(keep, _)| op(keep)).collect();
-            let now = group.iter().map(|(keep, _)| keep.at).max().unwrap_or_default();
+            let mut ops = Vec::new();
+            for note in &group {
+                match note {
+                    Note::Fate(keep, _) => {
+                        last = last.max(keep.at);
+                        ops.push(put(FATE, &keep.key, keep.fate.to_bytes(), keep.at));
+                    }
+                    Note::List(list) => match list.write() {
+                        text if text.len() + 64 < LARGEST => ops.push(put(LIST, b"list", text, last)),
+                        text => tracing::warn!(bytes = text.len(), "the list is too long to be kept"),
+                    },
+                    Note::Heard if stamped.is_some_and(|at| at.elapsed() < STAMPED) => {}
+                    Note::Heard => {
+                        stamped = Some(Instant::now());
+                        ops.push(put(HEARD, b"heard", Stamp::now(), last));
+                    }
+                }
+            }
+            if keeper.lost && node.sure() {
+                keeper.lost = false;
+                ops.push(Op::Remove { kind: LOST, key: b"lost".to_vec() });
+            }
+            if ops.is_empty() {
+                continue;
+            }
+            let now = last;
             if !failed && let Err(why) = keeper.store.commit(&ops, now) {
                 failed = true;
                 tracing::error!(%why, "store failed: one-shots are dismissed from now on");
@@ -209,8 +359,10 @@
                     let _ = signal_hook::low_level::raise(signal_hook::consts::SIGTERM);
                 }
             }
-            for ticket in group.into_iter().filter_map(|(_, ticket)| ticket) {
-                node.feed(Input::Kept { ticket, lasts: !failed });
+            for note in group {
+                if let Note::Fate(_, Some(ticket)) = note {
+                    node.feed(Input::Kept { ticket, lasts: !failed });
+                }
             }
         }
     }
@@ -220,7 +372,20 @@
 #[derive(clap::Subcommand)]
 pub enum Command {
     /// Make a store where there is none.
-    Init { folder: PathBuf },
+    Init {
+        folder: PathBuf,
+        /// There was one, and it is gone: until what it sent is over, one-shots are aborted.
+        #[arg(long)]
+        lost: bool,
+    },
+    /// Let this folder's store be the store of whichever node starts with it next. Without `--moved` it counts as lost:
+    /// a copy does not know what was sent since it was made.
+    Adopt {
+        folder: PathBuf,
+        /// No node has run on the original since it was copied.
+        #[arg(long)]
+        moved: bool,
+    },
     /// Read all of it, and tell what is damaged.
     Verify { folder: PathBuf },
     /// What is in it, one record a line.
@@ -240,10 +405,20 @@
     let folder = |path: &Path| Folder::open(path).map_err(|e| format!("{}: {e}", path.display()));
     let told = |path: &Path, e: &Fault| format!("{}: {e}", path.display());
     match command {
-        Command::Init { folder: path } => {
-            Store::open(folder(path)?, any(), true, seed).map_err(|e| told(path, &e))?;
+        Command::Init { folder: path, lost } => {
+            let mut store = Store::open(folder(path)?, any(), true, seed).map_err(|e| told(path, &e))?;
+            if *lost {
+                store.commit(&[lost_mark()], 0).map_err(|e| told(path, &e))?;
+            }
             println!("{}: made", path.display());
         }
+        Command::Adopt { folder: path, moved } => {
+            let mut store = Store::open(folder(path)?, any(), false, seed).map_err(|e| told(path, &e))?;
+            let mut ops = vec![Op::Remove { kind: OWNER, key: b"owner".to_vec() }];
+            ops.extend((!moved).then(lost_mark));
+            store.commit(&ops, 0).map_err(|e| told(path, &e))?;
+            println!("{}: belongs to the node that starts with it next", path.display());
+        }
         Command::Verify { folder: path } => {
             let store = Store::open(folder(path)?, any(), false, seed).map_err(|e| told(path, &e))?;
             let damage = store.verify().map_err(|e| told(path, &e))?;
@@ -260,7 +435,10 @@
             entries.sort_by(|(a, _), (b, _)| (a.at, &a.key).cmp(&(b.at, &b.key)));
             for (entry, value) in entries {
                 let key = String::from_utf8_lossy(&entry.key);
-                let word = Fate::from_bytes(&value).map_or("not understood", |f| f.word());
+                let word = match entry.kind {
+                    FATE => Fate::from_bytes(&value).map_or("not understood", |f| f.word()).to_owned(),
+                    _ => String::from_utf8_lossy(&value).into_owned(),
+                };
                 println!("{:.3} {} {key} {word}", entry.at as f64 / 1e9, entry.kind);
             }
         }
@@ -278,14 +456,16 @@
                 Err(Fault::Missing) => return Err(format!("{}: there is no store here", path.display())),
                 _ => {}
             }
-            let (store, lost) = repair(folder(path)?, any(), seed).map_err(|e| told(path, &e))?;
+            let (mut store, lost) = repair(folder(path)?, any(), seed).map_err(|e| told(path, &e))?;
+            // Whole files may be gone, of which nothing tells.
+            store.commit(&[lost_mark()], 0).map_err(|e| told(path, &e))?;
             println!("{}: {} records", path.display(), store.stats().records);
             if lost.is_empty() {
                 println!("nothing that is known of was lost");
             } else {
                 println!("lost:\n{}", lines(&lost));
                 println!(
-                    "a one-shot that may have run may be among them: see the page on the store before it serves"
+                    "a one-shot that may have run may be among them: the node that starts on it counts as one that lost its store"
                 );
             }
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,7 +1,9 @@
 //! A linestack node on sockets: the decisions of `linestack_dispatch` behind HTTP/1.1.
 
+pub mod begin;
 pub mod config;
 pub mod fleet;
 pub mod http;
 pub mod keep;
 pub mod net;
+pub mod tries;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use clap::Parser;
+use linestack::begin;
 use linestack::config::{self, Config};
 use linestack::fleet;
 use linestack::fleet::config::Mode;
@@ -18,6 +19,7 @@
 use linestack_core::{Core, Input};
 use linestack_dispatch::types::{ListKind, Repeats};
 use linestack_history::What;
+use linestack_recovery::start::{Found, Start as Starting};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tracing_appender::non_blocking::NonBlockingBuilder;
@@ -89,6 +91,10 @@
         drop(guard);
         return code;
     }
+    if let Err(fault) = config::descriptors() {
+        tracing::error!(fault, "descriptors");
+        return ExitCode::FAILURE;
+    }
     // Taken over before anything is served, so that no signal finds them missing.
     let mut signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
         Ok(signals) => signals,
@@ -117,9 +123,9 @@
     scheduler.set_worker_pin(false);
     let (done, finished) = std::sync::mpsc::channel();
     let Config { name, listen, discovery, known, settings, sockets, memory_mb, .. } = config.clone();
-    let (index, endpoints) = known.map_or((None, Vec::new()), |known| (Some(known.index), known.endpoints));
     let memory = usize::try_from(memory_mb << 20).unwrap_or(usize::MAX);
-    let keeper = variable("PROXY_STORE").map(|path| keep::config(Path::new(&path)).and_then(Keeper::open));
+    let opened = |path: String| keep::config(Path::new(&path)).and_then(|config| Keeper::open(config, &name));
+    let keeper = variable("PROXY_STORE").map(opened);
     let mut keeper = match keeper.transpose() {
         Ok(keeper) => keeper,
         Err(fault) => {
@@ -127,6 +133,15 @@
             return ExitCode::FAILURE;
         }
     };
+    let nodes = settings.orders.nodes;
+    let stages = variable("PROXY_START").map(|path| begin::config(Path::new(&path), nodes)).transpose();
+    let stages = match stages {
+        Ok(stages) => stages,
+        Err(why) => {
+            why.lines().for_each(|fault| tracing::error!(fault, "start"));
+            return ExitCode::FAILURE;
+        }
+    };
     let clock = Clock::start();
     let trail =
         fleet.as_ref().and_then(|(start, _)| start.fleet().history.as_ref().map(|path| (start, path)));
@@ -140,8 +155,24 @@
         }
     };
     let mut core = Core::new(settings.clone(), sockets, memory);
+    let mut known = known;
+    if let Some(stages) = &stages {
+        let kept = keeper.as_ref().and_then(|k| k.list(stages.list_fresh));
+        let fresh = kept.as_ref().is_some_and(|(_, fresh)| *fresh);
+        if let Some((list, _)) = kept {
+            known = Some(list);
+        }
+        // Of no age that is known: it waits for discovery's word, or for discovery's silence.
+        let old = known.take_if(|_| !fresh).map_or_else(Vec::new, |list| list.endpoints);
+        let proved = !fleet.as_ref().is_some_and(|(start, _)| start.fleet().mode == Mode::Strict);
+        let mut chance = fastrand::Rng::with_seed(config.seed ^ fleet::draw());
+        let found = Found { proved, fresh, old: !old.is_empty() };
+        let start = Starting::new(stages.terms, found, [chance.f64(), chance.f64()], clock.now());
+        core.start_by(clock.now(), start, old);
+    }
+    let (index, endpoints) = known.map_or((None, Vec::new()), |known| (Some(known.index), known.endpoints));
     if let Some(keeper) = &mut keeper {
-        keeper.tell(&mut core, memory, clock.now());
+        keeper.tell(&mut core, memory, clock.now(), settings.longest_cut_off);
     }
     let (keeper, writer) = keeper.map(Keeper::run).unzip();
     let parts = Parts {
@@ -192,7 +223,7 @@
     untold(&config);
     let of_fleet = fleet.is_some();
     if let Some((start, active)) = fleet {
-        start.run(Arc::clone(&node), settings, config.seed, active);
+        start.run(Arc::clone(&node), settings, config.seed, active, stages.map(|s| s.terms));
     }
     while let Some(signal) = signals.forever().next() {
         if signal == SIGHUP {
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -14,6 +14,7 @@
 use super::{Node, Post, TURN, spawn};
 use crate::http::{self, Body, Fault, Framing, Out, Request};
 use linestack_core::{Answer, Client, Input, Intake, Phase, Shipment};
+use linestack_recovery::start::Stage;
 
 const NANOS_PER_MS: u64 = 1_000_000;
 /// The longest that a client may say it waits, whatever the settings name.
@@ -322,6 +323,15 @@
             };
             Ok(Asked::Health(out, last))
         }
+        (b"GET", b"/healthz") if node.stage().is_some_and(|s| s < Stage::Full) => {
+            let Some(stage) = node.stage() else { return Ok(Asked::Health(bare(503, last), last)) };
+            let text = format!("starting: {}: {}\n", stage.word(), stage.why());
+            Ok(Asked::Health(told(if node.ready() { 200 } else { 503 }, &text, last), last))
+        }
+        (b"GET", b"/healthz") if !node.sure() && node.ready() => {
+            let text = "an earlier store was lost: one-shots are aborted until what it sent is over\n";
+            Ok(Asked::Health(told(200, text, last), last))
+        }
         (b"GET", b"/healthz") => Ok(Asked::Health(bare(if node.ready() { 200 } else { 503 }, last), last)),
         (b"GET", _) => Ok(Asked::Health(bare(404, last), last)),
         (b"POST", _) => Ok(Asked::Execution(intake(node, request, text)?, last)),
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -8,7 +8,7 @@
 use bytes::BytesMut;
 use linestack_dispatch::types::{Health, ListKind, Nanos};
 use may::net::TcpStream;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use thiserror::Error;
 
@@ -68,6 +68,27 @@
     endpoints: Vec<&'a RawValue>,
 }
 
+/// As it is written: what reads it is [`RawList`].
+#[derive(Serialize)]
+struct WrittenList<'a> {
+    index: u64,
+    snapshot: bool,
+    endpoints: Vec<WrittenEndpoint<'a>>,
+}
+
+#[derive(Serialize)]
+struct WrittenEndpoint<'a> {
+    name: &'a str,
+    address: SocketAddr,
+    zone: &'a str,
+    #[serde(rename = "type")]
+    kind: &'a str,
+    group: u16,
+    status: &'static str,
+    since_ms: f64,
+    weight: f32,
+}
+
 #[derive(Deserialize)]
 struct RawEndpoint {
     name: String,
@@ -86,6 +107,27 @@
 }
 
 impl List {
+    /// The list as discovery would tell it.
+    #[must_use]
+    pub fn write(&self) -> Vec<u8> {
+        let endpoints = self.endpoints.iter().map(|e| WrittenEndpoint {
+            name: &e.name,
+            address: e.address,
+            zone: &e.zone,
+            kind: &e.kind,
+            group: e.group,
+            status: match e.health {
+                Health::Ready => "active",
+                Health::Draining => "draining",
+                Health::Gone => "left",
+            },
+            since_ms: e.started as f64 / 1e6,
+            weight: e.weight,
+        });
+        let list = WrittenList { index: self.index, snapshot: self.whole, endpoints: endpoints.collect() };
+        serde_json::to_vec(&list).unwrap_or_default()
+    }
+
     /// Reads a line. An entry that makes no sense is left out, the others count.
     pub fn read(line: &[u8]) -> Result<Self, serde_json::Error> {
         let raw: RawList = object(line)?;
@@ -184,7 +226,9 @@
             return Err(Fault::Ended);
         }
         input.extend_from_slice(&piece[..n]);
-        if body.is_none() {
+        if body.is_some() {
+            node.heard(None);
+        } else {
             let Some(head) = http::response(&input).map_err(|f| Fault::Head(f.why))? else { continue };
             if head.status != 200 {
                 return Err(Fault::Status(head.status));
@@ -209,6 +253,7 @@
                 }
                 tracing::info!(index, whole, entries, "list");
                 node.feed(list.into());
+                node.heard(Some(index));
             }
         }
         if lines.len() > LINE {
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use linestack_dispatch::types::{ListKind, Nanos};
+use linestack_history::What;
 use linestack_settings::{Names, ReportLayout};
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
@@ -21,9 +22,11 @@
 
 use crate::fleet::slept;
 use crate::fleet::trail::Trail;
+use crate::keep::Note;
 use clock::{Alarm, Clock};
-use linestack_core::{Client, Core, Effect, Input, Link, Ticket};
-use linestack_recovery::{Fate, Keep};
+use linestack_core::{Client, Core, Effect, Input, Link};
+use linestack_recovery::Fate;
+use linestack_recovery::start::Stage;
 
 /// A pause for a connection that brings more than one message's worth at once. Giving way would not do: may
 /// looks at its sockets only when no coroutine can run.
@@ -139,7 +142,7 @@
     pub stamped: Vec<bool>,
     pub(crate) watch: Mutex<Watch>,
     pub(crate) trail: Option<Trail>,
-    keeper: Option<Sender<(Keep, Option<Ticket>)>>,
+    keeper: Option<Sender<Note>>,
     /// A leave to take submissions is over once the machine has slept for longer than this in all; 0: there is no
     /// leave to end.
     awake: AtomicU64,
@@ -178,7 +181,7 @@
     /// Where a history of this node goes, if one is kept.
     pub trail: Option<Trail>,
     /// Where what must last goes, if anything does.
-    pub keeper: Option<Sender<(Keep, Option<Ticket>)>>,
+    pub keeper: Option<Sender<Note>>,
     /// Called when the node has stopped and answered what it had taken.
     pub exit: Box<dyn FnOnce() + Send>,
 }
@@ -240,6 +243,26 @@
         Some((inner.core.remembers(), inner.core.fate(key).cloned()))
     }
 
+    /// Whether all that may have run before is known.
+    pub(crate) fn sure(&self) -> bool {
+        lock(&self.inner).core.sure()
+    }
+
+    /// How far its start has come, where that goes by stages.
+    pub fn stage(&self) -> Option<Stage> {
+        lock(&self.inner).core.stage()
+    }
+
+    /// Discovery was heard; with a version of the list, it is another one from now on.
+    pub(crate) fn heard(&self, index: Option<u64>) {
+        let Some(keeper) = &self.keeper else { return };
+        if let Some(index) = index {
+            let endpoints = lock(&self.inner).core.endpoints();
+            let _ = keeper.send(Note::List(discovery::List { index, whole: true, endpoints }));
+        }
+        let _ = keeper.send(Note::Heard);
+    }
+
     /// Where its history goes, if one is kept.
     pub fn trail(&self) -> Option<&Trail> {
         self.trail.as_ref()
@@ -361,7 +384,14 @@
             }
             Effect::Keep { keep, ticket } => {
                 if let Some(keeper) = &self.keeper {
-                    let _ = keeper.send((keep, ticket));
+                    let _ = keeper.send(Note::Fate(keep, ticket));
+                }
+            }
+            Effect::Stage(stage) => {
+                tracing::info!(stage = stage.word(), waits_for = stage.why(), "start");
+                if let Some(trail) = &self.trail {
+                    let stage = stage.word().to_owned();
+                    trail.write(self.clock.now(), What::Stage { stage });
                 }
             }
             Effect::Fault(what) => tracing::error!(what, "invariant broken"),
@@ -376,6 +406,7 @@
                     remembered = stats.remembered,
                     turned_down = stats.turned_down,
                     put_out = stats.put_out,
+                    held_back = stats.held_back,
                     executions = stats.executions,
                     resets = stats.resets,
                     stale = stats.stale,
--- a/crates/node/tests/coordinator.rs
+++ b/crates/node/tests/coordinator.rs
@@ -51,7 +51,14 @@
 
 fn renew(life: u64) -> Body {
     let incarnation = Incarnation { home: 7, life };
-    Body::Request(Request::Renew(Renew { incarnation, at: 1, active: 0, staged: 0, declined: None }))
+    Body::Request(Request::Renew(Renew {
+        incarnation,
+        at: 1,
+        active: 0,
+        staged: 0,
+        declined: None,
+        stage: String::new(),
+    }))
 }
 
 /// Everything that comes until the connection is closed, which must be soon.
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -2,6 +2,8 @@
 //! "It may have run" is on the disk before the first byte of an execution leaves; everything that is said later only
 //! makes it more certain. What is not known is new.
 
+pub mod start;
+
 use std::collections::{HashMap, VecDeque};
 
 use bytes::Bytes;
--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -44,6 +44,8 @@
     NoAnswer,
     /// A one-shot was executed twice.
     Twice,
+    /// A cold executor was handed more than it bears, by all nodes together.
+    PushedOver,
 }
 
 #[derive(Clone, Debug)]
@@ -280,9 +282,17 @@
     let mut began: HashMap<&str, Vec<(&Line, &str)>> = HashMap::new();
     for line in lines {
         match &line.what {
-            What::Took { id, key } if one_shots.contains(key.as_str()) => {
+            What::Took { id, key, .. } if one_shots.contains(key.as_str()) => {
                 began.entry(key).or_default().push((line, id));
             }
+            What::PushedOver { executor } => {
+                add(
+                    found,
+                    Broken::PushedOver,
+                    line,
+                    format!("{executor} is cold and was handed more than it bears"),
+                );
+            }
             What::Unbegun { id } => began.values_mut().for_each(|b| b.retain(|(_, other)| other != id)),
             _ => {}
         }
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -36,6 +36,11 @@
         executors: u32 = 4,
         slots: u32 = 8,
         work_ms: f64 = 20.0,
+        /// What a node keeps to while it starts.
+        starts: Starts = Starts::default(),
+        /// Of executors that have just started: the part of their capacity, and the time until it is whole.
+        cold_from: f64 = 0.3,
+        cold_ms: f64 = 4000.0,
         load: Load = Load::default(),
         steps: Vec<Step> = Vec::new(),
         /// The load goes on for so long after the last step.
@@ -43,6 +48,16 @@
     }
 }
 
+table! {
+    /// A start in stages, if it is on; rates are the fleet's a second, 0 for no bound.
+    Starts {
+        on: bool = false,
+        connects_per_s: f64 = 0.0,
+        lists_per_s: f64 = 0.0,
+        sessions_per_s: f64 = 0.0,
+    }
+}
+
 table! {
     Load {
         /// Submissions a second of all clients together.
@@ -88,8 +103,9 @@
         terms: u64 = 0,
         all: bool = false,
         give_up_ms: u64 = 0,
-        /// A fault that the process is started with; it exists in test builds only.
+        /// A fault that the process is started with; it exists in test builds only. Or what ails an executor.
         fault: String = String::new(),
+        size: f64 = 0.5,
         /// The start is to fail.
         refused: bool = false,
     }
@@ -129,9 +145,23 @@
     Terms,
     Propose,
     Abort,
+    /// What two nodes have stored changes places.
+    Swap,
+    /// Executors (`e3`): something is wrong with them from now on, or no more; they are others, cold.
+    Ail,
+    Well,
+    Renew,
+    /// Each call for the list takes so long, one after the other.
+    Overbook,
 }
 
 impl Deed {
+    /// Whether it is done to executors.
+    #[must_use]
+    pub fn on_executors(self) -> bool {
+        matches!(self, Self::Ail | Self::Well | Self::Renew)
+    }
+
     /// Whether it is done to ways.
     #[must_use]
     pub fn on_ways(self) -> bool {
@@ -243,12 +273,20 @@
             if matches!(step.r#do, Deed::CutAt | Deed::Repeat | Deed::Hold) {
                 must(step.frame_for().is_some(), &key("request"), "the kind of frame that it is done to");
             }
-            let names = if step.r#do.on_ways() { &ways } else { &processes };
+            let executors: Vec<String> = (0..self.executors).map(|e| format!("e{e}")).collect();
+            let names = match step.r#do {
+                on if on.on_ways() => &ways,
+                on if on.on_executors() => &executors,
+                _ => &processes,
+            };
             for to in &step.to {
                 let who = to == DOWN || (to == SPEAKER && self.coordinators > 0);
                 must(who || names.iter().any(|n| meant(to, n)), &key("to"), "nothing has this name");
             }
-            let nobody = matches!(step.r#do, Deed::Nothing | Deed::Propose | Deed::Abort);
+            let nobody = matches!(step.r#do, Deed::Nothing | Deed::Propose | Deed::Abort | Deed::Overbook);
+            must(step.r#do != Deed::Swap || step.to.len() == 2, &key("to"), "two that change places");
+            let ails = matches!(step.r#do, Deed::Ail | Deed::Well);
+            must(!ails || step.trouble().is_some(), &key("fault"), "nothing that ails an executor");
             must(nobody || !step.to.is_empty(), &key("to"), "nobody is named");
             if step.r#do == Deed::Propose {
                 must(self.coordinators > 0, &key("do"), "there is no coordinator");
@@ -260,6 +298,12 @@
 }
 
 impl Step {
+    /// What ails an executor; it stands in `fault`.
+    #[must_use]
+    pub fn trouble(&self) -> Option<linestack_world::Fault> {
+        serde_json::from_value(serde_json::Value::String(self.fault.clone())).ok()
+    }
+
     /// The kind of frame that a trick is played on; it stands in `request`.
     #[must_use]
     pub fn frame_for(&self) -> Option<u8> {
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -76,10 +76,8 @@
         fs::create_dir_all(self.store())?;
         let log = fs::OpenOptions::new().create(true).append(true).open(self.log())?;
         let mut command = Command::new(&self.program);
-        for key in
-            ["PROXY_CONFIG", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_NAME", "PROXY_LOG", "PROXY_FLEET"]
-        {
-            command.env_remove(key);
+        for key in ["CONFIG", "LISTEN", "DISCOVERY", "NAME", "LOG", "FLEET", "STORE", "START"] {
+            command.env_remove(format!("PROXY_{key}"));
         }
         command.args(&self.words).args(self.once.drain(..)).envs(self.variables.iter().map(|(k, v)| (k, v)));
         self.child = Some(command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?);
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -19,7 +19,7 @@
 
 use crate::check::{Finding, Promise, check, doubled};
 use crate::clients;
-use crate::plan::{DOWN, Deed, Plan, SPEAKER, Step, meant};
+use crate::plan::{DOWN, Deed, Plan, SPEAKER, Starts, Step, meant};
 use crate::process::{PATIENCE, Process, copy};
 use crate::stand::Fleet;
 use crate::way::{Side, Trick, Way};
@@ -53,11 +53,10 @@
     pub before: (f64, f64),
     /// Seconds from the last process being up to the first span of full service; none if there was none.
     pub after_s: Option<f64>,
-    /// Of the second with most: connections made, and list calls.
-    pub peak_connections: u64,
-    pub peak_lists: u64,
-    /// In the second before the first was killed.
-    pub steady_connections: u64,
+    /// Made in the second with most, from the kill on: connections by clients, to executors, to coordinators, and calls
+    /// for the list; and the same in a second before the kill, on average.
+    pub peak: [u64; 4],
+    pub steady: [f64; 4],
     /// Submissions that were not satisfied at their first try, from the kill to full service.
     pub missed: u64,
 }
@@ -127,15 +126,14 @@
         let missed = first_tries.values().filter(|(at, told)| !told && (killed..until).contains(at)).count();
         let second = |at: u64| (at.saturating_sub(self.began) / 1_000_000_000) as usize;
         let after = self.seconds.get(second(killed)..).unwrap_or_default();
+        // The first second is that of those who connect for the first time.
+        let steady = self.seconds.get(second(killed).min(1)..second(killed)).unwrap_or_default();
+        let each = [Second::connections, Second::connects, Second::sessions, Second::list_calls];
         Some(Back {
             before,
             after_s: first.map(|from| (from - up) as f64 / 1e9),
-            peak_connections: after.iter().map(|s| s.connections).max().unwrap_or(0),
-            peak_lists: after.iter().map(|s| s.list_calls).max().unwrap_or(0),
-            steady_connections: second(killed)
-                .checked_sub(1)
-                .and_then(|s| self.seconds.get(s))
-                .map_or(0, |s| s.connections),
+            peak: each.map(|of| after.iter().map(of).max().unwrap_or(0)),
+            steady: each.map(|of| steady.iter().map(of).sum::<u64>() as f64 / steady.len().max(1) as f64),
             missed: missed as u64,
         })
     }
@@ -183,11 +181,34 @@
     /// Satisfied after half of the cut-off.
     pub late: u64,
     pub list_calls: u64,
-    /// Connections made to nodes and by them.
+    /// Connections made by clients to nodes, by nodes to executors, and to coordinators.
     pub connections: u64,
+    pub connects: u64,
+    pub sessions: u64,
     pub executions: u64,
 }
 
+impl Second {
+    fn connections(&self) -> u64 {
+        self.connections
+    }
+
+    fn connects(&self) -> u64 {
+        self.connects
+    }
+
+    fn sessions(&self) -> u64 {
+        self.sessions
+    }
+
+    fn list_calls(&self) -> u64 {
+        self.list_calls
+    }
+}
+
+/// Connections made to nodes, executors and coordinators.
+type Opened = [AtomicU64; 3];
+
 /// What has happened since a step began to be waited for.
 #[derive(Default)]
 struct Seen {
@@ -315,11 +336,12 @@
         }
         let (calls, made) = (Arc::clone(&rig.fleet.list_calls), Arc::clone(&seconds));
         let ended = Arc::clone(&counted);
-        let opened = Arc::new(AtomicU64::new(0));
+        let opened = Arc::new([AtomicU64::new(0), AtomicU64::new(0), AtomicU64::new(0)]);
         let told = Arc::clone(&opened);
         scope.spawn(move || {
             while !ended.load(Ordering::Relaxed) {
-                lock(&made).push((monotonic(), calls.load(Ordering::Relaxed), told.load(Ordering::Relaxed)));
+                let [a, b, c] = [0, 1, 2].map(|i: usize| told[i].load(Ordering::Relaxed));
+                lock(&made).push((monotonic(), [calls.load(Ordering::Relaxed), a, b, c]));
                 std::thread::sleep(Duration::from_millis(100));
             }
         });
@@ -366,6 +388,8 @@
         count: plan.executors,
         slots: plan.slots,
         cores: f64::from(plan.slots),
+        cold_from: plan.cold_from,
+        cold_s: plan.cold_ms / 1e3,
         ..Executors::default()
     };
     let mut s = Scenario {
@@ -398,7 +422,10 @@
     lines
 }
 
-fn by_second(lines: &[Line], counts: &[(u64, u64, u64)], began: u64, late: u64) -> Vec<Second> {
+/// At a time: calls for the list, and connections by clients, to executors and to coordinators, since the beginning.
+type Counted = (u64, [u64; 4]);
+
+fn by_second(lines: &[Line], counts: &[Counted], began: u64, late: u64) -> Vec<Second> {
     let mut seconds: Vec<Second> = Vec::new();
     let mut at = |time: u64, add: &dyn Fn(&mut Second)| {
         let place = (time.saturating_sub(began) / 1_000_000_000) as usize;
@@ -435,8 +462,11 @@
     }
     for pair in counts.windows(2) {
         at(pair[1].0, &|s| {
-            s.list_calls += pair[1].1 - pair[0].1;
-            s.connections += pair[1].2.saturating_sub(pair[0].2);
+            let more = |i: usize| pair[1].1[i].saturating_sub(pair[0].1[i]);
+            s.list_calls += more(0);
+            s.connections += more(1);
+            s.connects += more(2);
+            s.sessions += more(3);
         });
     }
     seconds
@@ -482,7 +512,15 @@
                 let path = process.folder.join("store.toml");
                 fs::write(&path, toml::to_string(&told).map_err(io::Error::other)?)?;
                 process.variables.push(("PROXY_STORE".into(), path.display().to_string()));
-                self.init(&kept)?;
+                self.init(&kept, false)?;
+            }
+            if plan.starts.on {
+                let Starts { connects_per_s, lists_per_s, sessions_per_s, .. } = plan.starts;
+                let told = json!({"start": {"connects-per-s": connects_per_s, "lists-per-s": lists_per_s,
+                    "sessions-per-s": sessions_per_s}});
+                let path = process.folder.join("start.toml");
+                fs::write(&path, toml::to_string(&told).map_err(io::Error::other)?)?;
+                process.variables.push(("PROXY_START".into(), path.display().to_string()));
             }
             if plan.coordinators > 0 {
                 let told = json!({"fleet": {"id": "rig", "member": name, "coordinators": coordinators(&name),
@@ -515,8 +553,10 @@
     }
 
     /// Makes a node's store, as an operator does.
-    fn init(&self, folder: &Path) -> io::Result<()> {
-        let made = Command::new(&self.program).args(["store", "init"]).arg(folder).output()?;
+    fn init(&self, folder: &Path, lost: bool) -> io::Result<()> {
+        let mut command = Command::new(&self.program);
+        command.args(["store", "init"]).args(lost.then_some("--lost"));
+        let made = command.arg(folder).output()?;
         let why = || io::Error::other(String::from_utf8_lossy(&made.stderr).into_owned());
         made.status.success().then_some(()).ok_or_else(why)
     }
@@ -540,8 +580,13 @@
         let _ = self.lines.send(Line::new(monotonic(), "rig", 0, what));
     }
 
-    /// Starts them all, and then waits until each listens.
+    /// Starts them all, and then waits until each listens. Those that do not are told, the rest runs.
     fn start(&mut self, names: &[String]) -> io::Result<()> {
+        let failed = self.start_some(names)?;
+        if failed.is_empty() { Ok(()) } else { Err(io::Error::other(failed.join("; "))) }
+    }
+
+    fn start_some(&mut self, names: &[String]) -> io::Result<Vec<String>> {
         let mut began = Vec::new();
         for name in names {
             let process = self.processes.get_mut(name).ok_or(io::Error::other("no such process"))?;
@@ -551,17 +596,23 @@
             self.lead(name, None);
             began.push((name, from));
         }
+        let mut failed = Vec::new();
         for (name, from) in began {
             let process = self.processes.get_mut(name).ok_or(io::Error::other("no such process"))?;
-            let address = process.listens(from)?;
-            self.lead(name, Some(address));
+            match process.listens(from) {
+                Ok(address) => self.lead(name, Some(address)),
+                Err(why) => {
+                    failed.push(why.to_string());
+                    continue;
+                }
+            }
             if self.plan.coordinators == 0 {
                 let version = self.filed.get(name).copied().unwrap_or(1);
                 let line = Line::new(monotonic(), name, 0, What::Active { version, digest: 0 });
                 let _ = self.lines.send(line);
             }
         }
-        Ok(())
+        Ok(failed)
     }
 
     fn lead(&mut self, name: &str, address: Option<SocketAddr>) {
@@ -596,7 +647,7 @@
         crate::http::get(*address, "/healthz", Duration::from_secs(1)).is_ok_and(|status| status == 200)
     }
 
-    fn steps(&mut self, opened: &Arc<AtomicU64>) -> io::Result<Vec<u64>> {
+    fn steps(&mut self, opened: &Opened) -> io::Result<Vec<u64>> {
         let mut done = Vec::new();
         let mut tails: HashMap<PathBuf, u64> = HashMap::new();
         let plan = self.plan;
@@ -619,8 +670,12 @@
     }
 
     /// Reads what logs and histories have grown by.
-    fn tail(&mut self, tails: &mut HashMap<PathBuf, u64>, opened: &AtomicU64) -> io::Result<()> {
-        opened.store(self.ways.values().map(|w| w.opened()).sum(), Ordering::Relaxed);
+    fn tail(&mut self, tails: &mut HashMap<PathBuf, u64>, opened: &Opened) -> io::Result<()> {
+        for (count, to) in opened.iter().zip(["n", "e", "c"]) {
+            let there = |way: &str| way.split_once('>').is_some_and(|(_, end)| end.starts_with(to));
+            let made = self.ways.iter().filter(|(name, _)| there(name)).map(|(_, w)| w.opened());
+            count.store(made.sum(), Ordering::Relaxed);
+        }
         for (name, process) in &self.processes {
             for (file, history) in [(process.log(), false), (process.folder.join("history"), true)] {
                 let Ok(mut open) = fs::File::open(&file) else { continue };
@@ -657,7 +712,7 @@
         &mut self,
         step: &Step,
         tails: &mut HashMap<PathBuf, u64>,
-        opened: &AtomicU64,
+        opened: &Opened,
     ) -> io::Result<()> {
         if let Some(kind) = step.frame.as_deref().and_then(linestack_frames::kind) {
             let way = step.way.clone().unwrap_or_else(|| "*>*".into());
@@ -726,6 +781,31 @@
         match step.r#do {
             Deed::Propose => return self.propose(step),
             Deed::Abort => return self.abort(step),
+            Deed::Overbook => {
+                self.note(&deed, "d");
+                self.fleet.overbook(Duration::from_millis(step.ms));
+                return Ok(());
+            }
+            Deed::Swap => return self.swap(&step.to),
+            on if on.on_executors() => {
+                for place in 0..self.plan.executors as usize {
+                    let name = format!("e{place}");
+                    if !step.to.iter().any(|to| meant(to, &name)) {
+                        continue;
+                    }
+                    self.note(&deed, &name);
+                    match (on, step.trouble()) {
+                        (Deed::Renew, _) => {
+                            self.fleet.renew(place);
+                            let ways = self.ways.iter().filter(|(way, _)| meant(&format!("*>{name}"), way));
+                            ways.for_each(|(_, way)| way.reset());
+                        }
+                        (on, Some(kind)) => self.fleet.ail(place, kind, step.size, on == Deed::Ail),
+                        _ => {}
+                    }
+                }
+                return Ok(());
+            }
             _ => {}
         }
         let to: Vec<String> =
@@ -813,16 +893,27 @@
         if step.r#do == Deed::StartEmpty && self.plan.store {
             for name in named.iter().filter(|n| n.starts_with('n')) {
                 let kept = self.processes[name].store().join("kept");
-                self.init(&kept)?;
+                self.init(&kept, true)?;
             }
         }
-        match self.start(&named) {
-            Err(_) if step.refused => Ok(()),
-            Ok(()) if step.refused => {
-                Err(io::Error::other(format!("{named:?} started, and should not have")))
-            }
-            other => other,
+        if !step.refused {
+            return self.start(&named);
         }
+        let failed = self.start_some(&named)?;
+        let all = failed.len() == named.len();
+        all.then_some(())
+            .ok_or_else(|| io::Error::other(format!("of {named:?} only these failed: {failed:?}")))
+    }
+
+    /// What two that do not run have stored changes places.
+    fn swap(&self, to: &[String]) -> io::Result<()> {
+        let [a, b] = to else { return Err(io::Error::other("two change places")) };
+        let store = |name: &String| self.processes.get(name).filter(|p| !p.running()).map(Process::store);
+        let (Some(a), Some(b)) = (store(a), store(b)) else { return Err(io::Error::other("both are down")) };
+        let aside = a.with_file_name("swapped");
+        fs::rename(&a, &aside)?;
+        fs::rename(&b, &a)?;
+        fs::rename(&aside, &b)
     }
 
     /// The last one of which a history says that it speaks; the first, where none does.
@@ -853,16 +944,22 @@
                 |l: &Line| if let What::Decided { version, .. } = l.what { Some(version) } else { None };
             let last = self.histories("c").iter().filter_map(decided).max().unwrap_or(0);
             let mut active: HashMap<String, u64> = HashMap::new();
+            let mut stages: HashMap<String, String> = HashMap::new();
             for line in self.histories("n") {
-                if let What::Active { version, .. } = line.what {
-                    active.insert(line.by, version);
+                match line.what {
+                    What::Active { version, .. } => drop(active.insert(line.by, version)),
+                    What::Stage { stage } => drop(stages.insert(line.by, stage)),
+                    What::Started => drop(stages.remove(&line.by)),
+                    _ => {}
                 }
             }
+            let full = |n: &String| !self.plan.starts.on || stages.get(n).is_some_and(|s| s == "full");
             let nodes = self.processes.iter().filter(|(n, p)| n.starts_with('n') && p.running() && !p.paused);
             let restless: Vec<String> = nodes
-                .filter(|(n, _)| active.get(*n) != Some(&last) || !self.healthy(n))
+                .filter(|(n, _)| active.get(*n) != Some(&last) || !full(n) || !self.healthy(n))
                 .map(|(n, _)| {
-                    format!("{n} goes by {:?} of {last}, healthy: {}", active.get(n), self.healthy(n))
+                    let (active, stage, healthy) = (active.get(n), stages.get(n), self.healthy(n));
+                    format!("{n} goes by {active:?} of {last}, at stage {stage:?}, healthy: {healthy}")
                 })
                 .collect();
             if restless.is_empty() || begin.elapsed() > PATIENCE {
--- a/crates/rig/src/stand.rs
+++ b/crates/rig/src/stand.rs
@@ -110,7 +110,11 @@
             let answer = match guard.0.offer(now, ticket, &kind) {
                 Offer::Taken => {
                     if let Some(seen) = &self.seen {
-                        seen(What::Took { id: id.clone(), key: String::from_utf8_lossy(&body).into_owned() });
+                        let (executor, key) = (guard.0.name().to_owned(), String::from_utf8_lossy(&body));
+                        if guard.0.pushed_over(now, &kind) {
+                            seen(What::PushedOver { executor: executor.clone() });
+                        }
+                        seen(What::Took { id: id.clone(), key: key.into_owned(), executor });
                     }
                     guard.1.insert(ticket, (socket.try_clone()?, id));
                     held = Some(ticket);
@@ -175,13 +179,65 @@
     stands: Vec<Arc<Stand>>,
     scenario: Scenario,
     stop: Arc<AtomicBool>,
-    /// Lines of the list, and where lists are told.
-    endpoints: Vec<Value>,
+    board: Arc<Board>,
+    /// Where lists are told.
     lists: Mutex<Vec<SocketAddr>>,
     /// How often a list was asked for.
     pub list_calls: Arc<AtomicU64>,
 }
 
+/// What discovery knows: the lines of the list, and with which version each changed last.
+struct Board {
+    lines: Mutex<(u64, Vec<(u64, Value)>)>,
+    changed: Condvar,
+    /// What a call takes, and when the next one is looked at: discovery does one after the other.
+    each: Mutex<(Duration, Instant)>,
+}
+
+/// A call that would wait longer is turned away.
+const QUEUED: Duration = Duration::from_secs(1);
+
+impl Board {
+    /// All lines that changed after this version, with addresses as one node is to see them.
+    fn since(&self, after: u64, addresses: &[SocketAddr]) -> (u64, Vec<Value>) {
+        let lines = lock(&self.lines);
+        let named = lines.1.iter().zip(addresses).filter(|((at, _), _)| *at > after);
+        let lines_of = named.map(|((_, line), address)| {
+            let mut line = line.clone();
+            line["address"] = json!(address.to_string());
+            line
+        });
+        (lines.0, lines_of.collect())
+    }
+
+    fn change(&self, place: usize, change: impl FnOnce(&mut Value)) {
+        let mut lines = lock(&self.lines);
+        lines.0 += 1;
+        let version = lines.0;
+        if let Some(line) = lines.1.get_mut(place) {
+            change(&mut line.1);
+            line.0 = version;
+        }
+        drop(lines);
+        self.changed.notify_all();
+    }
+
+    /// Waits until a call's turn has come. False if there are too many before it.
+    fn turn(&self) -> bool {
+        let mut each = lock(&self.each);
+        let at = each.1.max(Instant::now());
+        let wait = at.saturating_duration_since(Instant::now());
+        if wait > QUEUED {
+            return false;
+        }
+        each.1 = at + each.0;
+        let wait = wait + each.0;
+        drop(each);
+        std::thread::sleep(wait);
+        true
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
@@ -234,13 +290,18 @@
             stands.push(stand);
         }
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let board = Board {
+            lines: Mutex::new((1, endpoints.into_iter().map(|line| (1, line)).collect())),
+            changed: Condvar::new(),
+            each: Mutex::new((Duration::ZERO, Instant::now())),
+        };
         let mut fleet = Self {
             discovery: nowhere,
             executors,
             stands,
             scenario: scenario.clone(),
             stop,
-            endpoints,
+            board: Arc::new(board),
             lists: Mutex::default(),
             list_calls: Arc::default(),
         };
@@ -254,11 +315,7 @@
     ///
     /// No address is left.
     pub fn discovery_with(&self, addresses: &[SocketAddr]) -> io::Result<SocketAddr> {
-        let mut endpoints = self.endpoints.clone();
-        for (entry, address) in endpoints.iter_mut().zip(addresses) {
-            entry["address"] = json!(address.to_string());
-        }
-        let list = json!({"index": 1, "snapshot": true, "endpoints": endpoints}).to_string();
+        let (board, addresses) = (Arc::clone(&self.board), addresses.to_vec());
         let stopped = Arc::clone(&self.stop);
         let calls = Arc::clone(&self.list_calls);
         let discovery = accept(&self.stop, move |socket| {
@@ -267,19 +324,39 @@
             let mut socket = socket;
             while let Some((head, _)) = message(&mut reader)? {
                 calls.fetch_add(1, Ordering::Relaxed);
+                if !board.turn() {
+                    socket
+                        .write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")?;
+                    break;
+                }
+                let after =
+                    head.split_once("&after=").and_then(|(_, rest)| rest.split(' ').next()?.parse().ok());
+                let (mut version, lines) = board.since(after.unwrap_or(0), &addresses);
+                let list = |version: u64, whole: bool, lines: Vec<Value>| {
+                    json!({"index": version, "snapshot": whole, "endpoints": lines}).to_string()
+                };
+                let first = list(version, after.is_none(), lines);
                 if !head.contains("watch=1") {
-                    let length = list.len();
-                    write!(socket, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{list}")?;
+                    let length = first.len();
+                    write!(socket, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{first}")?;
                     continue;
                 }
-                let length = list.len() + 1;
+                let length = first.len() + 1;
                 write!(
                     socket,
-                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{length:x}\r\n{list}\n\r\n"
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{length:x}\r\n{first}\n\r\n"
                 )?;
                 while !stopped.load(Ordering::Relaxed) {
-                    std::thread::sleep(Duration::from_secs(1));
-                    socket.write_all(b"1\r\n\n\r\n")?;
+                    let known = lock(&board.lines);
+                    if known.0 == version {
+                        drop(board.changed.wait_timeout(known, Duration::from_secs(1)));
+                    } else {
+                        drop(known);
+                    }
+                    let (newer, lines) = board.since(version, &addresses);
+                    version = newer;
+                    let line = if lines.is_empty() { String::new() } else { list(version, false, lines) };
+                    write!(socket, "{:x}\r\n{line}\n\r\n", line.len() + 1)?;
                 }
             }
             Ok(())
@@ -288,14 +365,44 @@
         Ok(discovery)
     }
 
+    /// From now on each call for the list takes so long, one after the other.
+    pub fn overbook(&self, each: Duration) {
+        lock(&self.board.each).0 = each;
+    }
+
+    /// An executor's process is another from now on, cold and with nothing in hand. Its connections are for whoever
+    /// has the ways to break.
+    pub fn renew(&self, place: usize) {
+        let Some(stand) = self.stands.get(place) else { return };
+        let mut guard = lock(&stand.model);
+        let mut model = StandIn::new(&self.scenario, place);
+        model.begun(stand.now());
+        guard.0 = model;
+        for (socket, _) in guard.1.drain().map(|(_, held)| held) {
+            let _ = socket.shutdown(std::net::Shutdown::Both);
+        }
+        drop(guard);
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        self.board.change(place, |line| line["since_ms"] = json!(unix.as_secs_f64() * 1e3));
+    }
+
+    /// Discovery tells this of an executor from now on: `active`, `draining`, `left`.
+    pub fn tell(&self, place: usize, status: &str) {
+        self.board.change(place, |line| line["status"] = json!(status));
+    }
+
+    /// Begins or ends a trouble at one executor.
+    pub fn ail(&self, place: usize, kind: linestack_world::Fault, size: f64, begins: bool) {
+        let Some(stand) = self.stands.get(place) else { return };
+        let now = stand.now();
+        lock(&stand.model).0.ail(now, kind, size, begins);
+        stand.changed.notify_one();
+    }
+
     /// Begins or ends a trouble at the first executors that make up its part.
     pub fn trouble(&self, t: &Trouble, begins: bool) -> usize {
         let count = ((self.stands.len() as f64 * t.part).round() as usize).clamp(1, self.stands.len());
-        for stand in &self.stands[..count] {
-            let now = stand.now();
-            lock(&stand.model).0.ail(now, t.kind, t.size, begins);
-            stand.changed.notify_one();
-        }
+        (0..count).for_each(|place| self.ail(place, t.kind, t.size, begins));
         count
     }
 
--- a/crates/rig/tests/check.rs
+++ b/crates/rig/tests/check.rs
@@ -35,7 +35,7 @@
 }
 
 fn took(id: &str, key: &str) -> What {
-    What::Took { id: id.into(), key: key.into() }
+    What::Took { id: id.into(), key: key.into(), executor: "e0".into() }
 }
 
 fn told(id: &str) -> What {
@@ -104,6 +104,10 @@
 #[case::told_otherwise(vec![line(1300, "operator", heard("dropped"))], Some(Broken::WrongWord))]
 #[case::refused_and_decided(vec![line(500, "operator", heard("refused"))], Some(Broken::WrongWord))]
 #[case::unknown_is_no_lie(vec![line(500, "operator", heard("unknown"))], None)]
+#[case::pushed_over(
+    vec![line(1200, "executors", What::PushedOver { executor: "e0".into() })],
+    Some(Broken::PushedOver)
+)]
 #[case::old_coordinator(
     vec![line(1150, "c1", What::Established { round: 2 }), line(1160, "c0", granted(1, 2))],
     Some(Broken::OldCoordinator)
--- a/crates/store/src/form.rs
+++ b/crates/store/src/form.rs
@@ -81,12 +81,12 @@
     }
     // Told before the sum: another form may keep its sum elsewhere.
     let form = u16::from_le_bytes([head[4], head[5]]);
-    if crc32fast::hash(&head[..28]) != word(head, 28) {
-        return Err(damaged(file, 0, "its head"));
-    }
     if form != FORM {
         return Err(Fault::Form { file: file.to_owned(), found: form });
     }
+    if crc32fast::hash(&head[..28]) != word(head, 28) {
+        return Err(damaged(file, 0, "its head"));
+    }
     if long(head, 8) != number {
         return Err(damaged(file, 8, "another segment"));
     }
@@ -225,13 +225,14 @@
     else {
         return Err(damaged(file, 0, "no manifest"));
     };
-    if crc32fast::hash(body) != u32::from_le_bytes(*sum) {
-        return Err(damaged(file, 0, "its checksum"));
-    }
+    // As in a segment's head: before the sum.
     let form = u16::from_le_bytes([body[4], body[5]]);
     if form != FORM {
         return Err(Fault::Form { file: file.to_owned(), found: form });
     }
+    if crc32fast::hash(body) != u32::from_le_bytes(*sum) {
+        return Err(damaged(file, 0, "its checksum"));
+    }
     let count = usize::from(u16::from_le_bytes([body[6], body[7]]));
     if body.len() != 40 + 16 * count || count == 0 {
         return Err(damaged(file, 6, "its length"));
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -150,7 +150,11 @@
             |n: &&String| n.ends_with(".segment") || n.starts_with(MANIFEST) || n.starts_with(CHECKPOINT);
         if !names.iter().any(|n| n == MANIFEST) {
             // A manifest that was never put in its place belongs to a store that was never made.
-            let begun = names.iter().filter(ours).all(|n| n == MANIFEST_NEW || *n == segment_name(1));
+            let mut begun = names.iter().filter(ours).all(|n| n == MANIFEST_NEW || *n == segment_name(1));
+            if begun && names.contains(&segment_name(1)) {
+                let bytes = disk.read(&segment_name(1), SEGMENT_HEAD as u64, usize::MAX)?;
+                begun = bytes.iter().all(|b| *b == 0);
+            }
             if !begun {
                 return Err(damaged(MANIFEST, 0, "missing, though there are segments"));
             }
@@ -644,12 +648,15 @@
         return Err(Fault::Missing);
     }
     let mut records: Vec<Record> = Vec::new();
+    let mut foreign = None;
     for (number, name) in &segments {
         let bytes = disk.read(name, 0, usize::MAX)?;
         let salt = match read_segment_head(name, &bytes, *number) {
             Ok(salt) => salt,
-            Err(Fault::Form { file, found }) => return Err(Fault::Form { file, found }),
-            Err(_) => {
+            Err(why) => {
+                if let Fault::Form { .. } = why {
+                    foreign = Some(why);
+                }
                 lost.push(Damage { file: name.clone(), at: 0, why: "the whole segment: its head".into() });
                 continue;
             }
@@ -676,6 +683,10 @@
             }
         }
     }
+    // One head may have a bit turned; all of them are a later version's.
+    if let Some(why) = foreign.filter(|_| lost.len() == segments.len()) {
+        return Err(why);
+    }
     for name in names.iter().filter(|n| !n.starts_with("lost-")) {
         disk.rename(name, &format!("lost-{name}"))?;
     }
--- a/crates/world/src/judge.rs
+++ b/crates/world/src/judge.rs
@@ -37,6 +37,11 @@
     Invariant,
 }
 
+/// Seconds of work in a window that one bears which can do `capacity` seconds of it in a second.
+pub(crate) fn bears(multiple: f64, capacity: f64, window: Nanos) -> f64 {
+    CHANCE * multiple * capacity * window as f64 / 1e9
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Breach {
     pub rule: Rule,
@@ -221,7 +226,7 @@
             window.pop_front();
         }
         let sum: f64 = window.iter().map(|(_, work)| work).sum();
-        let bears = CHANCE * self.multiple * capacity * self.window as f64 / 1e9;
+        let bears = bears(self.multiple, capacity, self.window);
         // A single job is nobody's push.
         let over = sum > bears && window.len() > 1;
         if over {
--- a/crates/world/src/standin.rs
+++ b/crates/world/src/standin.rs
@@ -1,6 +1,6 @@
 //! The executor model for other clocks than the world's: a stand-in on sockets feeds it with real time.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use linestack_core::Nanos;
 use linestack_dispatch::types::Report;
@@ -9,6 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::executor::{Executor, Job, Line};
+use crate::judge::bears;
 use crate::scenario::{Fault, Scenario, millis};
 
 /// A job's number, given out by the caller and never again.
@@ -32,6 +33,8 @@
     s: Scenario,
     rng: Pcg64Mcg,
     products: HashMap<String, usize>,
+    /// Work that it was sent while it was cold.
+    pushes: VecDeque<(Nanos, f64)>,
 }
 
 impl StandIn {
@@ -54,9 +57,31 @@
             s: s.clone(),
             rng,
             products,
+            pushes: VecDeque::new(),
         }
     }
 
+    /// Its process began at this time: it is cold.
+    pub fn begun(&mut self, now: Nanos) {
+        self.e.started = now.max(1);
+    }
+
+    /// A job of a product is on its way to it. True if that is more than it bears, cold as it is.
+    pub fn pushed_over(&mut self, now: Nanos, product: &str) -> bool {
+        if !self.e.cold(now) {
+            return false;
+        }
+        let place = self.products.get(product).copied().unwrap_or(0);
+        let window = millis(self.s.rules.fall_window_ms);
+        self.pushes.push_back((now, self.s.products[place].work_ms / 1e3));
+        while self.pushes.front().is_some_and(|(at, _)| at + window < now) {
+            self.pushes.pop_front();
+        }
+        let sum: f64 = self.pushes.iter().map(|(_, work)| work).sum();
+        let bears = bears(self.s.rules.fall_multiple, self.e.capacity(now), window);
+        sum > bears && self.pushes.len() > 1
+    }
+
     #[must_use]
     pub fn name(&self) -> &str {
         &self.e.name
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -792,7 +792,7 @@
             }
             Effect::Fault(what) => self.judge.breach(Rule::Invariant, self.now, what.into()),
             // Nothing is remembered over a restart here.
-            Effect::Report(_) | Effect::Keep { .. } => {}
+            Effect::Report(_) | Effect::Keep { .. } | Effect::Stage(_) => {}
             Effect::Exit => self.node_ends(node),
         }
     }
