--- a/crates/core/src/executions.rs
+++ b/crates/core/src/executions.rs
@@ -60,6 +60,11 @@
         sent.link = None;
         let (worker, took) = (sent.worker, now - sent.at);
         self.seen_at_start(worker, outcome);
+        match outcome {
+            Outcome::Satisfied | Outcome::Full => self.workers[worker as usize].said = Some((now, report)),
+            Outcome::TimedOut => self.workers[worker as usize].said = Some((now, None)),
+            _ => {}
+        }
         match outcome {
             Outcome::Reset => self.stats.resets += 1,
             Outcome::ConnectFailed => self.stats.connect_failed += 1,
@@ -81,6 +86,9 @@
 
     pub(crate) fn probed(&mut self, worker: Worker, answered: Option<bool>, report: Option<Report>) {
         self.stats.probes_failed += u64::from(answered != Some(true));
+        if let Some(answered) = answered {
+            self.workers[worker as usize].said = Some((self.now, report.filter(|_| answered)));
+        }
         self.pending.push_back(Event::Probed { worker, answered, report });
     }
 }
--- /dev/null
+++ b/crates/core/src/hearsay.rs
@@ -0,0 +1,58 @@
+//! What this node tells one that starts, and what it takes from others when it starts itself.
+
+use linestack_peers::{Figures, Heard, Item, Own};
+
+use super::*;
+
+impl Core {
+    /// What was seen here of each executor that is ready, and how long ago.
+    #[must_use]
+    pub fn tale(&self, now: Nanos) -> Vec<Item> {
+        let ready = self.workers.iter().filter(|w| w.health == Health::Ready);
+        let items = ready.filter_map(|w| {
+            let (at, report) = w.said?;
+            let figures = report.map(|r| Figures {
+                free_slots: r.free_slots,
+                free_memory: r.free_memory,
+                waiting: r.waiting,
+                in_hand: r.in_hand,
+            });
+            let age_ms = now.saturating_sub(at) / 1_000_000;
+            Some(Item { name: w.name.to_string(), age_ms, silent: report.is_none(), figures })
+        });
+        items.collect()
+    }
+
+    /// What is known here of an executor with this name, and how many are ready.
+    #[must_use]
+    pub fn own(&self, name: &str) -> Own {
+        let place = self.names.get(name).and_then(|w| self.workers.get(*w as usize));
+        place.map_or(Own::default(), |w| Own {
+            ready: w.health == Health::Ready,
+            seen: w.said.map(|(at, _)| at),
+        })
+    }
+
+    #[must_use]
+    pub fn ready_workers(&self) -> usize {
+        self.workers.iter().filter(|w| w.health == Health::Ready).count()
+    }
+
+    /// Each enters as a probe's answer would; that another was answered proves nothing of whether this one would be.
+    pub(crate) fn heard(&mut self, items: Vec<Heard>) {
+        for Heard { name, silent, figures } in items {
+            let Some(worker) = self.names.get(name.as_str()).copied() else { continue };
+            if self.workers[worker as usize].health != Health::Ready {
+                continue;
+            }
+            let report = figures.map(|f| Report {
+                free_slots: f.free_slots,
+                free_memory: f.free_memory,
+                waiting: f.waiting,
+                in_hand: f.in_hand,
+            });
+            let answered = silent.then_some(false);
+            self.pending.push_back(Event::Probed { worker, answered, report });
+        }
+    }
+}
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use linestack_dispatch::types::{Health, ListKind, Nanos, Outcome, Report};
+use linestack_peers::Heard;
 use linestack_recovery::Keep;
 use linestack_recovery::start::Stage;
 use linestack_settings::Settings;
@@ -97,6 +98,10 @@
         kind: ListKind,
         endpoints: Vec<Endpoint>,
     },
+    /// What may be gone by of what a running node told.
+    Heard {
+        items: Vec<Heard>,
+    },
     ClientUp {
         client: Client,
     },
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 mod executions;
 mod fates;
 mod guests;
+mod hearsay;
 mod io;
 mod limits;
 mod links;
@@ -188,6 +189,8 @@
     /// It waits in `left`.
     left: bool,
     seen: Seen,
+    /// What it said last itself, and when; nothing if it was silent.
+    said: Option<(Nanos, Option<Report>)>,
 }
 
 /// What was seen of an executor's connections, as far as it tells whether its process was lost.
@@ -403,6 +406,7 @@
             }
             Input::Kept { ticket, lasts } => self.kept(ticket, lasts),
             Input::Listed { kind, endpoints } => self.listed(kind, endpoints),
+            Input::Heard { items } => self.heard(items),
             Input::ClientUp { client } => self.client_up(client),
             Input::ClientPhase { client, phase } => self.client_phase(client, phase),
             Input::ClientGone { client } => self.client_gone(client),
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -98,6 +98,7 @@
             known: 0,
             left: false,
             seen,
+            said: None,
         };
         let worker = if let Some(worker) = self.vacant.pop() {
             self.workers[worker as usize] = place;
--- a/crates/frames/src/lib.rs
+++ b/crates/frames/src/lib.rs
@@ -120,9 +120,9 @@
 }
 
 /// The kinds of messages, each at the place of its number, for those that name them: plans and logs.
-pub const KINDS: [&str; 13] = [
+pub const KINDS: [&str; 15] = [
     "hello", "welcome", "prepare", "promise", "accept", "accepted", "beat", "beaten", "behind", "relay",
-    "back", "request", "reply",
+    "back", "request", "reply", "ask", "tale",
 ];
 
 /// The number of a kind.
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -79,6 +79,21 @@
         #[arg(long, default_value_t = 2000)]
         policy: usize,
     },
+    /// How long plans that kill and start take to full service, over seeds, and what they draw on meanwhile.
+    Back {
+        #[arg(required = true)]
+        plans: Vec<PathBuf>,
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+        /// Plans played side by side.
+        #[arg(long, default_value_t = 4)]
+        jobs: usize,
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Another build, played on the same plans and seeds.
+        #[arg(long)]
+        against: Option<PathBuf>,
+    },
     /// Play plans again, as they are. Exits with 1 if a promise was broken.
     Replay {
         #[arg(required = true)]
@@ -88,7 +103,10 @@
     },
 }
 
-fn read(path: &Path) -> Fallible<Plan> {
+/// # Errors
+///
+/// It can't be read, or makes no sense.
+pub fn read(path: &Path) -> Fallible<Plan> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
     let place = |e: linestack_rig::plan::Fault| {
         let lines: Vec<String> = e.to_string().lines().map(|l| format!("{}: {l}", path.display())).collect();
@@ -97,7 +115,10 @@
     Ok(Plan::read(&text).map_err(place)?)
 }
 
-fn play(plan: &Plan, program: &Path, keep: Option<&Path>) -> Fallible<Outcome> {
+/// # Errors
+///
+/// The plan could not be played.
+pub fn play(plan: &Plan, program: &Path, keep: Option<&Path>) -> Fallible<Outcome> {
     let folder = tempfile::tempdir()?;
     let place = keep.unwrap_or(folder.path());
     let outcome = run(plan, program, place)?;
@@ -231,6 +252,65 @@
             println!("{seeds} plans from seed {from}: {failed} with a broken promise");
             Ok(ExitCode::from(u8::from(failed > 0)))
         }
+        Command::Back { plans, seeds, jobs, program: given, against } => {
+            let pool = rayon::ThreadPoolBuilder::new().num_threads((*jobs).clamp(1, 16)).build()?;
+            let mut programs = vec![("this", program(given)?)];
+            programs.extend(against.clone().map(|p| ("other", p)));
+            if !json {
+                println!(
+                    "{:<16} {:<5} {:>6}  full service s: least median most  none   missed  to executors  clients  sessions  \
+                     lists  twice  broken",
+                    "plan", "build", "seeds"
+                );
+            }
+            let mut sound = true;
+            for path in plans {
+                let plan = read(path)?;
+                for (build, program) in &programs {
+                    let one = |seed| {
+                        let plan = Plan { seed, ..plan.clone() };
+                        play(&plan, program, None).map_err(|e| e.to_string())
+                    };
+                    let outcomes: Vec<Outcome> = pool.install(|| {
+                        let seeds: Vec<u64> = (plan.seed..plan.seed + seeds).collect();
+                        seeds.into_par_iter().with_max_len(1).map(one).collect::<Result<_, String>>()
+                    })?;
+                    sound &= *build != "this" || outcomes.iter().all(Outcome::sound);
+                    let backs: Vec<_> = outcomes.iter().filter_map(Outcome::back).collect();
+                    if json {
+                        println!("{}", serde_json::json!({"plan": plan.name, "build": build, "back": backs}));
+                        continue;
+                    }
+                    let mut after: Vec<f64> = backs.iter().filter_map(|b| b.after_s).collect();
+                    after.sort_by(f64::total_cmp);
+                    let at =
+                        |q: f64| after.get(((after.len().max(1) - 1) as f64 * q).round() as usize).copied();
+                    let told = |q| at(q).map_or("-".to_owned(), |s| format!("{s:.1}"));
+                    let median = |of: &dyn Fn(&linestack_rig::run::Back) -> u64| {
+                        let mut all: Vec<u64> = backs.iter().map(of).collect();
+                        all.sort_unstable();
+                        all.get(all.len() / 2).copied().unwrap_or(0)
+                    };
+                    println!(
+                        "{:<16} {build:<5} {:>6}  {:>21} {:>6} {:>4}  {:>4}   {:>6}  {:>12}  {:>7}  {:>8}  {:>5}  {:>5}  {:>6}",
+                        plan.name,
+                        outcomes.len(),
+                        told(0.0),
+                        told(0.5),
+                        told(1.0),
+                        outcomes.len() - after.len(),
+                        median(&|b| b.missed),
+                        median(&|b| b.peak[1]),
+                        median(&|b| b.peak[0]),
+                        median(&|b| b.peak[2]),
+                        median(&|b| b.peak[3]),
+                        outcomes.iter().map(|o| o.doubled).sum::<usize>(),
+                        outcomes.iter().filter(|o| !o.sound()).count()
+                    );
+                }
+            }
+            Ok(ExitCode::from(u8::from(!sound)))
+        }
         Command::Up { nodes, coordinators, span, keep, program: given } => {
             let plan = Plan {
                 name: "up".into(),
--- a/crates/node/src/fleet/coordinate.rs
+++ b/crates/node/src/fleet/coordinate.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::io::Write as _;
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -12,8 +12,8 @@
 use std::time::{Duration, Instant};
 
 use linestack_accord::{
-    Broken, Coordinator, Guest, Id, Incarnation, Input, Keep, LARGEST_TEXT, Letter, Note, Out, Record, Reply,
-    State, Terms,
+    Ballot, Broken, Coordinator, Guest, Id, Incarnation, Input, Keep, LARGEST_TEXT, Letter, Note, Out,
+    Policy, Record, Reply, State, Terms,
 };
 use linestack_history::What;
 use serde::{Deserialize, Serialize};
@@ -75,7 +75,7 @@
 }
 
 /// What there is of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Start {
     /// Its store is there.
     Again,
@@ -83,12 +83,97 @@
     First,
     /// Nothing, in place of one that has lost its store: which one of its number it is, as `fleet replace` told.
     Replacement(u32),
+    /// Its store is there, and most others' are lost: write down what they begin with, and end.
+    Refound(PathBuf, Vec<Id>),
+    /// Nothing, and what `Refound` wrote.
+    Refounded(PathBuf),
+}
+
+/// What coordinators begin with after a majority of stores was lost.
+#[derive(Serialize, Deserialize)]
+struct Foundation {
+    fleet: String,
+    record: Record,
+}
+
+/// What may have been decided or begun since the store that is gone on from was written is over by so many versions,
+/// writes and rounds.
+const BEYOND: u32 = 1_000_000;
+
+/// Makes the one store that is left the fleet's beginning.
+fn refound(config: &config::Coordinator, out: &Path, lost: &[Id]) -> Result<(), String> {
+    let (me, count) = (config.number, config.peers.len());
+    let fault = |why: String| Err(format!("--refound: {why}"));
+    let mut lost = lost.to_vec();
+    lost.sort_unstable();
+    lost.dedup();
+    if lost.iter().any(|id| usize::from(*id) >= count || *id == me) {
+        return fault(format!("--lost: numbers of others, under {count}"));
+    }
+    let kept = count - lost.len();
+    if kept > count / 2 {
+        return fault(format!(
+            "{kept} of {count} have their stores: start those, and `linestack fleet replace` the lost ones"
+        ));
+    }
+    let own =
+        Own { fleet: config.fleet.clone(), who: Who::Operator, life: Incarnation { home: draw(), life: 1 } };
+    for (id, to) in config.peers.iter().enumerate() {
+        if let Some(to) = to
+            && wire::greet(*to, &own).is_ok()
+        {
+            return fault(format!("coordinator {id} answers at {to}: stop all of them first"));
+        }
+    }
+    let (mut disk, record) = open(config, &Start::Again).map_err(|e| e.to_string())?;
+    if record.learning {
+        return fault("this one was never told what is agreed".into());
+    }
+    let State { policy, last, members, ended, mut seats, rev, .. } = record.state;
+    for id in (0..count).filter_map(|id| Id::try_from(id).ok()) {
+        // Whatever turns up of the old ones has no vote.
+        *seats.entry(id).or_insert(0) += 1;
+    }
+    let round = record.promised.round.max(record.accepted.round) + BEYOND;
+    let ballot = Ballot { round, by: me };
+    // Another number for the same text: members may have gone by a later one that is lost.
+    let version = last + u64::from(BEYOND);
+    let was = policy.version;
+    let policy = Policy { version, text: policy.text };
+    let state =
+        State { rev: rev + u64::from(BEYOND), policy, last: version, pending: None, members, ended, seats };
+    let record = Record {
+        mark: record.mark,
+        seat: state.seat(me),
+        learning: false,
+        promised: ballot,
+        accepted: ballot,
+        state,
+    };
+    let foundation = Foundation { fleet: config.fleet.clone(), record: record.clone() };
+    let text = serde_json::to_vec(&foundation).map_err(|e| e.to_string())?;
+    std::fs::OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .open(out)
+        .and_then(|mut file| file.write_all(&text).and_then(|()| file.sync_all()))
+        .map_err(|e| format!("{}: {e}", out.display()))?;
+    disk.keep(&record).map_err(|e| e.to_string())?;
+    println!("the fleet goes on from version {was}, now as version {version}");
+    println!(
+        "lost, if they were: changes that were decided or put since this store was written, and members that joined"
+    );
+    println!(
+        "start this one as ever, and each other one, with an empty folder, by --refounded {}",
+        out.display()
+    );
+    Ok(())
 }
 
 /// Runs until it is told to stop.
 #[must_use]
 pub fn run(path: &Path, how: Start) -> ExitCode {
-    match start(path, how) {
+    match start(path, &how) {
         Ok(code) => code,
         Err(why) => {
             for line in why.lines() {
@@ -99,8 +184,11 @@
     }
 }
 
-fn start(path: &Path, how: Start) -> Result<ExitCode, String> {
+fn start(path: &Path, how: &Start) -> Result<ExitCode, String> {
     let config = config::coordinator(path)?;
+    if let Start::Refound(out, lost) = how {
+        return refound(&config, out, lost).map(|()| ExitCode::SUCCESS);
+    }
     let (disk, record) = open(&config, how).map_err(|why| {
         let remedy = match why {
             Fault::Missing => {
@@ -157,16 +245,32 @@
     Ok(office.run(&heard))
 }
 
-fn open(config: &config::Coordinator, how: Start) -> Result<(Disk, Record), Fault> {
+fn open(config: &config::Coordinator, how: &Start) -> Result<(Disk, Record), Fault> {
     let owner = format!("coordinator {} of {}", config.number, config.fleet);
-    if let Start::Replacement(seat) = how {
+    let make = |record: Record| {
         let mut store = Store::open(&config.folder, &owner, true)?;
         let life = Incarnation { home: draw(), life: 1 };
-        let record = Record { seat, learning: true, ..Record::default() };
         store.keep(&Kept { life, record: record.clone() })?;
-        return Ok((Disk { store, life }, record));
+        Ok((Disk { store, life }, record))
+    };
+    if let Start::Replacement(seat) = how {
+        return make(Record { seat: *seat, learning: true, ..Record::default() });
     }
-    if how == Start::First {
+    if let Start::Refounded(from) = how {
+        let damaged = |why: String| Fault::Damaged(format!("--refounded: {}: {why}", from.display()));
+        let text = std::fs::read(from).map_err(|e| damaged(e.to_string()))?;
+        let Foundation { fleet, record } =
+            serde_json::from_slice(&text).map_err(|e| damaged(e.to_string()))?;
+        if fleet != config.fleet {
+            return Err(damaged(format!("of fleet {fleet:?}")));
+        }
+        let (me, seat) = (config.number, record.state.seat(config.number));
+        if record.accepted.by == me {
+            return Err(damaged(format!("it was written by coordinator {me}, which has its store")));
+        }
+        return make(Record { mark: 0, seat, ..record });
+    }
+    if *how == Start::First {
         let damaged =
             |why: String| Fault::Damaged(format!("first-policy: {}: {why}", config.first_policy.display()));
         let text = std::fs::read_to_string(&config.first_policy).map_err(|e| damaged(e.to_string()))?;
@@ -174,11 +278,7 @@
             return Err(damaged(format!("{} bytes, {LARGEST_TEXT} at most", text.len())));
         }
         super::policy::settings(&text, 0, 0).map_err(damaged)?;
-        let mut store = Store::open(&config.folder, &owner, true)?;
-        let life = Incarnation { home: draw(), life: 1 };
-        let record = Record { state: State::first(text), ..Record::default() };
-        store.keep(&Kept { life, record: record.clone() })?;
-        return Ok((Disk { store, life }, record));
+        return make(Record { state: State::first(text), ..Record::default() });
     }
     let mut store = Store::open(&config.folder, &owner, false)?;
     let Some(Kept { mut life, record }) = store.load()? else { return Err(Fault::Missing) };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod http;
 pub mod keep;
 pub mod net;
+pub mod peers;
 pub mod tries;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -16,6 +16,7 @@
 use linestack::fleet::trail::Trail;
 use linestack::keep::{self, Keeper};
 use linestack::net::{Node, Parts, clients, clock::Clock, spawn};
+use linestack::peers;
 use linestack_core::{Core, Input};
 use linestack_dispatch::types::{ListKind, Repeats};
 use linestack_history::What;
@@ -49,6 +50,16 @@
         /// It takes the place of one that has lost its store; `fleet replace` tells the number.
         #[arg(long)]
         replacement: Option<u32>,
+        /// Most others have lost their stores: go on from this one's, and write into this file what the others are to
+        /// begin with. Nothing is run. Refused where a majority still has its stores, or another one answers.
+        #[arg(long, requires = "lost", conflicts_with_all = ["first", "replacement", "refounded"])]
+        refound: Option<PathBuf>,
+        /// The numbers of those that have lost their stores.
+        #[arg(long, value_delimiter = ',')]
+        lost: Vec<u8>,
+        /// It has lost its store, and begins with what `--refound` wrote.
+        #[arg(long, conflicts_with_all = ["first", "replacement"])]
+        refounded: Option<PathBuf>,
     },
     /// Ask the coordinators of a fleet.
     Fleet(fleet::operate::Arguments),
@@ -81,11 +92,13 @@
     let most = *level.as_ref().unwrap_or(&tracing::Level::INFO);
     tracing_subscriber::fmt().with_writer(writer).with_ansi(false).with_max_level(most).init();
     std::panic::set_hook(Box::new(|panic| tracing::error!(%panic, "panicked")));
-    if let Some(Command::Coordinate { file, first, replacement }) = &command {
-        let how = match replacement {
-            Some(seat) => Begin::Replacement(*seat),
-            None if *first => Begin::First,
-            None => Begin::Again,
+    if let Some(Command::Coordinate { file, first, replacement, refound, lost, refounded }) = &command {
+        let how = match (replacement, refound, refounded) {
+            (Some(seat), ..) => Begin::Replacement(*seat),
+            (_, Some(out), _) => Begin::Refound(out.clone(), lost.clone()),
+            (.., Some(from)) => Begin::Refounded(from.clone()),
+            _ if *first => Begin::First,
+            _ => Begin::Again,
         };
         let code = fleet::coordinate::run(file, how);
         drop(guard);
@@ -142,6 +155,13 @@
             return ExitCode::FAILURE;
         }
     };
+    let peers = match variable("PROXY_PEERS").map(|path| peers::config(Path::new(&path))).transpose() {
+        Ok(peers) => peers,
+        Err(why) => {
+            why.lines().for_each(|fault| tracing::error!(fault, "peers"));
+            return ExitCode::FAILURE;
+        }
+    };
     let clock = Clock::start();
     let trail =
         fleet.as_ref().and_then(|(start, _)| start.fleet().history.as_ref().map(|path| (start, path)));
@@ -201,6 +221,13 @@
     if let Some((start, active)) = &fleet {
         begin(&node, start, *active, &settings);
     }
+    if let Some(peers) = peers {
+        if let Err(why) = peers::listen(&peers, &name, &node) {
+            tracing::error!(fault = %format!("peers.listen: {why}"), "peers");
+            return ExitCode::FAILURE;
+        }
+        peers::ask(peers, name.clone(), Arc::clone(&node));
+    }
     // Told even if there is none: it is what makes the node ask for the list.
     node.feed(Input::Listed { kind: ListKind::Cached, endpoints });
     let mut tries = 0..LISTEN_TRIES;
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -25,6 +25,7 @@
 use crate::keep::Note;
 use clock::{Alarm, Clock};
 use linestack_core::{Client, Core, Effect, Input, Link};
+use linestack_peers::{Fault as Unheard, Heard, Item, Tale, learn};
 use linestack_recovery::Fate;
 use linestack_recovery::start::Stage;
 
@@ -253,6 +254,24 @@
         lock(&self.inner).core.stage()
     }
 
+    /// What one that starts is told.
+    pub(crate) fn tale(&self) -> Vec<Item> {
+        lock(&self.inner).core.tale(self.clock.now())
+    }
+
+    /// What may be gone by of what a peer told.
+    pub(crate) fn learn(
+        &self,
+        tale: &Tale,
+        me: &str,
+        asked: Nanos,
+        young: Nanos,
+    ) -> Result<Vec<Heard>, Unheard> {
+        let inner = lock(&self.inner);
+        let own = |name: &str| inner.core.own(name);
+        learn(tale, me, (asked, self.clock.now()), young, own, inner.core.ready_workers())
+    }
+
     /// Discovery was heard; with a version of the list, it is another one from now on.
     pub(crate) fn heard(&self, index: Option<u64>) {
         let Some(keeper) = &self.keeper else { return };
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -114,6 +114,64 @@
     assert_eq!(decided(&outcome), 2);
 }
 
+// All coordinators are down and two have lost what they stored, a change among it that only they had: the one that is left
+// is gone on from, above every version that was ever given, and changes are decided again.
+#[test]
+fn the_majority_lost_its_stores() {
+    let other =
+        PROPOSE.replace("r1", "r2").replace("base = 1", "base = 1000001").replace("terms = 2", "terms = 3");
+    let outcome = play(&plan(&format!(
+        "[[steps]]\nafter-ms = 300\ndo = \"kill\"\nto = [\"c0\", \"c1\", \"c2\"]\n[[steps]]\nafter-ms = 200\ndo = \"refound\"\n\
+         to = [\"c0\"]\n[[steps]]\nline = \"established\"\n{other}{DECIDED}"
+    )));
+    sound(&outcome);
+    assert_eq!((heard(&outcome, "r2"), decided(&outcome)), ("decided", 1_000_002));
+}
+
+// It is refused while it isn't needed, and by whoever is not the one.
+#[rstest]
+#[case::a_majority_is_left("2", true, "fleet replace")]
+#[case::another_answers("1,2", false, "stop all of them first")]
+#[case::itself("0,1", true, "--lost")]
+#[case::nobody("7,8", true, "--lost")]
+fn refound_is_refused(#[case] lost: &str, #[case] down: bool, #[case] why: &str) {
+    use linestack_rig::process::Process;
+    let folder = tempfile::tempdir().unwrap();
+    let fleet = linestack_rig::stand::Fleet::start(&linestack_world::Scenario::default()).unwrap();
+    let mut policy = fleet.configuration("n", 1)["settings"].clone();
+    policy.as_object_mut().unwrap().remove("az");
+    let at = folder.path();
+    std::fs::write(at.join("policy.json"), policy.to_string()).unwrap();
+    let program = Path::new(env!("CARGO_BIN_EXE_linestack"));
+    let mut running: Vec<Process> = Vec::new();
+    let mut address = "127.0.0.1:1".to_owned();
+    for c in [1, 0] {
+        let file = at.join(format!("c{c}.toml"));
+        let text = format!(
+            "[coordinator]\nfleet = \"f\"\nnumber = {c}\nlisten = \"127.0.0.1:0\"\npeers = [\"127.0.0.1:1\", {address:?}, \"127.0.0.1:1\"]\n\
+             folder = {:?}\nfirst-policy = {:?}\n",
+            at.join(format!("store{c}")),
+            at.join("policy.json")
+        );
+        std::fs::write(&file, text).unwrap();
+        let words = ["coordinate", file.to_str().unwrap(), "--first"];
+        let mut process = Process::new(&format!("c{c}"), at.join(format!("run{c}")), program, &words);
+        process.start().unwrap();
+        address = process.listens(0).unwrap().to_string();
+        running.push(process);
+    }
+    running[1].kill().unwrap();
+    if down {
+        running[0].kill().unwrap();
+    }
+    let out = at.join("out");
+    let mut command = std::process::Command::new(program);
+    command.arg("coordinate").arg(at.join("c0.toml")).args(["--lost", lost, "--refound"]).arg(&out);
+    let done = command.output().unwrap();
+    let text = String::from_utf8([done.stdout, done.stderr].concat()).unwrap();
+    assert!(!done.status.success() && text.contains(why) && !out.exists(), "{text}");
+}
+
 #[test]
 fn two_operators_at_once() {
     let other = PROPOSE.replace("r1", "r2").replace("terms = 2", "terms = 3").replace("300", "0");
--- a/crates/recovery/src/start.rs
+++ b/crates/recovery/src/start.rs
@@ -56,6 +56,7 @@
 pub struct Terms {
     /// How many may start at once, at the most.
     pub nodes: u32,
+    /// At first; it doubles each half second.
     pub connects_per_s: f64,
     pub lists_per_s: f64,
     pub sessions_per_s: f64,
@@ -76,23 +77,40 @@
 const QUEUED: Nanos = 250_000_000;
 
 /// Keeps a rate: one after the other, each at its time. The first comes at a time drawn, so that those who begin
-/// together do not come together.
+/// together do not come together. With a ramp the rate doubles each time that it has passed: how many a node needs
+/// where nothing starts is known to nobody, and a rate below that would hold it for good.
 #[derive(Clone, Copy, Debug)]
 struct Pace {
     gap: Nanos,
     next: Nanos,
+    ramp: Nanos,
+    /// When the first had its turn.
+    begun: Option<Nanos>,
 }
 
+/// The rate of connections doubles after so long.
+const RAMP: Nanos = 500_000_000;
+
 impl Pace {
     fn new(per_s: f64, nodes: u32, now: Nanos, drawn: f64) -> Self {
         let gap = if per_s > 0.0 { (f64::from(nodes.max(1)) / per_s * SECOND) as Nanos } else { 0 };
-        Self { gap, next: now + (gap as f64 * drawn) as Nanos }
+        Self { gap, next: now + (gap as f64 * drawn) as Nanos, ramp: Nanos::MAX, begun: None }
+    }
+
+    fn ramped(self) -> Self {
+        Self { ramp: RAMP, ..self }
+    }
+
+    fn gap(&self, now: Nanos) -> Nanos {
+        let passed = now.saturating_sub(self.begun.unwrap_or(now)) / self.ramp;
+        self.gap >> passed.min(63)
     }
 
     /// When the next may come.
     fn turn(&mut self, now: Nanos) -> Nanos {
         let at = self.next.max(now);
-        self.next = at + self.gap;
+        self.begun.get_or_insert(at);
+        self.next = at + self.gap(at);
         at
     }
 }
@@ -150,7 +168,7 @@
             limit: FIRST,
             short: now,
             turned_away: 0,
-            connects: Pace::new(terms.connects_per_s, terms.nodes, now, drawn[0]),
+            connects: Pace::new(terms.connects_per_s, terms.nodes, now, drawn[0]).ramped(),
             lists: Pace::new(terms.lists_per_s, terms.nodes, now, drawn[1]),
             call: None,
         }
@@ -238,7 +256,7 @@
             Stage::Known => self.limit.min(FIRST + EACH * self.met.len() as f64),
             Stage::Share => self.limit,
         };
-        let fits = (in_hand as f64) < most && self.connects.next <= now + self.connects.gap + QUEUED;
+        let fits = (in_hand as f64) < most && self.connects.next <= now + self.connects.gap(now) + QUEUED;
         if !fits {
             (self.short, self.turned_away) = (now, self.turned_away + 1);
         }
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -36,6 +36,8 @@
         executors: u32 = 4,
         slots: u32 = 8,
         work_ms: f64 = 20.0,
+        /// Whether nodes that start ask running ones.
+        peers: bool = false,
         /// What a node keeps to while it starts.
         starts: Starts = Starts::default(),
         /// Of executors that have just started: the part of their capacity, and the time until it is whole.
@@ -126,6 +128,8 @@
     StartRolledBack,
     /// Ask that another with an empty store gets its number, and start that one.
     Replace,
+    /// Of coordinators that are all down this one's store is gone on from; the others lose theirs, and all are started.
+    Refound,
     /// Wait until it has ended by itself, and not with 0.
     Gone,
     Pause,
@@ -217,7 +221,7 @@
     }
 
     /// The names of the ways between them: from clients (`k`) to nodes, from nodes to executors (`e0`) and
-    /// discovery (`d`), and from nodes, coordinators and the operator (`o`) to coordinators.
+    /// discovery (`d`), between nodes (`n1>p0`), and from nodes, coordinators and the operator (`o`) to coordinators.
     #[must_use]
     pub fn ways(&self) -> Vec<String> {
         let mut ways = Vec::new();
@@ -226,6 +230,8 @@
             ways.push(format!("n{n}>d"));
             ways.extend((0..self.executors).map(|e| format!("n{n}>e{e}")));
             ways.extend((0..self.coordinators).map(|c| format!("n{n}>c{c}")));
+            let others = (0..self.nodes).filter(|p| self.peers && *p != n);
+            ways.extend(others.map(|p| format!("n{n}>p{p}")));
         }
         for c in 0..self.coordinators {
             ways.push(format!("o>c{c}"));
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -514,6 +514,15 @@
                 process.variables.push(("PROXY_STORE".into(), path.display().to_string()));
                 self.init(&kept, false)?;
             }
+            if plan.peers {
+                let others = (0..plan.nodes).filter(|p| *p != n);
+                let ask: Vec<String> =
+                    others.map(|p| self.ways[&format!("{name}>p{p}")].address.to_string()).collect();
+                let told = json!({"peers": {"fleet": "rig", "listen": "127.0.0.1:0", "ask": ask}});
+                let path = process.folder.join("peers.toml");
+                fs::write(&path, toml::to_string(&told).map_err(io::Error::other)?)?;
+                process.variables.push(("PROXY_PEERS".into(), path.display().to_string()));
+            }
             if plan.starts.on {
                 let Starts { connects_per_s, lists_per_s, sessions_per_s, .. } = plan.starts;
                 let told = json!({"start": {"connects-per-s": connects_per_s, "lists-per-s": lists_per_s,
@@ -600,7 +609,14 @@
         for (name, from) in began {
             let process = self.processes.get_mut(name).ok_or(io::Error::other("no such process"))?;
             match process.listens(from) {
-                Ok(address) => self.lead(name, Some(address)),
+                Ok(address) => {
+                    let peers = process.word("peers_at=", from).and_then(|at| at.parse().ok());
+                    self.lead(name, Some(address));
+                    let end = format!("p{}", name.trim_start_matches('n'));
+                    let told =
+                        self.ways.iter().filter(|(w, _)| w.split_once('>').is_some_and(|(_, to)| to == end));
+                    told.for_each(|(_, w)| w.lead_to(peers));
+                }
                 Err(why) => {
                     failed.push(why.to_string());
                     continue;
@@ -787,6 +803,7 @@
                 return Ok(());
             }
             Deed::Swap => return self.swap(&step.to),
+            Deed::Refound => return self.refound(&step.to[0]),
             on if on.on_executors() => {
                 for place in 0..self.plan.executors as usize {
                     let name = format!("e{place}");
@@ -905,6 +922,29 @@
             .ok_or_else(|| io::Error::other(format!("of {named:?} only these failed: {failed:?}")))
     }
 
+    /// Goes on from one coordinator's store, as an operator does when the others have lost theirs.
+    fn refound(&mut self, from: &str) -> io::Result<()> {
+        let names: Vec<String> = (0..self.plan.coordinators).map(|c| format!("c{c}")).collect();
+        let (out, file) = (self.folder.join("foundation"), self.folder.join(from).join("coordinator.toml"));
+        let lost: Vec<&str> =
+            names.iter().filter(|n| *n != from).map(|n| n.trim_start_matches('c')).collect();
+        self.note("refound", from);
+        let mut command = Command::new(&self.program);
+        command.arg("coordinate").arg(file).arg("--refound").arg(&out).args(["--lost", &lost.join(",")]);
+        let done = command.output()?;
+        if !done.status.success() {
+            return Err(io::Error::other(String::from_utf8_lossy(&done.stderr).into_owned()));
+        }
+        for name in names.iter().filter(|n| *n != from) {
+            let process = self.processes.get_mut(name).ok_or(io::Error::other("no such process"))?;
+            fs::remove_dir_all(process.store())?;
+            process.once = vec!["--refounded".into(), out.display().to_string()];
+            self.note("start-empty", name);
+        }
+        self.note("start", from);
+        self.start(&names)
+    }
+
     /// What two that do not run have stored changes places.
     fn swap(&self, to: &[String]) -> io::Result<()> {
         let [a, b] = to else { return Err(io::Error::other("two change places")) };
--- a/crates/rig/src/way.rs
+++ b/crates/rig/src/way.rs
@@ -14,6 +14,8 @@
 
 /// How often a pump that waits looks whether it is still wanted.
 const LOOK: Duration = Duration::from_millis(20);
+/// And one that waits for bytes: it is woken when its line is broken, and there are thousands of them.
+const IDLE: Duration = Duration::from_millis(250);
 /// The most connections on one way at a time.
 const MOST: u64 = 512;
 /// Bytes that a throttled way passes on at once.
@@ -243,7 +245,7 @@
 
     fn pump(&self, number: u64, side: Side, mut from: TcpStream, mut to: TcpStream) {
         let (mut piece, mut reader) = ([0; 16 * 1024], Reader::default());
-        let _ = from.set_read_timeout(Some(LOOK));
+        let _ = from.set_read_timeout(Some(IDLE));
         let passed = loop {
             if self.stop.load(Ordering::Relaxed) {
                 break Err(());
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -15,8 +15,9 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use linestack_core::{Core, Effect, Input, Nanos, Stats};
+use linestack_core::{Core, Effect, Input, Nanos, Remembered, Stats};
 use linestack_dispatch::types::{Decide, Worker};
+use linestack_recovery::start::Start;
 use linestack_settings::Settings;
 
 pub use judge::{Breach, Rule};
@@ -76,18 +77,34 @@
     pub sockets: usize,
     pub memory: usize,
     pub truth: Arc<Mutex<Truth>>,
+    pub now: Nanos,
+    /// What a start in stages keeps to, and what the disk has of earlier lives.
+    pub start: Option<Start>,
+    pub remembered: Option<Remembered>,
 }
 
 impl Seat {
     /// A whole node, with decisions of another's making.
     #[must_use]
     pub fn with(self, decisions: Box<dyn Decide + Send>) -> Box<dyn Machine> {
-        Box::new(Core::with(decisions, self.settings, self.sockets, self.memory))
+        let core = Core::with(decisions, self.settings, self.sockets, self.memory);
+        Box::new(begun(core, self.now, self.start, self.remembered))
     }
 }
 
+fn begun(mut core: Core, now: Nanos, start: Option<Start>, remembered: Option<Remembered>) -> Core {
+    if let Some(start) = start {
+        core.start_by(now, start, Vec::new());
+    }
+    if let Some(remembered) = remembered {
+        core.remember(remembered);
+    }
+    core
+}
+
 /// A whole node as it is served.
 #[must_use]
 pub fn linestack(seat: Seat) -> Box<dyn Machine> {
-    Box::new(Core::new(seat.settings, seat.sockets, seat.memory))
+    let core = Core::new(seat.settings, seat.sockets, seat.memory);
+    Box::new(begun(core, seat.now, seat.start, seat.remembered))
 }
--- a/crates/world/src/outcome.rs
+++ b/crates/world/src/outcome.rs
@@ -34,6 +34,11 @@
     pub crossings: u64,
     pub probes: u64,
     pub handshakes: u64,
+    /// One-shots of which more than one execution began, by their clients' asking again.
+    pub ran_again: u64,
+    /// By second: connections made to executors, and calls for the list.
+    pub handshakes_by_second: Vec<u64>,
+    pub lists_by_second: Vec<u64>,
     /// Worth asked for, and the part of it that was answered in time (late, as far as that pays).
     pub worth: f64,
     pub goodput: f64,
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -66,6 +66,19 @@
         /// SIGKILL comes so long after SIGTERM, and the node is back so long after it ended.
         kill_after_s: f64 = 3.7,
         back_after_s: f64 = 0.5,
+        /// A disk that lasts: what may have run is known after a kill. What a sync takes.
+        store: bool = false,
+        sync_ms: f64 = 1.0,
+        starts: Starts = Starts::default(),
+    }
+}
+
+table! {
+    /// A start in stages, if it is on; rates are the fleet's a second, 0 for no bound.
+    Starts {
+        on: bool = false,
+        connects_per_s: f64 = 0.0,
+        lists_per_s: f64 = 0.0,
     }
 }
 
@@ -187,6 +200,8 @@
         leave: f64 = 0.0,
         /// How long they go on coming to a node that has died.
         notice_s: f64 = 1.0,
+        /// They ask the node again that they asked, which alone knows what it sent.
+        same_node: bool = false,
     }
 }
 
@@ -330,6 +345,9 @@
         must(self.nodes.sockets >= 64, "nodes.sockets", "at least 64");
         must(self.nodes.memory_mb >= 4, "nodes.memory_mb", "at least 4");
         must(least(self.nodes.cpu_us), "nodes.cpu_us", "must not be under 0");
+        must(least(self.nodes.sync_ms), "nodes.sync_ms", "must not be under 0");
+        must(least(self.nodes.starts.connects_per_s), "nodes.starts.connects_per_s", "must not be under 0");
+        must(least(self.nodes.starts.lists_per_s), "nodes.starts.lists_per_s", "must not be under 0");
         must(least(self.nodes.back_after_s), "nodes.back_after_s", "must not be under 0");
         must(self.executors.iter().map(|e| e.count).sum::<u32>() > 0, "executors", "no executor");
         for (i, e) in self.executors.iter().enumerate() {
