A store is known after the machine gave its device another number; a kept list asks anew

Found by reading the change again. Stores are told from copies by device, number and time of making (fleet/store.rs, identity); devices are numbered anew when a machine starts, so after a power cut every coordinator and node could have taken its own store for a copy. The time of making and the number say it alone where the system tells the former; a table shows it, nothing here renumbers a device. A node that goes on by its kept list asked discovery for changes since that list's version (main.rs), which may mean nothing to the discovery that is there now: it asks for the whole list.

--- a/crates/node/src/fleet/store.rs
+++ b/crates/node/src/fleet/store.rs
@@ -49,7 +49,13 @@
 }
 
 /// Which file it is: its device, its number there, and when it was made. Numbers are given out again.
-type Identity = (u64, u64, u64);
+pub(crate) type Identity = (u64, u64, u64);
+
+/// Whether both are one file. Where it is told when a file was made its number and that say so alone: a machine that was
+/// started again may have given the device another number.
+pub(crate) fn same(one: &Identity, other: &Identity) -> bool {
+    (one.1, one.2) == (other.1, other.2) && (one.2 > 0 || one.0 == other.0)
+}
 
 pub(crate) fn identity(path: &Path) -> io::Result<Identity> {
     let meta = fs::metadata(path)?;
@@ -139,7 +145,7 @@
         if kept.owner != self.owner {
             return Err(Fault::Owner(kept.owner));
         }
-        if kept.file != self.file {
+        if !same(&kept.file, &self.file) {
             return Err(Fault::Copied);
         }
         Ok(Some(kept.record))
@@ -169,3 +175,18 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::same;
+
+    #[test]
+    fn a_device_may_have_another_number() {
+        assert!(same(&(1, 7, 99), &(2, 7, 99)) && same(&(1, 7, 0), &(1, 7, 0)));
+        assert!(
+            !same(&(1, 7, 99), &(1, 7, 98))
+                && !same(&(1, 7, 99), &(1, 8, 99))
+                && !same(&(1, 7, 0), &(2, 7, 0))
+        );
+    }
+}
--- a/crates/node/src/keep.rs
+++ b/crates/node/src/keep.rs
@@ -12,6 +12,7 @@
 use linestack_store::{Damage, Fault, Folder, LARGEST, Limits, Op, Store, repair};
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::store::{Identity, identity, same};
 use crate::net::Node;
 use crate::net::discovery::List;
 use crate::{begin, http, tries};
@@ -141,7 +142,7 @@
 #[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Owner {
     node: String,
-    place: (u64, u64, u64),
+    place: Identity,
 }
 
 /// When something was kept.
@@ -174,10 +175,9 @@
     Op::Put { kind: LOST, key: b"lost".to_vec(), value: Vec::new(), at: 0 }
 }
 
-fn owner_mark(node: &str, folder: &Path) -> Result<Op, Fault> {
-    let owner = Owner { node: node.to_owned(), place: crate::fleet::store::identity(&folder.join("lock"))? };
-    let value = serde_json::to_vec(&owner).unwrap_or_default();
-    Ok(Op::Put { kind: OWNER, key: b"owner".to_vec(), value, at: 0 })
+fn owner_mark(node: &str, place: Identity) -> Op {
+    let value = serde_json::to_vec(&Owner { node: node.to_owned(), place }).unwrap_or_default();
+    Op::Put { kind: OWNER, key: b"owner".to_vec(), value, at: 0 }
 }
 
 /// The only record of a kind.
@@ -221,12 +221,11 @@
             (store, fates)
         };
         tries::leave(&path);
-        let mark = owner_mark(node, &path).map_err(|e| fault(&e))?;
-        match (only(&store, OWNER), &mark) {
-            (None, _) => store.commit(std::slice::from_ref(&mark), 0).map_err(|e| fault(&e))?,
-            (Some(known), Op::Put { value, .. }) if known == *value => {}
-            (Some(known), _) => {
-                let known: Option<Owner> = serde_json::from_slice(&known).ok();
+        let place_now = identity(&path.join("lock")).map_err(|e| fault(&e.into()))?;
+        match only(&store, OWNER).map(|known| serde_json::from_slice::<Owner>(&known).ok()) {
+            None => store.commit(&[owner_mark(node, place_now)], 0).map_err(|e| fault(&e))?,
+            Some(Some(o)) if o.node == node && same(&o.place, &place_now) => {}
+            Some(known) => {
                 let whose = match known {
                     Some(o) if o.node == node => {
                         "a copy: what was sent since it was made is not in it".to_owned()
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -175,12 +175,13 @@
         }
     };
     let mut core = Core::new(settings.clone(), sockets, memory);
-    let mut known = known;
+    let (mut known, mut whole) = (known, false);
     if let Some(stages) = &stages {
         let kept = keeper.as_ref().and_then(|k| k.list(stages.list_fresh));
         let fresh = kept.as_ref().is_some_and(|(_, fresh)| *fresh);
         if let Some((list, _)) = kept {
-            known = Some(list);
+            // Its version may mean nothing to the discovery that is there now: the whole list is asked for.
+            (known, whole) = (Some(list), true);
         }
         // Of no age that is known: it waits for discovery's word, or for discovery's silence.
         let old = known.take_if(|_| !fresh).map_or_else(Vec::new, |list| list.endpoints);
@@ -190,7 +191,8 @@
         let start = Starting::new(stages.terms, found, [chance.f64(), chance.f64()], clock.now());
         core.start_by(clock.now(), start, old);
     }
-    let (index, endpoints) = known.map_or((None, Vec::new()), |known| (Some(known.index), known.endpoints));
+    let index = known.as_ref().map(|known| known.index).filter(|_| !whole);
+    let endpoints = known.map_or_else(Vec::new, |known| known.endpoints);
     if let Some(keeper) = &mut keeper {
         keeper.tell(&mut core, memory, clock.now(), settings.longest_cut_off);
     }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -80,7 +80,7 @@
     #[error("of form {0}, and this reads {FORM}")]
     Form(u8),
     #[error("told by this node itself")]
-    Self_,
+    Teller,
     #[error("tells of {0} executors, {MOST} at most")]
     Many(usize),
 }
@@ -103,7 +103,7 @@
         return Err(Fault::Form(tale.form));
     }
     if tale.teller == me {
-        return Err(Fault::Self_);
+        return Err(Fault::Teller);
     }
     if tale.items.len() > MOST {
         return Err(Fault::Many(tale.items.len()));
--- a/crates/peers/tests/learn.rs
+++ b/crates/peers/tests/learn.rs
@@ -45,7 +45,7 @@
 fn refused_whole() {
     let good = tale(vec![item("a", 10, false)]);
     assert_eq!(heard(&Tale { form: 2, ..good.clone() }), Err(Fault::Form(2)));
-    assert_eq!(heard(&Tale { teller: "n0".into(), ..good }), Err(Fault::Self_));
+    assert_eq!(heard(&Tale { teller: "n0".into(), ..good }), Err(Fault::Teller));
     let many = (0..=MOST).map(|i| item(&i.to_string(), 10, false)).collect();
     assert_eq!(heard(&tale(many)), Err(Fault::Many(MOST + 1)));
 }
