Peers are told whether an executor answered, not whether it brought a report

What was seen of an executor last was kept as its report alone (core, said), and none counted as silence: one that answers without a report was told to starting nodes as silent, and avoided until probed. Whether it answered is kept beside. A table of three outcomes shows it; the case that answers fails without the change. Off unless PROXY_PEERS names a file.

--- a/crates/core/src/executions.rs
+++ b/crates/core/src/executions.rs
@@ -61,8 +61,10 @@
         let (worker, took) = (sent.worker, now - sent.at);
         self.seen_at_start(worker, outcome);
         match outcome {
-            Outcome::Satisfied | Outcome::Full => self.workers[worker as usize].said = Some((now, report)),
-            Outcome::TimedOut => self.workers[worker as usize].said = Some((now, None)),
+            Outcome::Satisfied | Outcome::Full => {
+                self.workers[worker as usize].said = Some((now, true, report))
+            }
+            Outcome::TimedOut => self.workers[worker as usize].said = Some((now, false, None)),
             _ => {}
         }
         match outcome {
@@ -87,7 +89,7 @@
     pub(crate) fn probed(&mut self, worker: Worker, answered: Option<bool>, report: Option<Report>) {
         self.stats.probes_failed += u64::from(answered != Some(true));
         if let Some(answered) = answered {
-            self.workers[worker as usize].said = Some((self.now, report.filter(|_| answered)));
+            self.workers[worker as usize].said = Some((self.now, answered, report.filter(|_| answered)));
         }
         self.pending.push_back(Event::Probed { worker, answered, report });
     }
--- a/crates/core/src/hearsay.rs
+++ b/crates/core/src/hearsay.rs
@@ -10,7 +10,7 @@
     pub fn tale(&self, now: Nanos) -> Vec<Item> {
         let ready = self.workers.iter().filter(|w| w.health == Health::Ready);
         let items = ready.filter_map(|w| {
-            let (at, report) = w.said?;
+            let (at, answered, report) = w.said?;
             let figures = report.map(|r| Figures {
                 free_slots: r.free_slots,
                 free_memory: r.free_memory,
@@ -18,7 +18,7 @@
                 in_hand: r.in_hand,
             });
             let age_ms = now.saturating_sub(at) / 1_000_000;
-            Some(Item { name: w.name.to_string(), age_ms, silent: report.is_none(), figures })
+            Some(Item { name: w.name.to_string(), age_ms, silent: !answered, figures })
         });
         items.collect()
     }
@@ -29,7 +29,7 @@
         let place = self.names.get(name).and_then(|w| self.workers.get(*w as usize));
         place.map_or(Own::default(), |w| Own {
             ready: w.health == Health::Ready,
-            seen: w.said.map(|(at, _)| at),
+            seen: w.said.map(|(at, ..)| at),
         })
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -189,8 +189,8 @@
     /// It waits in `left`.
     left: bool,
     seen: Seen,
-    /// What it said last itself, and when; nothing if it was silent.
-    said: Option<(Nanos, Option<Report>)>,
+    /// When something was seen of it last, whether it answered, and its report if it told one.
+    said: Option<(Nanos, bool, Option<Report>)>,
 }
 
 /// What was seen of an executor's connections, as far as it tells whether its process was lost.
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -754,6 +754,19 @@
     assert!(node.core.stats().taken == taken + 1 && node.core.sure());
 }
 
+// An answer without a report is an answer: peers are not told that the executor is silent. One that did not answer is.
+#[rstest]
+#[case::answered(Outcome::Satisfied, false)]
+#[case::full(Outcome::Full, false)]
+#[case::silent(Outcome::TimedOut, true)]
+fn what_peers_are_told(#[case] outcome: Outcome, #[case] silent: bool) {
+    let mut node = Node::with(&common::SETTINGS.replace("\"mayProbe\": true", "\"mayProbe\": false"), 1);
+    let (_, link) = node.under_way(LOOK);
+    node.end(link, outcome);
+    let told: Vec<bool> = node.core.tale(node.now).iter().map(|i| i.silent).collect();
+    assert_eq!(told, [silent]);
+}
+
 // A start told for a time that is years ahead is by another clock: it counts from when it was told first, and telling it
 // again makes it no newer.
 #[test]
