Cold executors' part goes by a burst as soon as there is one, for the sum of all processes

Lines at fault: decide.rs `trickle` divides a node's part by the arrivals of the last 4 s; when submissions come several times as often, each draws by the part that was right for the calm before.

--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -577,6 +577,8 @@
 #[derive(Debug)]
 pub(crate) struct Flow {
     pub(crate) arrivals: Rate,
+    /// Those of the last moments.
+    pub(crate) lately: Decaying,
     pub(crate) in_flight: f64,
     /// How much of the ready workers' room this node may fill.
     pub(crate) limit: f64,
@@ -597,11 +599,20 @@
 }
 
 impl Flow {
+    const MOMENTS: f64 = 0.25e9;
+
     /// How old reports are at arrival: as was last proved, fading until it is proved again.
     pub(crate) fn lag(&self, now: Nanos) -> Nanos {
         self.lag.0.saturating_sub((now - self.lag.1) / 8)
     }
 
+    /// How often submissions come, a nanosecond; more as soon as they come faster than chance explains. What is drawn
+    /// by a part of the usual would all come in the burst.
+    pub(crate) fn rush(&self, now: Nanos) -> f64 {
+        let seen = self.lately.read(now, Self::MOMENTS);
+        self.arrivals.read(now).max((seen - 2.0 * seen.sqrt()) / Self::MOMENTS)
+    }
+
     /// Until anything was seen, this rate is taken as given.
     pub(crate) fn expect(&mut self, now: Nanos, rate: f64) {
         self.arrivals.0.add(now, Rate::SPAN, rate * Rate::SPAN);
@@ -615,6 +626,7 @@
     /// A submission has come that takes so much of a worker's slots.
     pub(crate) fn pass(&mut self, now: Nanos, job: Job, work: f64) {
         self.arrivals.add(now);
+        self.lately.add(now, Self::MOMENTS, 1.0);
         self.memory_per_slot += (job.memory / job.slots - self.memory_per_slot) / 16.0;
         self.work += (work - self.work) / if self.work > 0.0 { 64.0 } else { 1.0 };
     }
@@ -643,6 +655,7 @@
         let (in_flight, limit, stretch, memory_per_slot) = (0.0, 1.0, 1.0, 1.0);
         Self {
             arrivals,
+            lately: Decaying::default(),
             in_flight,
             limit,
             stretch,
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -399,7 +399,7 @@
         let jobs = bears / self.flow.work;
         // The mean that stays below it with three deviations of chance.
         let mean = ((jobs + 2.25).sqrt() - 1.5).powi(2);
-        Some(mean / f64::from(self.terms.nodes) / (self.flow.arrivals.read(self.now) * window))
+        Some(mean / f64::from(self.terms.nodes) / (self.flow.rush(self.now) * window))
     }
 
     /// The only place that orders an execution; with none to order and none out, the submission is over.
--- a/crates/node/tests/ends/main.rs
+++ b/crates/node/tests/ends/main.rs
@@ -4,6 +4,7 @@
 mod common;
 
 mod closes;
+mod cold;
 mod descriptors;
 mod discovery;
 mod gone;
