--- a/crates/dispatch/tests/cold.rs
+++ b/crates/dispatch/tests/cold.rs
@@ -199,9 +199,9 @@
     while (at as Nanos) < end {
         let swing = match traffic {
             Traffic::Even | Traffic::Uneven => 1.0,
-            Traffic::Bursts if (at / 1e9) as u64 % 3 == 0 => 2.25,
+            Traffic::Bursts if ((at / 1e9) as u64).is_multiple_of(3) => 2.25,
             Traffic::Bursts => 0.375,
-            Traffic::Volleys if (at / 1e8) as u64 % 10 == 0 => 7.0,
+            Traffic::Volleys if ((at / 1e8) as u64).is_multiple_of(10) => 7.0,
             Traffic::Volleys => 0.333,
         };
         at += -chance.f64().max(1e-12).ln() * 1e9 / (rate * swing);
--- a/crates/node/src/fleet/store.rs
+++ b/crates/node/src/fleet/store.rs
@@ -53,7 +53,8 @@
 
 /// Whether both are one file. Where it is told when a file was made its number and that say so alone: a machine that was
 /// started again may have given the device another number.
-pub(crate) fn same(one: &Identity, other: &Identity) -> bool {
+#[must_use]
+pub fn same(one: &Identity, other: &Identity) -> bool {
     (one.1, one.2) == (other.1, other.2) && (one.2 > 0 || one.0 == other.0)
 }
 
@@ -175,18 +176,3 @@
         Ok(())
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::same;
-
-    #[test]
-    fn a_device_may_have_another_number() {
-        assert!(same(&(1, 7, 99), &(2, 7, 99)) && same(&(1, 7, 0), &(1, 7, 0)));
-        assert!(
-            !same(&(1, 7, 99), &(1, 7, 98))
-                && !same(&(1, 7, 99), &(1, 8, 99))
-                && !same(&(1, 7, 0), &(2, 7, 0))
-        );
-    }
-}
