--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -11,7 +11,7 @@
 use may::net::{TcpListener, TcpStream};
 use socket2::{Domain, Socket, Type};
 
-use super::{Node, Post, TURN, spawn};
+use super::{Mailbox, Node, TURN, spawn};
 use crate::http::{self, Body, Fault, Framing, Out, Request};
 use linestack_core::{Answer, Client, Input, Intake, Phase, Shipment};
 use linestack_recovery::start::Stage;
@@ -27,7 +27,7 @@
 /// Of the requests turned down one is logged in this time, however many come.
 pub(crate) const LOGGED_EVERY: u64 = 1_000 * NANOS_PER_MS;
 
-pub(crate) enum Letter {
+pub(crate) enum Message {
     Answer { answer: Answer, last: bool },
     CloseIfIdle,
     Drop,
@@ -58,10 +58,10 @@
                     let now = node.clock.now();
                     at_once = if now - last < TURN.as_nanos() as u64 { at_once + 1 } else { 1 };
                     last = now;
-                    let (client, post) = node.enlist();
+                    let (client, mailbox) = node.enlist();
                     node.feed(Input::ClientUp { client });
                     let served = Arc::clone(&node);
-                    spawn(move || serve(&served, client, socket, &post));
+                    spawn(move || serve(&served, client, socket, &mailbox));
                     if at_once >= AT_ONCE {
                         at_once = 0;
                         node.alarm.sleep(TURN);
@@ -133,12 +133,12 @@
     }
 }
 
-fn serve(node: &Arc<Node>, client: Client, mut socket: TcpStream, post: &Post<Letter>) {
+fn serve(node: &Arc<Node>, client: Client, mut socket: TcpStream, mailbox: &Mailbox<Message>) {
     // However this ends, by a panic too, the reducer hears of it.
     let _gone = Gone { node, client };
-    post.wake(&socket);
+    mailbox.wake(&socket);
     let _ = socket.set_nodelay(true);
-    converse(node, client, &mut socket, post);
+    converse(node, client, &mut socket, mailbox);
 }
 
 struct Gone<'a> {
@@ -154,21 +154,21 @@
 }
 
 /// Returns when the connection is to be closed.
-fn converse(node: &Arc<Node>, client: Client, socket: &mut TcpStream, post: &Post<Letter>) {
+fn converse(node: &Arc<Node>, client: Client, socket: &mut TcpStream, mailbox: &Mailbox<Message>) {
     let mut input = BytesMut::new();
     let mut state = State::reading();
     let mut close = false;
     let mut holding = node.client_room.holding();
     loop {
         let mut over = false;
-        while let Some(letter) = post.next() {
-            match letter {
+        while let Some(message) = mailbox.next() {
+            match message {
                 // Its time is over, but what came just before is still owed: it is read first. What the reducer
                 // has taken meanwhile is answered, whatever was ordered before.
-                Letter::Drop => (over, close) = (true, true),
+                Message::Drop => (over, close) = (true, true),
                 // A request may have come in meanwhile; it is answered first.
-                Letter::CloseIfIdle => close = true,
-                Letter::Answer { answer, last } => {
+                Message::CloseIfIdle => close = true,
+                Message::Answer { answer, last } => {
                     let last = last || close || matches!(state, State::Waiting { last: true, .. });
                     state = State::Answering { out: answered(answer, last), last };
                 }
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -1,4 +1,4 @@
-//! Connections to executors: one coroutine each. It connects, sends what its post brings, and tells the
+//! Connections to executors: one coroutine each. It connects, sends what its mailbox brings, and tells the
 //! reducer what came back, and how far it had got when the connection broke.
 
 use std::borrow::Cow;
@@ -15,7 +15,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use super::{Node, Post, TURN, object};
+use super::{Mailbox, Node, TURN, object};
 use crate::http::{self, Body, Out, Response};
 use linestack_core::{Broken, Input, Link, Shipment};
 
@@ -26,7 +26,7 @@
 /// No descriptor was left in the process, or in the system.
 const NO_DESCRIPTOR: [i32; 2] = [24, 23];
 
-pub(crate) enum Letter {
+pub(crate) enum Message {
     Send { shipment: Arc<Shipment>, wait: Nanos },
     Probe,
     Close,
@@ -72,7 +72,13 @@
     }
 }
 
-pub(crate) fn run(node: &Arc<Node>, link: Link, address: SocketAddr, limit: Nanos, post: &Post<Letter>) {
+pub(crate) fn run(
+    node: &Arc<Node>,
+    link: Link,
+    address: SocketAddr,
+    limit: Nanos,
+    mailbox: &Mailbox<Message>,
+) {
     let worst = Broken { begun: true, written: true, answered: true, here: false, spoilt: false };
     let mut down = Down { node, link, broken: Some(worst) };
     // may takes a wait of under a millisecond for one without an end.
@@ -86,11 +92,11 @@
             return;
         }
     };
-    post.wake(&socket);
+    mailbox.wake(&socket);
     let _ = socket.set_nodelay(true);
     node.feed(Input::LinkUp { link });
     let mut exchange: Option<Exchange> = None;
-    let (wanted, spoilt) = match converse(node, link, &mut socket, post, &mut exchange) {
+    let (wanted, spoilt) = match converse(node, link, &mut socket, mailbox, &mut exchange) {
         End::Wanted => (true, false),
         End::Broke => (false, false),
         End::Spoilt => (false, true),
@@ -123,18 +129,18 @@
     node: &Arc<Node>,
     link: Link,
     socket: &mut TcpStream,
-    post: &Post<Letter>,
+    mailbox: &Mailbox<Message>,
     exchange: &mut Option<Exchange>,
 ) -> End {
     let mut input = BytesMut::new();
     let mut holding = node.link_room.holding();
     let mut before: Option<Bytes> = None;
     loop {
-        while let Some(letter) = post.next() {
-            let (id, out) = match letter {
-                Letter::Close => return End::Wanted,
-                Letter::Send { shipment, wait } => (Some(shipment.id.clone()), request(&shipment, wait)),
-                Letter::Probe => (None, probe(node)),
+        while let Some(message) = mailbox.next() {
+            let (id, out) = match message {
+                Message::Close => return End::Wanted,
+                Message::Send { shipment, wait } => (Some(shipment.id.clone()), request(&shipment, wait)),
+                Message::Probe => (None, probe(node)),
             };
             let (head, body, text) = (None, None, BytesMut::new());
             let (before, stale, written, told) = (before.take(), false, false, false);
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -1,5 +1,5 @@
 //! Sockets and clocks: they feed the reducer and carry out its effects. Every connection has a coroutine
-//! of its own, which waits for its socket and for its post.
+//! of its own, which waits for its socket and for its mailbox.
 
 pub mod clients;
 pub mod clock;
@@ -55,31 +55,31 @@
     serde_json::from_slice(text)
 }
 
-/// Letters to a connection's coroutine.
-pub(crate) struct Post<T> {
-    letters: Mutex<VecDeque<T>>,
+/// Messages to a connection's coroutine.
+pub(crate) struct Mailbox<T> {
+    messages: Mutex<VecDeque<T>>,
     waker: Mutex<Option<WaitIoWaker>>,
 }
 
-impl<T> Default for Post<T> {
+impl<T> Default for Mailbox<T> {
     fn default() -> Self {
-        Self { letters: Mutex::new(VecDeque::new()), waker: Mutex::new(None) }
+        Self { messages: Mutex::new(VecDeque::new()), waker: Mutex::new(None) }
     }
 }
 
-impl<T> Post<T> {
-    fn send(&self, letter: T) {
-        lock(&self.letters).push_back(letter);
+impl<T> Mailbox<T> {
+    fn send(&self, message: T) {
+        lock(&self.messages).push_back(message);
         if let Some(waker) = &*lock(&self.waker) {
             waker.wakeup();
         }
     }
 
     pub(crate) fn next(&self) -> Option<T> {
-        lock(&self.letters).pop_front()
+        lock(&self.messages).pop_front()
     }
 
-    /// From now on letters wake whoever waits for this socket.
+    /// From now on messages wake whoever waits for this socket.
     pub(crate) fn wake(&self, socket: &TcpStream) {
         *lock(&self.waker) = Some(socket.waker());
     }
@@ -128,8 +128,8 @@
 struct Inner {
     core: Core,
     effects: Vec<Effect>,
-    links: HashMap<Link, Arc<Post<executors::Letter>>>,
-    clients: HashMap<Client, Arc<Post<clients::Letter>>>,
+    links: HashMap<Link, Arc<Mailbox<executors::Message>>>,
+    clients: HashMap<Client, Arc<Mailbox<clients::Message>>>,
     next_client: Client,
 }
 
@@ -346,13 +346,13 @@
         spawn(move || discovery::watch(&node, number));
     }
 
-    fn enlist(&self) -> (Client, Arc<Post<clients::Letter>>) {
+    fn enlist(&self) -> (Client, Arc<Mailbox<clients::Message>>) {
         let mut inner = lock(&self.inner);
         let client = inner.next_client;
         inner.next_client += 1;
-        let post = Arc::default();
-        inner.clients.insert(client, Arc::clone(&post));
-        (client, post)
+        let mailbox = Arc::default();
+        inner.clients.insert(client, Arc::clone(&mailbox));
+        (client, mailbox)
     }
 
     fn forget_client(&self, client: Client) {
@@ -364,35 +364,35 @@
     }
 
     fn carry_out(self: &Arc<Self>, inner: &mut Inner, effect: Effect) {
-        let client = |client: Client, letter: clients::Letter| {
-            if let Some(post) = inner.clients.get(&client) {
-                post.send(letter);
+        let client = |client: Client, message: clients::Message| {
+            if let Some(mailbox) = inner.clients.get(&client) {
+                mailbox.send(message);
             }
         };
-        let link = |link: Link, letter: executors::Letter| {
-            if let Some(post) = inner.links.get(&link) {
-                post.send(letter);
+        let link = |link: Link, message: executors::Message| {
+            if let Some(mailbox) = inner.links.get(&link) {
+                mailbox.send(message);
             }
         };
         match effect {
             Effect::Answer { client: to, answer, last, .. } => {
-                client(to, clients::Letter::Answer { answer, last })
+                client(to, clients::Message::Answer { answer, last })
             }
-            Effect::CloseClient { client: to } => client(to, clients::Letter::CloseIfIdle),
-            Effect::DropClient { client: to } => client(to, clients::Letter::Drop),
+            Effect::CloseClient { client: to } => client(to, clients::Message::CloseIfIdle),
+            Effect::DropClient { client: to } => client(to, clients::Message::Drop),
             Effect::Send { link: to, shipment, wait, .. } => {
-                link(to, executors::Letter::Send { shipment, wait })
+                link(to, executors::Message::Send { shipment, wait })
             }
-            Effect::Probe { link: to } => link(to, executors::Letter::Probe),
+            Effect::Probe { link: to } => link(to, executors::Message::Probe),
             Effect::CloseLink { link: to } => {
-                link(to, executors::Letter::Close);
+                link(to, executors::Message::Close);
                 inner.links.remove(&to);
             }
             Effect::Open { link, address, limit } => {
-                let post = Arc::<Post<_>>::default();
-                inner.links.insert(link, Arc::clone(&post));
+                let mailbox = Arc::<Mailbox<_>>::default();
+                inner.links.insert(link, Arc::clone(&mailbox));
                 let node = Arc::clone(self);
-                spawn(move || executors::run(&node, link, address, limit, &post));
+                spawn(move || executors::run(&node, link, address, limit, &mailbox));
             }
             Effect::Watch => {
                 let mut watch = lock(&self.watch);
