--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -253,7 +253,7 @@
             if held.tried.contains(&worker) || !self.allowed(held, worker) {
                 continue;
             }
-            let (fit, warm) = (self.fit(desk), self.trickle(desk).is_none());
+            let (fit, warm) = (self.fit(desk), self.slow_start(desk).is_none());
             known += usize::from(fit);
             // What is linked costs nothing new to try, and a job that does not start there moves.
             let good = linked(desk) && desk.out.is_empty();
@@ -287,7 +287,7 @@
             let worker = ready[chance.usize(..ready.len())];
             let (desk, tried) = (&fleet[worker], held.tried.contains(&worker));
             let unknown =
-                desk.out.is_empty() && stale(desk) && self.fit(desk) && self.trickle(desk).is_none();
+                desk.out.is_empty() && stale(desk) && self.fit(desk) && self.slow_start(desk).is_none();
             // Of what is not known the expected room is the chance to be drawn.
             if unknown && !tried && self.allowed(held, worker) && chance.f64() < fleet.size(desk) {
                 stranger = Some(worker);
@@ -302,7 +302,7 @@
         let mut left_over = chance.f64();
         for &worker in fleet.young.iter().filter(|_| held.executions == 0) {
             let desk = &fleet[worker];
-            let Some(bears) = self.trickle(desk) else { continue };
+            let Some(bears) = self.slow_start(desk) else { continue };
             let empty =
                 if stale(desk) { desk.out.is_empty() } else { self.below_threshold(desk, held, mean) };
             let wanted = self.fit(desk) && (near(desk) || members.pick.is_none());
@@ -387,7 +387,7 @@
 
     /// The jobs that a cold worker may be sent from here for each submission. All nodes hear of its start at
     /// once: the part of each is spent by chance, and their mean kept far below what it bears in a window.
-    fn trickle(&self, desk: &Desk) -> Option<f64> {
+    fn slow_start(&self, desk: &Desk) -> Option<f64> {
         let age = self.now.saturating_sub(desk.listing.started);
         if desk.listing.started == 0 || age >= self.terms.cold_for {
             return None;
