Slow start values jobs by what answers take now, not by the guess before the first

Cause: `Flow::pass` moved the mean work by 1/64 with each submission, each valued by its product's answer time when it came, and the first of all set it. Before a product's first answer that is the agreed time, 400 ms. With 300 nodes a node sees 1.4 submissions a second and has had 7 to 20 answers when the replaced executors are cold, so the guess still was most of the mean. Over 1,625 executions on cold executors `slow_start` counted with a median of 480 ms, while the same nodes' answer times, weighted 0.66 to 0.34 (the middle of the site's parts), said 893 ms. It took a cold executor to bear nearly twice as many jobs as it does. In the worst window (1.0 s, 4.5 s after a start) 12 nodes sent one each at 460 ms a job, where their answers said 828 ms; all knew the start.

Ruled out by the same notes: further executions (all 1,625 were first ones), the draws of strangers, `others` and `aside` (they leave cold ones out), the number of nodes (321, as listed), slots (3 and 2), the start and the cold time, and the rate of arrivals (`rush` was the mean of seconds in every one of the window's sends).

Change: the slots that submissions ask for are averaged product by product, over as many as came up to 64, and valued by what answers take at the moment of the choice. No constant changes.

Test: `long_jobs_seen_seldom_by_each_node_stay_within_the_budget` in tests/cold.rs, 100 nodes, jobs of 900 ms under an agreed time of 400 ms, 40 seeds each. Without the change three of nine cases fail:

With it they are 0.71, 0.76 and 0.84, and Even 0.92 is 0.65, Uneven 0.82 is 0.59; 0.29 to 0.38 of the budget is used, as a mean three deviations below it gives. The 80 cases of the other test of that file pass as before.

Before a product's first answer its agreed time still stands for its work, for the settings tell nothing else.

--- a/crates/dispatch/src/books.rs
+++ b/crates/dispatch/src/books.rs
@@ -228,11 +228,6 @@
 }
 
 impl Held {
-    /// The time that the job will hold its slots, waiting left out.
-    pub(crate) fn work(&self, answers: &[AnswerTime]) -> f64 {
-        self.job.slots * answers.get(usize::from(self.job.product)).map_or(0.0, |a| a.shortest)
-    }
-
     pub(crate) fn send(
         &mut self,
         submission: Submission,
@@ -585,8 +580,9 @@
     /// Answer times as multiples of their products' shortest.
     pub(crate) stretch: f64,
     pub(crate) memory_per_slot: f64,
-    /// What jobs take of a worker's slots, on average.
-    pub(crate) work: f64,
+    /// The slots that a submission asks for on average, product by product, and over how many submissions.
+    pub(crate) slots: Vec<f64>,
+    pub(crate) averaged: f64,
     /// For how long idle connections are good, as far as was seen.
     pub(crate) kept: f64,
     /// And at most: the settings' time.
@@ -599,7 +595,13 @@
 }
 
 impl Flow {
+    pub(crate) fn new(idle: Nanos, products: usize) -> Self {
+        Self { kept: idle as f64, idle: idle as f64, slots: vec![0.0; products], ..Self::default() }
+    }
+
     const MOMENTS: f64 = 0.25e9;
+    /// Submissions over which the slots that they ask for are averaged.
+    const AVERAGED: f64 = 64.0;
 
     /// How old reports are at arrival: as was last proved, fading until it is proved again.
     pub(crate) fn lag(&self, now: Nanos) -> Nanos {
@@ -623,12 +625,22 @@
         self.probes = ((self.probes.0 + rate * (now - self.probes.1) as f64).min(most), now);
     }
 
-    /// A submission has come that takes so much of a worker's slots.
-    pub(crate) fn pass(&mut self, now: Nanos, job: Job, work: f64) {
+    /// What a submission takes of a worker's slots on average, waiting left out, by what answers take now: where few
+    /// submissions come, most of those averaged came before any answer had.
+    pub(crate) fn work(&self, answers: &[AnswerTime]) -> f64 {
+        self.slots.iter().zip(answers).map(|(slots, answer)| slots * answer.shortest).sum()
+    }
+
+    /// A submission has come.
+    pub(crate) fn pass(&mut self, now: Nanos, job: Job) {
         self.arrivals.add(now);
         self.lately.add(now, Self::MOMENTS, 1.0);
         self.memory_per_slot += (job.memory / job.slots - self.memory_per_slot) / 16.0;
-        self.work += (work - self.work) / if self.work > 0.0 { 64.0 } else { 1.0 };
+        self.averaged = (self.averaged + 1.0).min(Self::AVERAGED);
+        for (product, slots) in self.slots.iter_mut().enumerate() {
+            let asked = if product == usize::from(job.product) { job.slots } else { 0.0 };
+            *slots += (asked - *slots) / self.averaged;
+        }
     }
 
     /// An execution started at once or did not, on a connection that had stood idle so long: it may have been
@@ -660,7 +672,8 @@
             limit,
             stretch,
             memory_per_slot,
-            work: 0.0,
+            slots: Vec::new(),
+            averaged: 0.0,
             kept: 0.0,
             idle: 0.0,
             prompt: 1.0,
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -67,7 +67,7 @@
             held: Vec::new(),
             tenants: vec![Tenant::default(); terms.quotas.len()],
             answers: terms.products.iter().map(|p| AnswerTime::expected(p.agreed)).collect(),
-            flow: Flow { kept: terms.idle as f64, idle: terms.idle as f64, ..Flow::default() },
+            flow: Flow::new(terms.idle, terms.products.len()),
             next_pulse: 0,
             subscribe_at: Nanos::MAX,
             unheard: 0,
@@ -186,7 +186,7 @@
     fn submitted(&mut self, submission: Submission) {
         let held = &self.held[submission as usize];
         let job = held.job;
-        self.flow.pass(self.now, job, held.work(&self.answers));
+        self.flow.pass(self.now, job);
         if usize::from(job.product) >= self.terms.products.len() {
             return self.finish(submission, false);
         }
@@ -396,7 +396,7 @@
         let present = self.terms.cold_from + (1.0 - self.terms.cold_from) * warmth;
         let window = self.terms.fall_window as f64;
         let bears = self.terms.fall_multiple * present * self.fleet.mean_slots(desk) * window;
-        let jobs = bears / self.flow.work;
+        let jobs = bears / self.flow.work(&self.answers);
         // The mean that stays below it with three deviations of chance.
         let mean = ((jobs + 2.25).sqrt() - 1.5).powi(2);
         Some(mean / f64::from(self.terms.nodes) / (self.flow.rush(self.now) * window))
--- a/crates/dispatch/tests/cold.rs
+++ b/crates/dispatch/tests/cold.rs
@@ -12,6 +12,8 @@
 const SECOND: Nanos = 1_000 * MS;
 const BASE: Nanos = 5_000 * SECOND;
 const TOOK: Nanos = 300 * MS;
+/// Longer than the agreed time, which is all that a node knows of a product before its first answer.
+const TOOK_LONG: Nanos = 900 * MS;
 const SLOTS: f32 = 4.0;
 const WARM: Worker = 24;
 const COLD: Worker = WARM;
@@ -44,6 +46,18 @@
     Full,
 }
 
+/// What is submitted.
+#[derive(Clone, Copy, Debug)]
+struct Jobs {
+    took: Nanos,
+    /// As a part of what the warm ones can do.
+    load: f64,
+}
+
+const USUAL: Jobs = Jobs { took: TOOK, load: 0.6 };
+/// More than the others can take, so that the cold one gets all that slow start allows.
+const LONG: Jobs = Jobs { took: TOOK_LONG, load: 1.5 };
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Happening {
     Submit(usize),
@@ -61,6 +75,7 @@
     next: u64,
     held: Vec<f32>,
     sent: Vec<Nanos>,
+    took: Nanos,
     trouble: Trouble,
 }
 
@@ -129,7 +144,7 @@
                     let crowded = self.trouble == Trouble::Full && now > START && worker % 4 != 0;
                     let full = worker != COLD && (crowded || self.held[worker as usize] >= 2.0 * SLOTS);
                     self.held[worker as usize] += f32::from(u8::from(!full));
-                    let took = if full { 2 * MS } else { TOOK };
+                    let took = if full { 2 * MS } else { self.took };
                     self.at(now + took, Happening::End(node, submission, execution, worker, full));
                 }
                 Order::Probe { worker } => {
@@ -165,17 +180,16 @@
 }
 
 /// What the settings allow the cold one in a window that begins then.
-fn allowed(at: Nanos) -> f64 {
+fn allowed(at: Nanos, took: Nanos) -> f64 {
     let warmth = (at.saturating_sub(START) as f64 / COLD_FOR as f64).min(1.0);
     let present = COLD_FROM + (1.0 - COLD_FROM) * warmth;
-    MULTIPLE * present * f64::from(SLOTS) * WINDOW as f64 / TOOK as f64
+    MULTIPLE * present * f64::from(SLOTS) * WINDOW as f64 / took as f64
 }
 
 /// The worst window, as what was sent over what may be, and the part of the budget that was used.
-fn play(seed: u64, nodes: usize, traffic: Traffic, trouble: Trouble) -> (f64, f64) {
+fn play(seed: u64, nodes: usize, traffic: Traffic, trouble: Trouble, jobs: Jobs) -> (f64, f64) {
     let mut chance = fastrand::Rng::with_seed(seed);
-    // Six tenths of what the warm ones can do.
-    let rate = 0.6 * f64::from(WARM) * f64::from(SLOTS) * 1e9 / TOOK as f64;
+    let rate = jobs.load * f64::from(WARM) * f64::from(SLOTS) * 1e9 / jobs.took as f64;
     let fresh = |seed, cold| {
         let mut dispatcher = Dispatcher::new(terms(seed, nodes as u32, rate));
         let entries: Vec<_> = (0..WARM + u32::from(cold)).map(listing).collect();
@@ -189,6 +203,7 @@
         next: 0,
         held: vec![0.0; WARM as usize + 1],
         sent: Vec::new(),
+        took: jobs.took,
         trouble,
     };
     let weights: Vec<f64> =
@@ -237,7 +252,7 @@
                 let report = Some(world.report(worker));
                 let outcome = if full { Outcome::Full } else { Outcome::Satisfied };
                 let ending =
-                    Ending { submission, execution, worker, outcome, closed: !full, took: TOOK, report };
+                    Ending { submission, execution, worker, outcome, closed: !full, took: jobs.took, report };
                 // What a life before this one sent is nobody's.
                 if (submission as usize) < world.nodes[node].2.len() {
                     world.decide(now, node, Event::Ended(ending));
@@ -258,10 +273,10 @@
         while window.front().is_some_and(|first| first + WINDOW <= at) {
             window.pop_front();
         }
-        let n = allowed(at.saturating_sub(WINDOW).max(START));
+        let n = allowed(at.saturating_sub(WINDOW).max(START), jobs.took);
         worst = worst.max(window.len() as f64 / (n + 2.0 * n.sqrt() + 2.0));
     }
-    let budget: f64 = (0..COLD_FOR / WINDOW).map(|w| allowed(START + w * WINDOW)).sum();
+    let budget: f64 = (0..COLD_FOR / WINDOW).map(|w| allowed(START + w * WINDOW, jobs.took)).sum();
     (worst, world.sent.len() as f64 / budget)
 }
 
@@ -271,7 +286,7 @@
     #[values(Traffic::Even, Traffic::Uneven, Traffic::Bursts, Traffic::Volleys)] traffic: Traffic,
     #[values(Trouble::None, Trouble::Restarts, Trouble::LateList, Trouble::Full)] trouble: Trouble,
 ) {
-    let played: Vec<_> = (1..=10).map(|seed| play(seed, nodes, traffic, trouble)).collect();
+    let played: Vec<_> = (1..=10).map(|seed| play(seed, nodes, traffic, trouble, USUAL)).collect();
     let worst = played.iter().map(|p| p.0).fold(0.0, f64::max);
     let used = played.iter().map(|p| p.1).sum::<f64>() / played.len() as f64;
     println!(
@@ -280,3 +295,19 @@
     assert!(worst <= 1.0, "worst window {worst:.2}");
     assert!(used >= 0.15, "used {used:.2}");
 }
+
+/// Where each node sees few submissions and few answers, what it first took for a job's work must not outlast the answers.
+#[rstest]
+fn long_jobs_seen_seldom_by_each_node_stay_within_the_budget(
+    #[values(Traffic::Even, Traffic::Uneven, Traffic::Bursts)] traffic: Traffic,
+    #[values(Trouble::None, Trouble::Restarts, Trouble::LateList)] trouble: Trouble,
+) {
+    let played: Vec<_> = (1..=40).map(|seed| play(seed, 100, traffic, trouble, LONG)).collect();
+    let worst = played.iter().map(|p| p.0).fold(0.0, f64::max);
+    let used = played.iter().map(|p| p.1).sum::<f64>() / played.len() as f64;
+    println!(
+        "{traffic:?} {trouble:?}: worst window {worst:.2} of what it bears, {used:.2} of the budget used"
+    );
+    assert!(worst <= 1.0, "worst window {worst:.2}");
+    assert!(used >= 0.15, "used {used:.2}");
+}
