Lists are read as JSON values whatever whitespace stands in them, in any pieces

Cause: the watch was split at newlines, so an object over several lines was refused at its first, and the watch with it, for as long as discovery worded lists that way.

Change: net/list_stream.rs takes the watch's bytes and gives lists and heartbeats. A scanner follows brackets and strings over pieces, looks at each byte once, and hands a whole object to List::read; List::read and its flat records are as before, so depth fills no stack. Only an empty line between objects is a heartbeat: a newline within an object does not keep a watch alive, and one that drips within an object is given up after 3 s like one that drips blanks. What can't begin an object ends the watch at once (before: at the newline); so does a string cut by a newline. Any other fault within an object shows at its last bracket (before: at the newline), and where that never comes the 3 s end the watch. The limit stays 4 MiB, counted from bracket to bracket; what stands between objects is not held.

serde_json's StreamDeserializer was not taken: it can't go on where it stopped, and reads an object that has not come whole from its beginning with each piece.

--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -12,23 +12,22 @@
 use serde_json::value::RawValue;
 use thiserror::Error;
 
+use super::list_stream::{self, ListStream, Message};
 use super::{Node, lock, object};
 use crate::http;
 use linestack_core::{Endpoint, Input};
 
 const CONNECT: Duration = Duration::from_millis(500);
 /// While nothing changes an empty line comes every 2 s, and a call waits in turn for as long as 3 s. What brings
-/// no whole line for longer is dead, though its connection may look open, and bytes may come; and what discovery
-/// has to tell counts as told after 6 s, after a change of discovery after 4 s. The reducer's `CALL_WITHIN` goes
-/// by this.
+/// neither a whole list nor a heartbeat for longer is dead, though its connection may look open, and bytes may come;
+/// and what discovery has to tell counts as told after 6 s, after a change of discovery after 4 s. The reducer's
+/// `CALL_WITHIN` goes by this.
 const SILENCE: Nanos = 3_000_000_000;
 /// For a call a little longer: that it was turned away after its wait is worth hearing.
 const CALL: Nanos = 3_250_000_000;
 /// For so long after a change of discovery a watch that fails is asked for again at once.
 pub(crate) const HURRY: Nanos = 4_000_000_000;
 const AGAIN: Duration = Duration::from_millis(100);
-/// The longest line of a list.
-const LINE: usize = 4 << 20;
 
 #[derive(Debug, Error)]
 pub enum Fault {
@@ -42,10 +41,8 @@
     Status(u16),
     #[error("the answer is not understood: {0}")]
     Head(&'static str),
-    #[error("a line is not a list: {0}")]
-    Line(#[from] serde_json::Error),
-    #[error("a line is longer than {LINE} bytes")]
-    Long,
+    #[error("the watch brought no list: {0}")]
+    List(#[from] list_stream::Fault),
     #[error("the watch ended")]
     Ended,
     #[error("another discovery has taken its place")]
@@ -131,9 +128,9 @@
         serde_json::to_vec(&list).unwrap_or_default()
     }
 
-    /// Reads a line. An entry that makes no sense is left out, the others count.
-    pub fn read(line: &[u8]) -> Result<Self, serde_json::Error> {
-        let raw: RawList = object(line)?;
+    /// Reads a list's JSON object. An entry that makes no sense is left out, the others count.
+    pub fn read(text: &[u8]) -> Result<Self, serde_json::Error> {
+        let raw: RawList = object(text)?;
         let endpoints = raw.endpoints.into_iter().filter_map(|entry| {
             let read = object(entry.get().as_bytes()).ok().and_then(endpoint);
             if read.is_none() {
@@ -222,10 +219,11 @@
     let version = after.map_or(String::new(), |index| format!("&after={index}"));
     let ask = format!("GET /v1/servers?watch=1{version} HTTP/1.1\r\nHost: {discovery}\r\n\r\n");
     socket.write_all(ask.as_bytes()).map_err(broke)?;
-    let (mut input, mut lines) = (BytesMut::new(), BytesMut::new());
+    let (mut input, mut decoded) = (BytesMut::new(), BytesMut::new());
     let mut body: Option<http::Body> = None;
+    let mut lists = ListStream::default();
     let mut due = *heard + CALL;
-    // Without a version to go on from, all that the first line names is all that there is.
+    // Without a version to go on from, all that the first list names is all that there is.
     let mut all = after.is_none();
     loop {
         let mut piece = [0; 4096];
@@ -255,30 +253,16 @@
             body = Some(http::Body::new(head.framing));
         }
         let Some(body) = &mut body else { continue };
-        let whole = body.take(&mut input, &mut lines).map_err(|f| Fault::Head(f.why))?;
-        while let Some(end) = lines.iter().position(|b| *b == b'\n') {
-            let line = lines.split_to(end + 1);
+        let whole = body.take(&mut input, &mut decoded).map_err(|f| Fault::Head(f.why))?;
+        lists.push(&decoded.split());
+        while let Some(message) = lists.next_message()? {
             *heard = node.clock.now();
             due = *heard + SILENCE;
-            if !line.trim_ascii().is_empty() {
-                let mut list = List::read(&line)?;
+            if let Message::List(mut list) = message {
                 list.whole |= std::mem::take(&mut all) && !list.endpoints.is_empty();
-                let (index, whole, entries) = (list.index, list.whole, list.endpoints.len());
-                {
-                    let mut watch = lock(&node.watch);
-                    if watch.number != number {
-                        return Err(Fault::Replaced);
-                    }
-                    watch.index = Some(index);
-                }
-                tracing::info!(index, whole, entries, "list");
-                node.feed(list.into());
-                node.heard(Some(index));
+                take(node, number, list)?;
             }
         }
-        if lines.len() > LINE {
-            return Err(Fault::Long);
-        }
         if node.clock.now() > due {
             return Err(Fault::Silent);
         }
@@ -287,3 +271,19 @@
         }
     }
 }
+
+/// Hands the reducer a list, if this is still the watch that is wanted.
+fn take(node: &Arc<Node>, number: u64, list: List) -> Result<(), Fault> {
+    let (index, whole, entries) = (list.index, list.whole, list.endpoints.len());
+    {
+        let mut watch = lock(&node.watch);
+        if watch.number != number {
+            return Err(Fault::Replaced);
+        }
+        watch.index = Some(index);
+    }
+    tracing::info!(index, whole, entries, "list");
+    node.feed(list.into());
+    node.heard(Some(index));
+    Ok(())
+}
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod discovery;
 pub mod executors;
+pub mod list_stream;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
--- a/crates/node/tests/ends/discovery.rs
+++ b/crates/node/tests/ends/discovery.rs
@@ -49,6 +49,18 @@
     None
 }
 
+/// A newline now and then, all of them within a list that never ends.
+fn drip_in_a_list(mut call: Call) -> Option<Call> {
+    call.asked().unwrap();
+    call.say(&format!("{OPEN}{}", chunk("{\"index\":1,\"endpoints\":[")));
+    std::thread::spawn(move || {
+        while std::io::Write::write_all(call.0.get_mut(), chunk("\n").as_bytes()).is_ok() {
+            std::thread::sleep(Duration::from_millis(500));
+        }
+    });
+    None
+}
+
 fn end_in_a_line(mut call: Call) -> Option<Call> {
     call.asked().unwrap();
     call.say(&format!("{OPEN}40\r\n{{\"index\":"));
@@ -64,6 +76,7 @@
 #[case::half_a_head(answer_half_a_head)]
 #[case::falls_silent(fall_silent)]
 #[case::drips(drip)]
+#[case::drips_in_a_list(drip_in_a_list)]
 #[case::ends_in_a_line(end_in_a_line)]
 fn discovery_is_asked_again_in_time(#[case] how: fn(Call) -> Option<Call>) {
     let discovery = Place::open();
@@ -92,6 +105,49 @@
     assert_eq!(status(message(&mut client)), 200);
 }
 
+/// What discovery says, over many lines.
+fn indented(text: &str) -> String {
+    let value: serde_json::Value = serde_json::from_str(text).unwrap();
+    serde_json::to_string_pretty(&value).unwrap()
+}
+
+/// A list of one executor, over many lines, that is the whole list.
+fn indented_list(index: u32, entry: &str) -> String {
+    indented(&format!("{{\"index\":{index},\"snapshot\":true,\"endpoints\":[{entry}]}}"))
+}
+
+// Each list was refused at its first line, and the watch with it.
+#[test]
+fn indented_lists_that_come_in_pieces_are_heard() {
+    let discovery = Place::open();
+    let node = Node::start_with(&configuration(&[], discovery.address, &[]));
+    let mut call = discovery.take();
+    call.asked().unwrap();
+    call.say(OPEN);
+    let (first, second) = (Place::open(), Place::open());
+    let lists = [
+        indented_list(5, &entry("w0", first.address)),
+        format!("{}\n", indented_list(6, &entry("w1", second.address))),
+    ];
+    for (id, (place, list)) in (1..).zip([first, second].into_iter().zip(&lists)) {
+        // Each part is read before the next is sent.
+        for part in list.as_bytes().chunks(list.len().div_ceil(4)) {
+            for piece in part.chunks(7) {
+                call.say(&chunk(std::str::from_utf8(piece).unwrap()));
+            }
+            node.fence();
+        }
+        let mut client = node.client();
+        send(&mut client, &job(id, "look", 1_500));
+        let mut executor = place.take();
+        assert_eq!(executor.id(), Some(id));
+        executor.say(&done(id, "r"));
+        assert_eq!(status(message(&mut client)), 200);
+    }
+    // It is still the first watch.
+    assert!(!discovery.waits() && !call.ready());
+}
+
 // A drain is told right after the return: what was decided before and waits for its connection is not sent.
 #[test]
 fn a_drain_told_while_a_connection_comes_up_late_keeps_it_unused() {
