--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -93,8 +93,8 @@
 const LONGER: Nanos = 4;
 /// Names that a list may bring beyond those of the settings.
 const MOST_NAMES: usize = 1024;
-/// Executors that have left and are kept beside as many as are there.
-const KEPT_LEFT: usize = 64;
+/// Executors that have left and are kept beside as many as are there: all of a large fleet, should a list leave them out.
+const KEPT_LEFT: usize = 1024;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
--- /dev/null
+++ b/crates/core/tests/fleet_size.rs
@@ -0,0 +1,131 @@
+//! A fleet of 350 processes and 1,100 executors, as one process's reducer sees it.
+
+mod common;
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use linestack_core::*;
+use linestack_dispatch::types::{Health, ListKind, Nanos};
+
+const MS: Nanos = 1_000_000;
+const LOOK: u8 = 2;
+const PROCESSES: &str = "\"balancers\": 350";
+const EXECUTORS: u32 = 1_100;
+/// Executors that have left and are remembered, at the least.
+const REMEMBERED: u32 = 1_024;
+/// Room for as many connections to executors as there are executors: three eighths of the descriptors, and an eighth of
+/// the memory at 20 KiB each.
+const SOCKETS: usize = 4_096;
+const MEMORY: usize = 192 << 20;
+
+struct Node {
+    core: Core,
+    now: Nanos,
+}
+
+impl Node {
+    fn new() -> Self {
+        let settings = common::SETTINGS.replace("\"balancers\": 2", PROCESSES);
+        let settings = settings.replace("\"mayProbe\": true", "\"mayProbe\": false");
+        // No tenant is over its quota here.
+        let settings = settings.replace("\"quotaPerS\": 50.0", "\"quotaPerS\": 1000000.0");
+        let settings = linestack_settings::read(settings.as_bytes(), 7).unwrap();
+        assert_eq!(settings.orders.nodes, 350);
+        Self { core: Core::new(settings, SOCKETS, MEMORY), now: 100_000 * MS }
+    }
+
+    fn feed(&mut self, input: Input) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.core.take(self.now, input, &mut effects);
+        effects
+    }
+
+    fn list(&mut self, kind: ListKind, executors: impl Iterator<Item = Endpoint>) {
+        self.feed(Input::Listed { kind, endpoints: executors.collect() });
+    }
+
+    /// Hands in a job and lets the connection that it asks for come up. Where it was sent, and over which link.
+    fn submit(&mut self, id: u64) -> Option<(Link, SocketAddr)> {
+        self.feed(Input::ClientUp { client: id });
+        let shipment = Arc::new(Shipment { id: Bytes::from(id.to_string()), ..Shipment::default() });
+        let intake =
+            Intake { product: LOOK, tenant: 0, patience: 5_000 * MS, slots: 1.0, memory: 0.0, shipment };
+        let asked = self.feed(Input::Submitted { client: id, intake });
+        let (link, address) = asked.iter().find_map(|e| match e {
+            Effect::Open { link, address, .. } => Some((*link, *address)),
+            _ => None,
+        })?;
+        let sent = self.feed(Input::LinkUp { link });
+        let sent = sent.iter().any(|e| matches!(e, Effect::Send { link: l, .. } if *l == link));
+        sent.then_some((link, address))
+    }
+}
+
+fn executor(number: u32, health: Health) -> Endpoint {
+    let [_, _, high, low] = number.to_be_bytes();
+    let address = SocketAddr::from(([127, 0, high, low], 7_000));
+    let (zone, kind) = ("here".to_owned(), "small".to_owned());
+    Endpoint { name: format!("w{number}"), address, zone, kind, group: 1, health, started: 0, weight: 1.0 }
+}
+
+fn ready(numbers: std::ops::Range<u32>) -> impl Iterator<Item = Endpoint> {
+    numbers.map(|number| executor(number, Health::Ready))
+}
+
+// Every executor is known by its own address, and jobs that are out at the same time are out at different ones as long as
+// that can be.
+#[test]
+fn eleven_hundred_executors_are_known_and_used() {
+    let mut node = Node::new();
+    node.list(ListKind::Whole, ready(0..EXECUTORS));
+    assert_eq!(node.core.stats().workers, EXECUTORS as usize);
+    assert_eq!(node.core.endpoints(), ready(0..EXECUTORS).collect::<Vec<_>>());
+    let mut reached = HashSet::new();
+    for id in 0..u64::from(EXECUTORS) {
+        node.now += MS;
+        reached.extend(node.submit(id).map(|(_, address)| address));
+    }
+    println!("{} of {EXECUTORS} executors were sent to", reached.len());
+    assert!(reached.len() > 1_024, "{}", reached.len());
+    assert_eq!(node.core.stats().broken, 0);
+}
+
+// All but one drain, told in one list of changes: whatever is handed in then goes to that one.
+#[test]
+fn a_change_of_a_thousand_entries_holds_for_each() {
+    let mut node = Node::new();
+    node.list(ListKind::Whole, ready(0..EXECUTORS));
+    let last = EXECUTORS - 1;
+    node.list(ListKind::Changes, (0..last).map(|number| executor(number, Health::Draining)));
+    let mut sent = 0;
+    for id in 0..64 {
+        node.now += 20 * MS;
+        if let Some((link, address)) = node.submit(id) {
+            assert_eq!(address, executor(last, Health::Ready).address);
+            node.feed(Input::Ended {
+                link,
+                outcome: Outcome::Satisfied,
+                result: Bytes::from_static(b"r"),
+                report: None,
+            });
+            sent += 1;
+        }
+    }
+    assert!(sent > 0);
+}
+
+// A list that names few for a moment costs nothing of what is known of the others: an index is given to another only when
+// more have left than are remembered.
+#[test]
+fn a_thousand_executors_that_left_together_are_remembered() {
+    let mut node = Node::new();
+    let stay = EXECUTORS - REMEMBERED;
+    node.list(ListKind::Whole, ready(0..EXECUTORS));
+    node.list(ListKind::Whole, ready(0..stay));
+    // The next that come get indices of their own.
+    node.list(ListKind::Changes, ready(EXECUTORS..EXECUTORS + REMEMBERED));
+    assert_eq!(node.core.stats().workers, (EXECUTORS + REMEMBERED) as usize);
+}
--- a/crates/node/src/fleet/coordinate.rs
+++ b/crates/node/src/fleet/coordinate.rs
@@ -19,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use socket2::SockRef;
 
 use super::config;
 use super::policy::check;
@@ -27,10 +28,13 @@
 use super::trail::Diary;
 use super::wire::{self, Body, Own, Pen, Who};
 use super::{boottime, draw, monotonic};
+use crate::net::BACKLOG;
 
 /// Sessions at a time, and frames that wait for one that reads slowly, before it is closed.
 const MOST_SESSIONS: usize = 3072;
 const WAITING: usize = 64;
+/// Letters that wait for another coordinator: all members may ask at once, and what each asks is passed on in one.
+const LETTERS: usize = 1024;
 /// Before another coordinator that could not be reached is tried again.
 const AGAIN: Duration = Duration::from_millis(50);
 /// A session that says nothing for so long is over: members say something at each third of a leave.
@@ -203,6 +207,7 @@
     let me = config.number;
     let own = Own { fleet: config.fleet.clone(), who: Who::Coordinator(me), life: disk.life };
     let listener = TcpListener::bind(config.listen)
+        .and_then(|listener| SockRef::from(&listener).listen(BACKLOG).map(|()| listener))
         .map_err(|e| format!("{}: coordinator.listen: {}: {e}", path.display(), config.listen))?;
     let listen = listener.local_addr().map_err(|e| e.to_string())?;
     let diary = Diary::open(config.history.as_deref(), &format!("c{me}"), disk.life.life)
@@ -290,7 +295,7 @@
 /// Sends to another coordinator, over a connection of its own. What can't be sent now is dropped: it is said again
 /// as long as it matters.
 fn dial(to: SocketAddr, own: Own) -> SyncSender<Letter> {
-    let (letters, waiting) = sync_channel::<Letter>(WAITING);
+    let (letters, waiting) = sync_channel::<Letter>(LETTERS);
     std::thread::spawn(move || {
         loop {
             let Ok((mut socket, _, mut pen)) = wire::greet(to, &own) else {
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -34,6 +34,10 @@
 /// looks at its sockets only when no coroutine can run.
 pub(crate) const TURN: Duration = Duration::from_millis(1);
 
+/// Connections that wait in a listener's queue to be accepted, where all of a fleet may come at once. The standard
+/// library asks the system for 128.
+pub(crate) const BACKLOG: i32 = 1024;
+
 /// Starts a coroutine.
 #[allow(unsafe_code)]
 pub fn spawn(work: impl FnOnce() + Send + 'static) {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -12,13 +12,19 @@
 use linestack_frames::{Reader, encode, kind};
 use linestack_peers::{FORM, Tale};
 use serde::{Deserialize, Serialize};
+use socket2::SockRef;
 
-use crate::net::Node;
+use crate::net::{BACKLOG, Node};
 
 /// For either side of one conversation.
 const PATIENCE: Duration = Duration::from_millis(500);
-/// Conversations at a time.
+/// Nodes that are told at a time: each takes a thread, a descriptor and, while it is told, up to a frame of memory. Others
+/// wait in the listener's queue.
 const MOST: usize = 16;
+/// How long it takes to look again whether one of them is done.
+const LOOK: Duration = Duration::from_millis(1);
+/// Addresses in `ask`.
+const MOST_PEERS: usize = 1024;
 /// Peers that are asked, one after the other, until one tells.
 const TRIES: usize = 2;
 
@@ -66,7 +72,7 @@
         }
     };
     must((1..=64).contains(&t.fleet.len()), "fleet", "from 1 to 64 characters");
-    must(t.ask.len() <= 256, "ask", "256 at most");
+    must(t.ask.len() <= MOST_PEERS, "ask", "1,024 at most");
     must((10..=10_000).contains(&t.young_ms), "young-ms", "from 10 to 10,000");
     if faults.is_empty() {
         Ok(Config { fleet: t.fleet, listen: t.listen, ask: t.ask, young: t.young_ms * 1_000_000 })
@@ -118,6 +124,7 @@
 pub fn listen(config: &Config, name: &str, node: &Arc<Node>) -> io::Result<()> {
     let Some(listen) = config.listen else { return Ok(()) };
     let listener = TcpListener::bind(listen)?;
+    SockRef::from(&listener).listen(BACKLOG)?;
     tracing::info!(peers_at = %listener.local_addr()?, "peers");
     let known: Vec<_> = config.ask.iter().map(SocketAddr::ip).collect();
     let (fleet, name, node) = (config.fleet.clone(), name.to_owned(), Arc::clone(node));
@@ -129,10 +136,13 @@
                 continue;
             };
             let near = socket.peer_addr().is_ok_and(|a| a.ip().is_loopback() || known.contains(&a.ip()));
-            if !near || open.fetch_add(1, Ordering::Relaxed) >= MOST {
-                open.fetch_sub(usize::from(near), Ordering::Relaxed);
+            if !near {
                 continue;
             }
+            while open.load(Ordering::Relaxed) >= MOST {
+                std::thread::sleep(LOOK);
+            }
+            open.fetch_add(1, Ordering::Relaxed);
             let (fleet, name, node, gone) =
                 (fleet.clone(), name.clone(), Arc::clone(&node), Arc::clone(&open));
             std::thread::spawn(move || {
--- a/crates/node/tests/back.rs
+++ b/crates/node/tests/back.rs
@@ -214,6 +214,48 @@
     assert_eq!(post(address, "last"), 200);
 }
 
+// All processes of a fleet may start at once and ask the same running one: who comes while as many are told as it tells at
+// a time waits for its turn. It was closed on.
+#[test]
+fn who_asks_a_busy_peer_waits_for_its_turn() {
+    use std::io::{Read as _, Write as _};
+    let mut node = Node::new();
+    let file = node.folder.path().join("peers.toml");
+    std::fs::write(&file, "[peers]\nfleet = \"f\"\nlisten = \"127.0.0.1:0\"\n").unwrap();
+    node.process.variables.push(("PROXY_PEERS".into(), file.display().to_string()));
+    serves(node.starts().unwrap());
+    let listener: std::net::SocketAddr = node.process.word("peers_at=", 0).unwrap().parse().unwrap();
+    let connect = || {
+        let socket = std::net::TcpStream::connect(listener).unwrap();
+        socket.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        socket
+    };
+    // These say nothing until their time is over.
+    let silent: Vec<_> = (0..40).map(|_| connect()).collect();
+    let mut socket = connect();
+    let ask = br#"{"form":1,"fleet":"f","node":"x"}"#;
+    socket.write_all(&linestack_frames::encode(13, ask).unwrap()).unwrap();
+    let mut answer = [0; linestack_frames::HEAD];
+    socket.read_exact(&mut answer).expect("not told");
+    assert_eq!(answer[4], linestack_frames::kind("tale").unwrap());
+    drop(silent);
+}
+
+#[rstest]
+#[case::a_thousand(1_024, true)]
+#[case::more(1_025, false)]
+fn peers_to_ask(#[case] count: usize, #[case] fine: bool) {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("peers.toml");
+    let ask = vec!["\"127.0.0.1:1\""; count].join(",");
+    std::fs::write(&file, format!("[peers]\nfleet = \"f\"\nask = [{ask}]\n")).unwrap();
+    let read = linestack::peers::config(&file);
+    assert_eq!(
+        read.as_ref().map(|c| c.ask.len()).map_err(|e| e.contains("peers.ask")),
+        if fine { Ok(count) } else { Err(true) }
+    );
+}
+
 /// A node with a store, and what it takes to start it.
 struct Node {
     process: Process,
--- a/crates/node/tests/list.rs
+++ b/crates/node/tests/list.rs
@@ -1,7 +1,12 @@
 //! The list of executors, as discovery words it.
 
+use std::net::SocketAddr;
+
+use linestack::http;
 use linestack::net::discovery::List;
+use linestack_core::Endpoint;
 use linestack_dispatch::types::Health;
+use linestack_store::{Folder, Limits, Op, Store};
 use rstest::rstest;
 
 #[rstest]
@@ -24,3 +29,28 @@
         assert_eq!((e.health, e.group, e.started), (Health::Draining, 3, 1_500_000_000));
     }
 }
+
+// Kept in a node's store, so that it knows whom to ask when it comes back.
+#[test]
+fn a_list_of_eleven_hundred_executors_with_long_names_can_be_kept() {
+    let entry = |i: u32| Endpoint {
+        name: format!("{i:0>1024}"),
+        address: SocketAddr::from(([127, 0, 0, 1], 5)),
+        zone: "here".into(),
+        kind: "small".into(),
+        group: 1,
+        health: Health::Ready,
+        started: 1_500_000_000,
+        weight: 1.0,
+    };
+    let list = List { index: 1, whole: true, endpoints: (0..1_100).map(entry).collect() };
+    let text = list.write();
+    println!("{} bytes", text.len());
+    assert!(text.len() < linestack_store::LARGEST - http::HEAD, "{}", text.len());
+    let folder = tempfile::tempdir().unwrap();
+    let open = |new| Store::open(Folder::open(folder.path()).unwrap(), Limits::default(), new, 1).unwrap();
+    let put = Op::Put { kind: 2, key: b"list".to_vec(), value: text, at: 1 };
+    open(true).commit(&[put], 1).unwrap();
+    let kept = open(false).get(2, b"list").unwrap().unwrap();
+    assert_eq!(List::read(&kept).unwrap(), list);
+}
--- a/crates/node/tests/starts.rs
+++ b/crates/node/tests/starts.rs
@@ -6,6 +6,7 @@
 use linestack_rig::load;
 use linestack_rig::stand::Fleet;
 use linestack_world::{Product, Scenario};
+use rstest::rstest;
 
 #[test]
 fn every_start_serves_and_every_stop_ends_well() {
@@ -29,3 +30,14 @@
     assert_eq!(counted.ready, plan.count);
     assert!(load.join().unwrap().unwrap().satisfied > 0, "there was no load");
 }
+
+#[rstest]
+#[case::a_thousand(1_024, true)]
+#[case::more(1_025, false)]
+fn nodes_alive_at_a_time(#[case] at_once: usize, #[case] fine: bool) {
+    let fleet = Fleet::start(&Scenario::default()).unwrap();
+    let within = Duration::from_secs(60);
+    let plan = Plan { count: 1, at_once, ready_within: within, hung_after: within, via: Vec::new() };
+    let counted = starts(env!("CARGO_BIN_EXE_linestack").as_ref(), &fleet, &plan);
+    assert_eq!(counted.is_ok(), fine, "{counted:?}");
+}
--- a/crates/rig/tests/rig.rs
+++ b/crates/rig/tests/rig.rs
@@ -108,6 +108,15 @@
     assert!(fault.contains(key), "{fault}");
 }
 
+#[rstest]
+#[case::nodes("nodes")]
+#[case::executors("executors")]
+fn plans_of_a_thousand_processes_or_executors_make_sense(#[case] key: &str) {
+    Plan::read(&format!("{key} = 1024")).unwrap();
+    let fault = Plan::read(&format!("{key} = 1025")).unwrap_err().to_string();
+    assert!(fault.contains(&format!("{key}: from 1 to 1,024")), "{fault}");
+}
+
 #[test]
 fn all_faults_are_told_at_once() {
     assert_eq!(Plan::read("nodes = 0\nexecutors = 0").unwrap_err().to_string().lines().count(), 2);
--- a/crates/store/src/form.rs
+++ b/crates/store/src/form.rs
@@ -6,8 +6,8 @@
 
 /// Of all files. Others are refused.
 pub const FORM: u16 = 1;
-/// Bytes of a key and a value together, at most.
-pub const LARGEST: usize = 256 * 1024;
+/// Bytes of a key and a value together, at most: a list of 1,024 executors with 2 KB each. Nothing is set aside for it.
+pub const LARGEST: usize = 2 << 20;
 /// Records begin at multiples of this, so that no head lies across the end of a sector.
 pub(crate) const ALIGN: usize = 16;
 /// Of a disk: written whole or not at all, as far as a store counts on it.
