A test of one process of 350 with 1,100 executors, over loopback, within 128 MB

Discovery tells the whole list indented, in chunks of 1,000 bytes, then a change of 1,099 entries; the executors share four listeners, and the last has its own, which is where a job must go once all others drain. Stated and asserted: 350 processes, 1,100 executors known, 128 MB resident at the most, nine jobs in ten done. Its limits are those of the tests beside it: 256 descriptors, so 90 connections to executors at a time, and 32 MB in the configuration.

--- a/crates/node/tests/ends/main.rs
+++ b/crates/node/tests/ends/main.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod descriptors;
 mod discovery;
+mod fleet_size;
 mod gone;
 mod links;
 mod stand;
--- a/crates/node/tests/ends/stand.rs
+++ b/crates/node/tests/ends/stand.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
 use socket2::{Domain, SockAddr, SockRef, Socket, Type};
@@ -179,6 +180,8 @@
 pub struct Node {
     pub process: Child,
     pub address: SocketAddr,
+    /// What it logs from when it listens.
+    pub log: Receiver<String>,
     path: PathBuf,
 }
 
@@ -234,8 +237,10 @@
         let log = BufReader::new(process.stderr.take().unwrap());
         let mut lines = log.lines().map(Result::unwrap);
         let address = lines.find_map(|l| Some(l.split_once("listen=")?.1.split(' ').next()?.to_owned()));
-        std::thread::spawn(move || lines.for_each(drop));
-        Self { process, address: address.unwrap().parse().unwrap(), path }
+        let (logged, log) = channel();
+        // Read whether anybody looks at it or not.
+        std::thread::spawn(move || lines.for_each(|line| drop(logged.send(line))));
+        Self { process, address: address.unwrap().parse().unwrap(), log, path }
     }
 
     pub fn signal(&self, signal: &str) {
