linestack-lab scale: hollow members beside real coordinators, slopes, limits on counts

Cause: the size to design for (860 members, 14,000 jobs in hand) had no measurement: `fleet size` plays a machine that costs nothing, and the rig's real processes end at 200 members.

Change: `linestack-lab scale FILE` starts real coordinators and as many hollow members as the file names (the member's state machine and real sessions over loopback, one process), puts changes with all there, with some dead and with a zone silent, and tells messages, bytes, processor time, resident memory, descriptors and time in force; real nodes beside them where the file says so; a dispatching node's reducer in a process of its own. Least squares with residuals, a bend told as one, `--json`. Files are checked as a whole, each fault by its key; what does not fit is refused by the limit's name (memory, descriptors, processes); it ends itself and all that it started after its time, on SIGINT and on SIGTERM, with 3. `Process::id` in the rig.

Checks: short forms at 50 and 100 members and at 100 and 1,100 workers limit counts alone. Bad files, interrupts and the end of the time are tests, with no process left.

Did not help: the first hollow member looked at its timer before at what had come, and connected without a pause; it gave up sessions that were answered, and at 1,100 members changes took up to 16 s.

Known limits: a run that is killed outright (SIGKILL) leaves its processes; hollow members have no store; no HTML report.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod play;
 pub mod policies;
 pub mod report;
+pub mod scale;
 pub mod starts;
 pub mod sweep;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -14,6 +14,7 @@
 use linestack_lab::play::{Played, mean, play_all, seeds};
 use linestack_lab::policies::Policy;
 use linestack_lab::report;
+use linestack_lab::scale;
 use linestack_lab::starts;
 use linestack_lab::sweep::{Axis, grid};
 use linestack_rig::load::{self, Loaded, Plan};
@@ -176,6 +177,13 @@
         #[command(subcommand)]
         command: fleet::Command,
     },
+    /// Measure what control and a dispatching node cost at growing sizes: hollow members beside real coordinators, all
+    /// on loopback, and slopes through what was found. Exits with 1 if a limit of the file is passed, 3 if it was
+    /// interrupted or its time was over.
+    Scale(scale::Arguments),
+    /// One dispatching node, measured in a process of its own.
+    #[command(hide = true)]
+    ScaleNode(scale::NodeArguments),
     /// Play scenario files again, as they are. Exits with 1 if a rule was broken.
     Replay { scenarios: Vec<PathBuf> },
 }
@@ -341,6 +349,8 @@
             }
             Ok(ExitCode::SUCCESS)
         }
+        Command::Scale(told) => scale::go(told, arguments.json, arguments.quiet),
+        Command::ScaleNode(told) => scale::go_node(told),
         Command::Fleet { command } => fleet::go(command, arguments.json),
         Command::Replay { scenarios } => {
             let all = scenarios.iter().map(|p| file::read(p)).collect::<Result<Vec<_>, _>>()?;
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -64,6 +64,12 @@
         self.child.is_some()
     }
 
+    /// Its number at the system, while it runs.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Starts it. Its log is appended to that of earlier runs.
     ///
     /// # Errors
