--- a/crates/world/src/executor.rs
+++ b/crates/world/src/executor.rs
@@ -10,15 +10,15 @@
 
 /// Who handed in a job: the node, which of its lives, and the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct Line {
+pub(crate) struct ConnectionId {
     pub(crate) node: usize,
-    pub(crate) life: u32,
+    pub(crate) incarnation: u32,
     pub(crate) link: Link,
 }
 
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
-    pub(crate) line: Line,
+    pub(crate) connection: ConnectionId,
     pub(crate) attempt: usize,
     /// Seconds of work left, at speed 1.
     pub(crate) left: f64,
@@ -28,23 +28,23 @@
 
 /// What is wrong with it now.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Ills {
-    pub(crate) hung: bool,
+pub(crate) struct ActiveFaults {
+    pub(crate) hangs: bool,
     pub(crate) paused: bool,
-    pub(crate) vanished: bool,
-    pub(crate) slow: Option<f64>,
-    pub(crate) neighbour: f64,
-    pub(crate) neighbour_on: bool,
-    pub(crate) fails: f64,
+    pub(crate) unreachable: bool,
+    pub(crate) slowed_to: Option<f64>,
+    pub(crate) neighbour_share: f64,
+    pub(crate) neighbour_active: bool,
+    pub(crate) error_rate: f64,
     pub(crate) product_fails: bool,
-    pub(crate) loses: f64,
-    pub(crate) refuses: f64,
-    pub(crate) garbage: f64,
-    pub(crate) lies: bool,
-    pub(crate) late: Nanos,
+    pub(crate) loss_rate: f64,
+    pub(crate) refusal_rate: f64,
+    pub(crate) garbage_rate: f64,
+    pub(crate) reports_idle: bool,
+    pub(crate) report_delay: Nanos,
     /// Messages from nodes, and to nodes, are lost.
-    pub(crate) deaf: bool,
-    pub(crate) mute: bool,
+    pub(crate) inbound_cut: bool,
+    pub(crate) outbound_cut: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -62,21 +62,21 @@
     pub(crate) alive: bool,
     pub(crate) draining: bool,
     /// Sent too much while it was cold; it stays down.
-    pub(crate) fallen: bool,
-    pub(crate) life: u32,
+    pub(crate) collapsed: bool,
+    pub(crate) incarnation: u32,
     pub(crate) started: Nanos,
-    pub(crate) ills: Ills,
+    pub(crate) faults: ActiveFaults,
     pub(crate) connections: usize,
     pub(crate) running: Vec<Job>,
     pub(crate) waiting: VecDeque<Job>,
     pub(crate) in_use: f64,
     /// Seconds of work that handshakes and probes still want.
-    debt: f64,
+    overhead: f64,
     updated: Nanos,
     /// Wakes set before the last change are not meant any more.
     pub(crate) wake: u64,
     /// Load reports as they stood, the newest last.
-    told: VecDeque<(Nanos, Report)>,
+    reports: VecDeque<(Nanos, Report)>,
     pub(crate) worked: f64,
 }
 
@@ -103,36 +103,36 @@
             cold_for: crate::scenario::seconds(e.cold_s),
             alive: true,
             draining: false,
-            fallen: false,
-            life: 0,
+            collapsed: false,
+            incarnation: 0,
             started: 0,
-            ills: Ills::default(),
+            faults: ActiveFaults::default(),
             connections: 0,
             running: Vec::new(),
             waiting: VecDeque::new(),
             in_use: 0.0,
-            debt: 0.0,
+            overhead: 0.0,
             updated: now,
             wake: 0,
-            told: VecDeque::new(),
+            reports: VecDeque::new(),
             worked: 0.0,
         }
     }
 
-    pub(crate) fn serves(&self) -> bool {
-        self.alive && !self.ills.vanished
+    pub(crate) fn is_reachable(&self) -> bool {
+        self.alive && !self.faults.unreachable
     }
 
-    pub(crate) fn halted(&self) -> bool {
-        !self.alive || self.ills.vanished || self.ills.hung || self.ills.paused
+    pub(crate) fn is_stalled(&self) -> bool {
+        !self.alive || self.faults.unreachable || self.faults.hangs || self.faults.paused
     }
 
-    pub(crate) fn cold(&self, now: Nanos) -> bool {
+    pub(crate) fn is_cold(&self, now: Nanos) -> bool {
         self.started > 0 && now < self.started + self.cold_for
     }
 
     pub(crate) fn warmth(&self, now: Nanos) -> f64 {
-        if !self.cold(now) {
+        if !self.is_cold(now) {
             return 1.0;
         }
         let age = now.saturating_sub(self.started) as f64 / self.cold_for as f64;
@@ -145,11 +145,11 @@
     }
 
     fn core_speed(&self, now: Nanos) -> f64 {
-        self.speed * self.ills.slow.unwrap_or(1.0) * self.warmth(now)
+        self.speed * self.faults.slowed_to.unwrap_or(1.0) * self.warmth(now)
     }
 
     fn cores_left(&self) -> f64 {
-        let taken = if self.ills.neighbour_on { self.ills.neighbour } else { 0.0 };
+        let taken = if self.faults.neighbour_active { self.faults.neighbour_share } else { 0.0 };
         (self.cores * (1.0 - taken)).max(0.05)
     }
 
@@ -163,26 +163,26 @@
         let span = now.saturating_sub(self.updated) as f64 / 1e9;
         let (pace, all) = (self.pace(self.updated), self.core_speed(self.updated) * self.cores_left());
         self.updated = now;
-        if self.halted() || span <= 0.0 {
+        if self.is_stalled() || span <= 0.0 {
             return;
         }
-        let paid = self.debt.min(all * span);
-        self.debt -= paid;
-        let span = span - paid / all;
+        let spent = self.overhead.min(all * span);
+        self.overhead -= spent;
+        let span = span - spent / all;
         for job in &mut self.running {
             job.left -= pace * span;
             self.worked += pace * span;
         }
     }
 
-    pub(crate) fn owe(&mut self, now: Nanos, work: f64) {
+    pub(crate) fn add_overhead(&mut self, now: Nanos, work: f64) {
         self.advance(now);
-        self.debt += work;
+        self.overhead += work;
     }
 
     /// When something will be done, if it goes on as now.
     pub(crate) fn next(&self, now: Nanos) -> Option<Nanos> {
-        if self.halted() {
+        if self.is_stalled() {
             return None;
         }
         let left = self.running.iter().map(|j| j.left).fold(f64::INFINITY, f64::min);
@@ -190,16 +190,16 @@
             return None;
         }
         let all = self.core_speed(now) * self.cores_left();
-        let span = left.max(0.0) / self.pace(now) + self.debt / all;
+        let span = left.max(0.0) / self.pace(now) + self.overhead / all;
         // A cold one gets faster: it is looked at again before.
-        let span = if self.cold(now) { span.min(0.25) } else { span };
+        let span = if self.is_cold(now) { span.min(0.25) } else { span };
         Some(now + (span * 1e9).ceil().min(1e18) as Nanos + 1)
     }
 
     /// Starts what fits, in order; the head waits until it does.
     pub(crate) fn start(&mut self, now: Nanos) -> usize {
         let before = self.running.len();
-        if self.halted() {
+        if self.is_stalled() {
             return before;
         }
         while let Some(job) = self.waiting.front() {
@@ -237,8 +237,8 @@
     pub(crate) fn clear(&mut self) {
         self.running.clear();
         self.waiting.clear();
-        (self.in_use, self.debt, self.connections) = (0.0, 0.0, 0);
-        self.told.clear();
+        (self.in_use, self.overhead, self.connections) = (0.0, 0.0, 0);
+        self.reports.clear();
     }
 
     pub(crate) fn free(&self) -> f64 {
@@ -259,21 +259,21 @@
         let (free, waiting) = ((self.slots - self.in_use).max(0.0), self.waiting.len() as f64);
         let in_hand = (self.running.len() + self.waiting.len()) as f64;
         let present = Report {
-            free_slots: Some(noisy(if self.ills.lies { self.slots } else { free })),
-            waiting: Some(noisy(if self.ills.lies { 0.0 } else { waiting })),
-            in_hand: Some(noisy(if self.ills.lies { 0.0 } else { in_hand })),
+            free_slots: Some(noisy(if self.faults.reports_idle { self.slots } else { free })),
+            waiting: Some(noisy(if self.faults.reports_idle { 0.0 } else { waiting })),
+            in_hand: Some(noisy(if self.faults.reports_idle { 0.0 } else { in_hand })),
             free_memory: None,
         };
-        let delay = delay + self.ills.late;
+        let delay = delay + self.faults.report_delay;
         if period == 0 && delay == 0 {
             return present;
         }
-        if self.told.back().is_none_or(|(at, _)| now >= at + period) {
-            self.told.push_back((now, present));
+        if self.reports.back().is_none_or(|(at, _)| now >= at + period) {
+            self.reports.push_back((now, present));
         }
-        while self.told.len() > 1 && self.told[1].0 + delay <= now {
-            self.told.pop_front();
+        while self.reports.len() > 1 && self.reports[1].0 + delay <= now {
+            self.reports.pop_front();
         }
-        self.told[0].1
+        self.reports[0].1
     }
 }
--- a/crates/world/src/judge.rs
+++ b/crates/world/src/judge.rs
@@ -6,7 +6,7 @@
 use linestack_dispatch::types::Health;
 use serde::Serialize;
 
-use crate::executor::Line;
+use crate::executor::ConnectionId;
 use crate::scenario::Repeats;
 
 /// The four rules, by what breaks them.
@@ -58,7 +58,7 @@
 
 #[derive(Clone, Debug)]
 struct Sent {
-    line: Line,
+    connection: ConnectionId,
     group: u16,
     at: Nanos,
     ran: Ran,
@@ -67,7 +67,7 @@
 /// A submission that a node took.
 #[derive(Clone, Debug)]
 struct Case {
-    life: (usize, u32),
+    incarnation: (usize, u32),
     repeats: Repeats,
     memory: Nanos,
     cut_off: Nanos,
@@ -114,13 +114,13 @@
     pub(crate) fn taken(
         &mut self,
         attempt: usize,
-        life: (usize, u32),
+        incarnation: (usize, u32),
         repeats: Repeats,
         memory: Nanos,
         cut_off: Nanos,
     ) {
         let (answered, excused, sent, runs, made) = (None, false, Vec::new(), 0, false);
-        let case = Case { life, repeats, memory, cut_off, answered, excused, sent, runs, made };
+        let case = Case { incarnation, repeats, memory, cut_off, answered, excused, sent, runs, made };
         self.cases.insert(attempt, case);
     }
 
@@ -129,9 +129,9 @@
     }
 
     /// A node died or ended: what it holds is left to the clients.
-    pub(crate) fn died(&mut self, life: (usize, u32)) {
-        self.cases.values_mut().filter(|c| c.life == life).for_each(|c| c.excused = true);
-        self.told.retain(|(node, _), _| *node != life.0);
+    pub(crate) fn died(&mut self, incarnation: (usize, u32)) {
+        self.cases.values_mut().filter(|c| c.incarnation == incarnation).for_each(|c| c.excused = true);
+        self.told.retain(|(node, _), _| *node != incarnation.0);
     }
 
     pub(crate) fn answered(&mut self, attempt: usize, answer: &Answer, now: Nanos) {
@@ -159,8 +159,15 @@
     }
 
     /// The first byte of an execution left a node.
-    pub(crate) fn sent(&mut self, attempt: usize, line: Line, executor: usize, group: u16, now: Nanos) {
-        if let Some((at, health)) = self.told.get(&(line.node, executor))
+    pub(crate) fn sent(
+        &mut self,
+        attempt: usize,
+        connection: ConnectionId,
+        executor: usize,
+        group: u16,
+        now: Nanos,
+    ) {
+        if let Some((at, health)) = self.told.get(&(connection.node, executor))
             && *health != Health::Ready
             && now > at + self.grace + self.slack
         {
@@ -172,7 +179,7 @@
         };
         let answered = case.answered.is_some();
         let earlier: Vec<_> = case.sent.iter().filter(|s| s.ran == Ran::MayHave).cloned().collect();
-        case.sent.push(Sent { line, group, at: now, ran: Ran::MayHave });
+        case.sent.push(Sent { connection, group, at: now, ran: Ran::MayHave });
         let (repeats, memory) = (case.repeats, case.memory);
         if answered {
             self.breach(Rule::SentAfterAnswer, now, format!("{attempt}"));
@@ -189,9 +196,9 @@
     }
 
     /// What went over the connection is proved not to have run.
-    pub(crate) fn never_ran(&mut self, attempt: usize, line: Line) {
+    pub(crate) fn never_ran(&mut self, attempt: usize, connection: ConnectionId) {
         let case = self.cases.get_mut(&attempt);
-        let sent = case.and_then(|c| c.sent.iter_mut().rfind(|s| s.line == line));
+        let sent = case.and_then(|c| c.sent.iter_mut().rfind(|s| s.connection == connection));
         sent.into_iter().for_each(|s| s.ran = Ran::Never);
     }
 
@@ -209,7 +216,7 @@
         self.cases.get_mut(&attempt).into_iter().for_each(|c| c.made = true);
     }
 
-    /// Discovery wrote a line to a node.
+    /// Discovery told a node of an executor.
     pub(crate) fn told(&mut self, node: usize, executor: usize, health: Health, now: Nanos) {
         let told = self.told.entry((node, executor)).or_insert((now, health));
         if told.1 == Health::Ready || health == Health::Ready {
--- a/crates/world/src/standin.rs
+++ b/crates/world/src/standin.rs
@@ -8,7 +8,7 @@
 use rand_distr::{Distribution as _, LogNormal};
 use rand_pcg::Pcg64Mcg;
 
-use crate::executor::{Executor, Job, Line};
+use crate::executor::{ConnectionId, Executor, Job};
 use crate::judge::bears;
 use crate::scenario::{Fault, Scenario, millis};
 
@@ -68,7 +68,7 @@
 
     /// A job of a product is on its way to it. True if that is more than it bears, cold as it is.
     pub fn pushed_over(&mut self, now: Nanos, product: &str) -> bool {
-        if !self.e.cold(now) {
+        if !self.e.is_cold(now) {
             return false;
         }
         let place = self.products.get(product).copied().unwrap_or(0);
@@ -106,15 +106,15 @@
     pub fn offer(&mut self, now: Nanos, ticket: Ticket, product: &str) -> Offer {
         let place = self.products.get(product).copied().unwrap_or(0);
         let p = &self.s.products[place];
-        let ills = &self.e.ills;
-        if !ills.hung {
-            if self.e.draining || self.rng.random::<f64>() < ills.refuses {
+        let faults = &self.e.faults;
+        if !faults.hangs {
+            if self.e.draining || self.rng.random::<f64>() < faults.refusal_rate {
                 return Offer::Full;
             }
-            if self.rng.random::<f64>() < ills.fails || (ills.product_fails && place == 0) {
+            if self.rng.random::<f64>() < faults.error_rate || (faults.product_fails && place == 0) {
                 return Offer::Failed;
             }
-            if self.rng.random::<f64>() < ills.loses {
+            if self.rng.random::<f64>() < faults.loss_rate {
                 return Offer::Lost;
             }
         }
@@ -133,8 +133,8 @@
             mean
         };
         self.e.advance(now);
-        let line = Line { node: 0, life: 0, link: ticket };
-        self.e.waiting.push_back(Job { line, attempt: 0, left, slots: p.slots, started: 0 });
+        let connection = ConnectionId { node: 0, incarnation: 0, link: ticket };
+        self.e.waiting.push_back(Job { connection, attempt: 0, left, slots: p.slots, started: 0 });
         Offer::Taken
     }
 
@@ -152,9 +152,9 @@
     pub fn withdraw(&mut self, now: Nanos, ticket: Ticket) -> bool {
         self.e.advance(now);
         let waited = self.e.waiting.len();
-        self.e.waiting.retain(|j| j.line.link != ticket);
+        self.e.waiting.retain(|j| j.connection.link != ticket);
         if self.s.executors[self.e.spec].cancels {
-            self.e.running.retain(|j| j.line.link != ticket);
+            self.e.running.retain(|j| j.connection.link != ticket);
             self.e.count();
         }
         self.e.waiting.len() < waited
@@ -163,9 +163,9 @@
     /// What is done by now, and when to look again.
     pub fn turn(&mut self, now: Nanos) -> (Vec<Ticket>, Option<Nanos>) {
         self.e.advance(now);
-        let done = if self.e.halted() { Vec::new() } else { self.e.done() };
+        let done = if self.e.is_stalled() { Vec::new() } else { self.e.done() };
         self.e.start(now);
-        (done.into_iter().map(|j| j.line.link).collect(), self.e.next(now))
+        (done.into_iter().map(|j| j.connection.link).collect(), self.e.next(now))
     }
 
     pub fn report(&mut self, now: Nanos) -> Option<Report> {
@@ -177,24 +177,24 @@
     /// Whether it answers anything, probes too.
     #[must_use]
     pub fn answers(&self) -> bool {
-        !self.e.halted()
+        !self.e.is_stalled()
     }
 
     /// A trouble begins or ends. False for one that is not an executor's own.
     pub fn ail(&mut self, now: Nanos, kind: Fault, size: f64, begins: bool) -> bool {
         self.e.advance(now);
         let part = if begins { size } else { 0.0 };
-        let ills = &mut self.e.ills;
+        let faults = &mut self.e.faults;
         match kind {
-            Fault::Hang => ills.hung = begins,
-            Fault::Pauses => ills.paused = begins,
-            Fault::Slow => ills.slow = begins.then_some(size.max(0.01)),
-            Fault::Neighbour => (ills.neighbour, ills.neighbour_on) = (part, begins),
-            Fault::FastErrors => ills.fails = part,
-            Fault::ProductFails => ills.product_fails = begins,
-            Fault::Lose => ills.loses = part,
-            Fault::Refuse => ills.refuses = part,
-            Fault::Lie => ills.lies = begins,
+            Fault::Hang => faults.hangs = begins,
+            Fault::Pauses => faults.paused = begins,
+            Fault::Slow => faults.slowed_to = begins.then_some(size.max(0.01)),
+            Fault::Neighbour => (faults.neighbour_share, faults.neighbour_active) = (part, begins),
+            Fault::FastErrors => faults.error_rate = part,
+            Fault::ProductFails => faults.product_fails = begins,
+            Fault::Lose => faults.loss_rate = part,
+            Fault::Refuse => faults.refusal_rate = part,
+            Fault::Lie => faults.reports_idle = begins,
             _ => return false,
         }
         true
--- a/crates/world/src/world/clients.rs
+++ b/crates/world/src/world/clients.rs
@@ -7,8 +7,8 @@
 use rand::Rng as _;
 use rand_distr::{Distribution as _, LogNormal};
 
-use super::event::{Ending, Happening};
-use super::{MS, SECOND, World};
+use super::event::{ClientOutcome, Event};
+use super::{MILLISECOND, SECOND, World};
 use crate::judge::Rule;
 use crate::scenario::{Backoff, Repeats, Scenario, Shape, millis, seconds};
 
@@ -16,7 +16,7 @@
 const REFUSALS: u32 = 3;
 
 /// What a client wants, with its retries.
-pub(super) struct First {
+pub(super) struct ClientRequest {
     pub(super) product: usize,
     pub(super) tenant: usize,
     pub(super) work: f64,
@@ -33,7 +33,7 @@
 }
 
 pub(super) struct Attempt {
-    pub(super) first: usize,
+    pub(super) request: usize,
     pub(super) sent: Nanos,
     pub(super) refusals: u32,
     /// The node that holds it, and when it took it.
@@ -49,7 +49,7 @@
 impl World<'_> {
     pub(super) fn times(&self, now: Nanos) -> f64 {
         let t = now as f64 / 1e9;
-        let load = &self.s.load;
+        let load = &self.scenario.load;
         let step = load.steps.iter().rev().find(|s| s.at_s <= t).map_or(1.0, |s| s.times);
         let turn = t / load.period_s;
         let swing = match load.shape {
@@ -62,15 +62,16 @@
     }
 
     pub(super) fn arrives(&mut self) {
-        if self.now >= seconds(self.s.span_s) {
+        if self.now >= seconds(self.scenario.span_s) {
             return;
         }
-        let most = self.s.load.steps.iter().map(|s| s.times).fold(1.0, f64::max) * (1.0 + self.s.load.swing);
-        let shares: f64 = self.s.tenants.iter().map(|t| t.share).sum();
-        let sent: f64 = self.s.tenants.iter().map(|t| t.share * t.usage).sum();
-        let rate = self.s.rate() * sent / shares.max(1e-9) * most;
+        let most = self.scenario.load.steps.iter().map(|s| s.times).fold(1.0, f64::max)
+            * (1.0 + self.scenario.load.swing);
+        let shares: f64 = self.scenario.tenants.iter().map(|t| t.share).sum();
+        let sent: f64 = self.scenario.tenants.iter().map(|t| t.share * t.usage).sum();
+        let rate = self.scenario.rate() * sent / shares.max(1e-9) * most;
         let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate;
-        self.after(seconds(gap), Happening::Arrives);
+        self.schedule_after(seconds(gap), Event::ClientArrives);
         if self.rng.random::<f64>() * most < self.times(self.now) {
             self.ask(None);
         }
@@ -79,7 +80,7 @@
     pub(super) fn ask(&mut self, closed: Option<usize>) {
         let product = self.weighted(|s| s.products.iter().map(|p| p.share).collect());
         let tenant = self.weighted(|s| s.tenants.iter().map(|t| t.share * t.usage).collect());
-        let p = &self.s.products[product];
+        let p = &self.scenario.products[product];
         let work = if p.cv > 0.0 {
             let variance = (1.0 + p.cv * p.cv).ln();
             let spread = LogNormal::new((p.work_ms / 1e3).ln() - variance / 2.0, variance.sqrt());
@@ -87,9 +88,9 @@
         } else {
             p.work_ms / 1e3
         };
-        let zone = self.rng.random_range(0..self.s.zones);
-        let (born, retries) = (self.now, self.s.clients.retries);
-        self.firsts.push(First {
+        let zone = self.rng.random_range(0..self.scenario.zones);
+        let (born, retries) = (self.now, self.scenario.clients.retries);
+        self.requests.push(ClientRequest {
             product,
             tenant,
             work,
@@ -102,20 +103,20 @@
             node: None,
             began: 0,
         });
-        self.open += 1;
-        self.out.asked += 1;
-        self.out.worth += p.payoff;
+        self.open_requests += 1;
+        self.outcome.asked += 1;
+        self.outcome.worth += p.payoff;
         let second = (born / SECOND) as usize;
-        if self.out.asked_by_second.len() <= second {
-            self.out.asked_by_second.resize(second + 1, 0.0);
-            self.out.won_by_second.resize(second + 1, 0.0);
+        if self.outcome.asked_by_second.len() <= second {
+            self.outcome.asked_by_second.resize(second + 1, 0.0);
+            self.outcome.won_by_second.resize(second + 1, 0.0);
         }
-        self.out.asked_by_second[second] += p.payoff;
-        self.attempt(self.firsts.len() - 1, 0);
+        self.outcome.asked_by_second[second] += p.payoff;
+        self.attempt(self.requests.len() - 1, 0);
     }
 
     pub(super) fn weighted(&mut self, weights: impl Fn(&Scenario) -> Vec<f64>) -> usize {
-        let weights = weights(self.s);
+        let weights = weights(self.scenario);
         let mut draw = self.rng.random::<f64>() * weights.iter().sum::<f64>();
         for (i, weight) in weights.iter().enumerate() {
             draw -= weight;
@@ -127,15 +128,15 @@
     }
 
     /// A try of a client: it goes to a node of its zone, if one is there.
-    pub(super) fn attempt(&mut self, first: usize, refusals: u32) {
-        let zone = self.firsts[first].zone;
+    pub(super) fn attempt(&mut self, request: usize, refusals: u32) {
+        let zone = self.requests[request].zone;
         if refusals == 0 {
-            self.firsts[first].tries += 1;
-            self.out.tries += 1;
+            self.requests[request].tries += 1;
+            self.outcome.tries += 1;
         }
         let near = |w: &Self, near: bool| -> Vec<usize> {
-            let admitted = |n: &usize| w.nodes[*n].admitted && (!near || w.nodes[*n].zone == zone);
-            (0..w.nodes.len()).filter(admitted).collect()
+            let in_rotation = |n: &usize| w.nodes[*n].in_rotation && (!near || w.nodes[*n].zone == zone);
+            (0..w.nodes.len()).filter(in_rotation).collect()
         };
         let mut nodes = near(self, true);
         if nodes.is_empty() {
@@ -143,57 +144,63 @@
         }
         let attempt = self.attempts.len();
         let (sent, at) = (self.now, None);
-        self.attempts.push(Attempt { first, sent, refusals, at, read: None, over: false, answered: false });
-        let cut_off = millis(self.s.products[self.firsts[first].product].cut_off_ms);
-        self.after(cut_off, Happening::GivesUp { attempt, leaves: false });
-        if self.s.clients.leave > 0.0 && self.rng.random::<f64>() < self.s.clients.leave {
-            let span = self.rng.random_range(0..cut_off.max(1));
-            self.after(span, Happening::GivesUp { attempt, leaves: true });
+        self.attempts.push(Attempt { request, sent, refusals, at, read: None, over: false, answered: false });
+        let deadline = millis(self.scenario.products[self.requests[request].product].cut_off_ms);
+        self.schedule_after(deadline, Event::ClientGivesUp { attempt, leaves: false });
+        if self.scenario.clients.leave > 0.0 && self.rng.random::<f64>() < self.scenario.clients.leave {
+            let span = self.rng.random_range(0..deadline.max(1));
+            self.schedule_after(span, Event::ClientGivesUp { attempt, leaves: true });
         }
-        let again = self.firsts[first].node.filter(|_| self.s.clients.same_node);
+        let again = self.requests[request].node.filter(|_| self.scenario.clients.same_node);
         let drawn = (!nodes.is_empty()).then(|| nodes[self.rng.random_range(0..nodes.len())]);
         let Some(node) = again.or(drawn) else {
-            return self.after(MS, Happening::Back { attempt, ending: Ending::Lost });
+            return self.schedule_after(
+                MILLISECOND,
+                Event::ResponseAtClient { attempt, outcome: ClientOutcome::NoAnswer },
+            );
         };
-        self.firsts[first].node = Some(node);
-        self.attempts[attempt].at = Some((node, self.nodes[node].life, 0));
+        self.requests[request].node = Some(node);
+        self.attempts[attempt].at = Some((node, self.nodes[node].incarnation, 0));
         let way = self.client_way();
-        self.after(way, Happening::AtNode { attempt });
+        self.schedule_after(way, Event::RequestAtNode { attempt });
     }
 
     pub(super) fn client_way(&mut self) -> Nanos {
-        let jitter = 1.0 + self.s.network.jitter * self.rng.random::<f64>();
-        millis(self.s.network.client_ms * jitter)
+        let jitter = 1.0 + self.scenario.network.jitter * self.rng.random::<f64>();
+        millis(self.scenario.network.client_ms * jitter)
     }
 
     pub(super) fn at_node(&mut self, attempt: usize) {
         let Some((node, _, _)) = self.attempts[attempt].at.filter(|_| !self.attempts[attempt].over) else {
             return;
         };
-        let slot = &self.nodes[node];
-        let Some(machine) = &slot.machine else {
-            return self.after(MS, Happening::Back { attempt, ending: Ending::Refused });
+        let state = &self.nodes[node];
+        let Some(machine) = &state.machine else {
+            return self.schedule_after(
+                MILLISECOND,
+                Event::ResponseAtClient { attempt, outcome: ClientOutcome::Refused },
+            );
         };
         if machine.crowded() {
-            return self.after(2 * MS, Happening::AtNode { attempt });
+            return self.schedule_after(2 * MILLISECOND, Event::RequestAtNode { attempt });
         }
-        let (life, first) = (slot.life, &self.firsts[self.attempts[attempt].first]);
-        let p = &self.s.products[first.product];
-        let (product, tenant) = (first.product as u8, first.tenant as u16);
-        let marked = p.repeats == Repeats::Stamped || self.s.nodes.store;
-        let stamp = marked.then(|| self.attempts[attempt].first.to_string().into());
+        let (incarnation, request) = (state.incarnation, &self.requests[self.attempts[attempt].request]);
+        let p = &self.scenario.products[request.product];
+        let (product, tenant) = (request.product as u8, request.tenant as u16);
+        let marked = p.repeats == Repeats::Stamped || self.scenario.nodes.store;
+        let stamp = marked.then(|| self.attempts[attempt].request.to_string().into());
         let id = Bytes::from(attempt.to_string());
         let shipment = Arc::new(Shipment { id, stamp, ..Shipment::default() });
         let patience = millis(p.cut_off_ms);
         let intake = Intake { product, tenant, patience, slots: p.slots, memory: 0.0, shipment };
-        self.attempts[attempt].at = Some((node, life, self.now));
-        self.out.taken += 1;
+        self.attempts[attempt].at = Some((node, incarnation, self.now));
+        self.outcome.taken += 1;
         let memory = seconds(p.memory_s);
         // The node counts from when it reads it, for nothing tells it more.
-        self.judge.taken(attempt, (node, life), p.repeats, memory, self.now + patience);
+        self.judge.taken(attempt, (node, incarnation), p.repeats, memory, self.now + patience);
         let client = attempt as Client;
-        self.feed(node, life, Input::ClientUp { client });
-        self.feed(node, life, Input::Submitted { client, intake });
+        self.feed(node, incarnation, Input::ClientUp { client });
+        self.feed(node, incarnation, Input::Submitted { client, intake });
     }
 
     pub(super) fn gives_up(&mut self, attempt: usize, leaves: bool) {
@@ -203,67 +210,67 @@
         }
         let (answered, at) = (a.answered, a.at);
         self.attempts[attempt].over = true;
-        if let Some((node, life, _)) = at.filter(|(_, _, taken)| *taken > 0) {
+        if let Some((node, incarnation, _)) = at.filter(|(_, _, taken)| *taken > 0) {
             if !answered {
                 // What was taken late, by the client's clock, or is left early is nobody's fault.
-                let in_turn = self.attempts[attempt].sent + millis(self.s.rules.slack_ms);
+                let in_turn = self.attempts[attempt].sent + millis(self.scenario.rules.slack_ms);
                 let read = self.attempts[attempt].read.is_some_and(|read| read <= in_turn);
                 // Paused, it can do nothing; what it has not come to is still to be judged by others' rules.
                 let paused = self.nodes[node].busy_until > self.now;
-                if !leaves && !paused && read && self.nodes[node].life == life {
+                if !leaves && !paused && read && self.nodes[node].incarnation == incarnation {
                     self.judge.breach(Rule::Lost, self.now, format!("{attempt}: its client gave up"));
                 }
                 self.judge.excuse(attempt);
             }
-            self.feed(node, life, Input::ClientGone { client: attempt as Client });
+            self.feed(node, incarnation, Input::ClientGone { client: attempt as Client });
         }
-        self.out.unanswered += 1;
-        let first = self.attempts[attempt].first;
+        self.outcome.unanswered += 1;
+        let request = self.attempts[attempt].request;
         if leaves {
-            self.firsts[first].retries = 0;
+            self.requests[request].retries = 0;
         }
-        self.once_more(first, Ending::Lost);
+        self.once_more(request, ClientOutcome::NoAnswer);
     }
 
-    pub(super) fn back(&mut self, attempt: usize, ending: Ending) {
+    pub(super) fn back(&mut self, attempt: usize, outcome: ClientOutcome) {
         let a = &mut self.attempts[attempt];
         if std::mem::replace(&mut a.over, true) {
             return;
         }
-        let (first, refusals) = (a.first, a.refusals);
-        match ending {
-            Ending::Satisfied => {
-                let f = &mut self.firsts[first];
+        let (request, refusals) = (a.request, a.refusals);
+        match outcome {
+            ClientOutcome::Satisfied => {
+                let f = &mut self.requests[request];
                 if !std::mem::replace(&mut f.done, true) {
-                    let p = &self.s.products[f.product];
+                    let p = &self.scenario.products[f.product];
                     let took = (self.now - f.born) as f64 / 1e9;
                     let in_time = took <= p.agreed_ms / 1e3 + p.stretch * f.work;
                     let worth = if in_time { p.payoff } else { p.payoff * p.late_payoff };
-                    self.out.in_time += u64::from(in_time);
-                    self.out.won_by_second[(f.born / SECOND) as usize] += worth;
-                    self.out.by_product[f.product] += worth;
-                    self.out.by_tenant[f.tenant] += worth;
-                    self.out.answer_times.push(took as f32);
-                    self.useful += f.work;
+                    self.outcome.in_time += u64::from(in_time);
+                    self.outcome.won_by_second[(f.born / SECOND) as usize] += worth;
+                    self.outcome.by_product[f.product] += worth;
+                    self.outcome.by_tenant[f.tenant] += worth;
+                    self.outcome.answer_times.push(took as f32);
+                    self.useful_work += f.work;
                 }
-                self.over(first);
+                self.over(request);
             }
-            Ending::Refused if refusals < REFUSALS => {
-                self.attempt(first, refusals + 1);
+            ClientOutcome::Refused if refusals < REFUSALS => {
+                self.attempt(request, refusals + 1);
             }
             _ => {
-                if matches!(ending, Ending::Lost | Ending::Refused) {
-                    self.out.unanswered += 1;
+                if matches!(outcome, ClientOutcome::NoAnswer | ClientOutcome::Refused) {
+                    self.outcome.unanswered += 1;
                 }
-                self.once_more(first, ending);
+                self.once_more(request, outcome);
             }
         }
     }
 
-    pub(super) fn once_more(&mut self, first: usize, ending: Ending) {
-        let (f, c) = (&mut self.firsts[first], &self.s.clients);
+    pub(super) fn once_more(&mut self, request: usize, outcome: ClientOutcome) {
+        let (f, c) = (&mut self.requests[request], &self.scenario.clients);
         if f.done || f.retries == 0 {
-            return self.over(first);
+            return self.over(request);
         }
         f.retries -= 1;
         let doubled = f64::from(1 << (f.tries - 1).min(10));
@@ -273,18 +280,20 @@
             Backoff::Exponential => c.wait_ms * doubled,
         };
         let own = millis(own * self.rng.random_range(0.5..1.5));
-        let wait = match ending {
-            Ending::Dismissed(Some(come_back)) if self.rng.random::<f64>() < c.heed => come_back.max(own),
+        let wait = match outcome {
+            ClientOutcome::Dismissed(Some(come_back)) if self.rng.random::<f64>() < c.heed => {
+                come_back.max(own)
+            }
             _ => own,
         };
-        self.after(wait, Happening::Again { first });
+        self.schedule_after(wait, Event::ClientRetries { request });
     }
 
-    pub(super) fn over(&mut self, first: usize) {
-        self.open -= 1;
-        if let Some(client) = self.firsts[first].closed {
-            let think = millis(self.s.load.think_ms);
-            self.after(think, Happening::Asks { client });
+    pub(super) fn over(&mut self, request: usize) {
+        self.open_requests -= 1;
+        if let Some(client) = self.requests[request].closed {
+            let think = millis(self.scenario.load.think_ms);
+            self.schedule_after(think, Event::ClientAsks { client });
         }
     }
 }
--- a/crates/world/src/world/effects.rs
+++ b/crates/world/src/world/effects.rs
@@ -2,24 +2,30 @@
 
 use linestack_core::{Answer, Client, Effect, Input, Link, Phase};
 
-use super::event::{Ending, Happening};
+use super::event::{ClientOutcome, Event};
 use super::fleet::executor_at;
 use super::network::Connection;
-use super::nodes::Watch;
-use super::{FLOOD, MS, World, count};
-use crate::executor::{Executor, Line};
+use super::nodes::DiscoveryWatch;
+use super::{FLOOD_CLIENTS_FROM, MILLISECOND, World, count};
+use crate::executor::{ConnectionId, Executor};
 use crate::judge::Rule;
 use crate::scenario::millis;
 
 impl World<'_> {
-    pub(super) fn carry_out(&mut self, node: usize, life: u32, effect: Effect) {
-        let line = |link: Link| Line { node, life, link };
+    pub(super) fn carry_out(&mut self, node: usize, incarnation: u32, effect: Effect) {
+        let id = |link: Link| ConnectionId { node, incarnation, link };
         match effect {
-            Effect::Answer { client, answer, .. } => self.answer(node, life, client, &answer),
+            Effect::Answer { client, answer, .. } => self.answer(node, incarnation, client, &answer),
             Effect::CloseClient { client } | Effect::DropClient { client } => {
-                if client < FLOOD && !self.attempts[client as usize].answered {
+                if client < FLOOD_CLIENTS_FROM && !self.attempts[client as usize].answered {
                     // The connection ends with no whole answer.
-                    self.after(MS, Happening::Back { attempt: client as usize, ending: Ending::Lost });
+                    self.schedule_after(
+                        MILLISECOND,
+                        Event::ResponseAtClient {
+                            attempt: client as usize,
+                            outcome: ClientOutcome::NoAnswer,
+                        },
+                    );
                 }
                 self.nodes[node].inbox.push_back(Input::ClientGone { client });
             }
@@ -27,7 +33,7 @@
                 let executor = executor_at(address);
                 let connection = Connection {
                     executor,
-                    life: None,
+                    incarnation: None,
                     busy: None,
                     answered: false,
                     up: false,
@@ -36,68 +42,69 @@
                     to_executor: 0,
                     idle_since: self.now,
                 };
-                self.connections.insert(line(link), connection);
-                self.out.handshakes += 1;
-                count(&mut self.out.handshakes_by_second, self.now);
-                self.pass_to_executor(line(link), Happening::Syn { line: line(link) });
+                self.connections.insert(id(link), connection);
+                self.outcome.handshakes += 1;
+                count(&mut self.outcome.handshakes_by_second, self.now);
+                self.pass_to_executor(id(link), Event::ConnectAtExecutor { connection: id(link) });
             }
-            Effect::Send { link, shipment, .. } => self.send(line(link), &shipment),
+            Effect::Send { link, shipment, .. } => self.send(id(link), &shipment),
             Effect::Probe { link } => {
-                self.out.probes += 1;
-                if let Some(c) = self.connections.get_mut(&line(link)) {
+                self.outcome.probes += 1;
+                if let Some(c) = self.connections.get_mut(&id(link)) {
                     c.busy = Some(None);
                 }
-                self.pass_to_executor(line(link), Happening::Probe { line: line(link) });
+                self.pass_to_executor(id(link), Event::ProbeAtExecutor { connection: id(link) });
             }
             Effect::CloseLink { link } => {
-                if let Some(c) = self.connections.get_mut(&line(link)) {
+                if let Some(c) = self.connections.get_mut(&id(link)) {
                     c.closed = true;
                     c.busy = None;
-                    self.pass_to_executor(line(link), Happening::Fin { line: line(link) });
+                    self.pass_to_executor(id(link), Event::ClosedAtExecutor { connection: id(link) });
                 }
             }
             Effect::Watch => {
-                if self.nodes[node].watch == Watch::Off {
-                    self.nodes[node].watch = Watch::Calling;
-                    self.after(MS, Happening::Call { node, life });
+                if self.nodes[node].watch == DiscoveryWatch::Off {
+                    self.nodes[node].watch = DiscoveryWatch::Calling;
+                    self.schedule_after(MILLISECOND, Event::DiscoveryCall { node, incarnation });
                 }
             }
             Effect::Fault(what) => self.judge.breach(Rule::Invariant, self.now, what.into()),
             Effect::Report(_) | Effect::Stage(_) => {}
             Effect::Keep { keep, ticket } => {
-                let sync = millis(self.s.nodes.sync_ms);
-                self.after(sync, Happening::Kept { node, life, keep, ticket });
+                let sync = millis(self.scenario.nodes.sync_ms);
+                self.schedule_after(sync, Event::RecordPersisted { node, incarnation, keep, ticket });
             }
             Effect::Exit => self.node_ends(node),
         }
     }
 
-    pub(super) fn answer(&mut self, node: usize, life: u32, client: Client, answer: &Answer) {
+    pub(super) fn answer(&mut self, node: usize, incarnation: u32, client: Client, answer: &Answer) {
         let Some(a) = self.attempts.get_mut(client as usize) else { return };
         a.answered = true;
         self.judge.answered(client as usize, answer, self.now);
-        let ending = match answer {
+        let outcome = match answer {
             Answer::Satisfied(_) => {
-                self.out.satisfied += 1;
-                Ending::Satisfied
+                self.outcome.satisfied += 1;
+                ClientOutcome::Satisfied
             }
             Answer::Dismissed(come_back) => {
-                self.out.dismissed += 1;
-                let first = &self.firsts[self.attempts[client as usize].first];
-                let slots = self.s.products[first.product].slots;
+                self.outcome.dismissed += 1;
+                let request = &self.requests[self.attempts[client as usize].request];
+                let slots = self.scenario.products[request.product].slots;
                 let now = self.now;
-                let room = |e: &Executor| !e.halted() && !e.draining && !e.cold(now) && e.free() >= slots;
-                self.out.dismissed_with_room += u64::from(self.executors.iter().any(room));
-                Ending::Dismissed(*come_back)
+                let room =
+                    |e: &Executor| !e.is_stalled() && !e.draining && !e.is_cold(now) && e.free() >= slots;
+                self.outcome.dismissed_with_room += u64::from(self.executors.iter().any(room));
+                ClientOutcome::Dismissed(*come_back)
             }
             Answer::Aborted | Answer::Repeated => {
-                self.out.aborted += 1;
-                Ending::Aborted
+                self.outcome.aborted += 1;
+                ClientOutcome::Aborted
             }
         };
         let way = self.client_way();
-        self.after(way, Happening::Back { attempt: client as usize, ending });
-        if self.nodes[node].life == life {
+        self.schedule_after(way, Event::ResponseAtClient { attempt: client as usize, outcome });
+        if self.nodes[node].incarnation == incarnation {
             self.nodes[node].inbox.push_back(Input::ClientPhase { client, phase: Phase::Idle });
             self.nodes[node].inbox.push_back(Input::ClientGone { client });
         }
--- a/crates/world/src/world/event.rs
+++ b/crates/world/src/world/event.rs
@@ -1,81 +1,176 @@
 //! What happens in a world, and the queue that orders it.
 
-use linestack_core::{Broken, Input, Nanos, Outcome as Ended, Ticket};
+use linestack_core::{Broken, Input, Nanos, Outcome as ExecutionOutcome, Ticket};
 use linestack_dispatch::types::{Health, Report};
 use linestack_recovery::Keep;
 
-use crate::executor::Line;
+use crate::executor::ConnectionId;
 
 #[derive(Debug)]
-pub(super) enum Happening {
-    Arrives,
-    Asks { client: usize },
-    AtNode { attempt: usize },
-    Back { attempt: usize, ending: Ending },
-    GivesUp { attempt: usize, leaves: bool },
-    Again { first: usize },
-    Feed { node: usize, life: u32, input: Input },
-    Resume { node: usize, life: u32 },
-    Tick { node: usize, life: u32, at: Nanos },
-    Syn { line: Line },
-    Up { line: Line },
-    Down { line: Line, broken: Option<Broken> },
-    Fin { line: Line },
-    Request { line: Line, attempt: usize },
-    Probe { line: Line },
-    Probed { line: Line, answered: Option<bool>, report: Option<Report> },
-    Reply { line: Line, attempt: usize, ended: Ended, report: Option<Report> },
-    Note { line: Line, attempt: usize },
-    Progress { executor: usize, life: u32, line: Line, attempt: usize },
-    Wake { executor: usize, wake: u64 },
-    Trouble { which: usize, begins: bool },
-    Step { which: usize, executor: usize, on: bool },
-    Publish { executor: usize, health: Health, started: Nanos },
-    Call { node: usize, life: u32 },
-    Starts { node: usize },
-    Kill { node: usize, life: u32 },
-    Stops { node: usize },
-    Notice { node: usize },
-    Drains { executor: usize },
-    Leaves { executor: usize },
-    Joins { spec: usize, zone: u16 },
-    Flood { which: usize, node: usize },
-    Kept { node: usize, life: u32, keep: Keep, ticket: Option<Ticket> },
-    Sweep,
+pub(super) enum Event {
+    ClientArrives,
+    ClientAsks {
+        client: usize,
+    },
+    RequestAtNode {
+        attempt: usize,
+    },
+    ResponseAtClient {
+        attempt: usize,
+        outcome: ClientOutcome,
+    },
+    ClientGivesUp {
+        attempt: usize,
+        leaves: bool,
+    },
+    ClientRetries {
+        request: usize,
+    },
+    NodeInput {
+        node: usize,
+        incarnation: u32,
+        input: Input,
+    },
+    NodeResumes {
+        node: usize,
+        incarnation: u32,
+    },
+    NodeTimer {
+        node: usize,
+        incarnation: u32,
+        at: Nanos,
+    },
+    ConnectAtExecutor {
+        connection: ConnectionId,
+    },
+    ConnectedAtNode {
+        connection: ConnectionId,
+    },
+    DisconnectedAtNode {
+        connection: ConnectionId,
+        broken: Option<Broken>,
+    },
+    ClosedAtExecutor {
+        connection: ConnectionId,
+    },
+    JobAtExecutor {
+        connection: ConnectionId,
+        attempt: usize,
+    },
+    ProbeAtExecutor {
+        connection: ConnectionId,
+    },
+    ProbeReplyAtNode {
+        connection: ConnectionId,
+        answered: Option<bool>,
+        report: Option<Report>,
+    },
+    ReplyAtNode {
+        connection: ConnectionId,
+        attempt: usize,
+        outcome: ExecutionOutcome,
+        report: Option<Report>,
+    },
+    NoticeAtNode {
+        connection: ConnectionId,
+        attempt: usize,
+    },
+    ProgressDue {
+        executor: usize,
+        incarnation: u32,
+        connection: ConnectionId,
+        attempt: usize,
+    },
+    ExecutorWakes {
+        executor: usize,
+        wake: u64,
+    },
+    FaultChanges {
+        fault: usize,
+        begins: bool,
+    },
+    FaultToggles {
+        fault: usize,
+        executor: usize,
+        on: bool,
+    },
+    DiscoveryPublishes {
+        executor: usize,
+        health: Health,
+        started: Nanos,
+    },
+    DiscoveryCall {
+        node: usize,
+        incarnation: u32,
+    },
+    NodeStarts {
+        node: usize,
+    },
+    NodeKilled {
+        node: usize,
+        incarnation: u32,
+    },
+    NodeStops {
+        node: usize,
+    },
+    HealthChecked {
+        node: usize,
+    },
+    ExecutorDrains {
+        executor: usize,
+    },
+    ExecutorLeaves {
+        executor: usize,
+    },
+    ExecutorJoins {
+        spec: usize,
+        zone: u16,
+    },
+    FloodConnects {
+        fault: usize,
+        node: usize,
+    },
+    RecordPersisted {
+        node: usize,
+        incarnation: u32,
+        keep: Keep,
+        ticket: Option<Ticket>,
+    },
+    JudgeSweeps,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum Ending {
+pub(super) enum ClientOutcome {
     Satisfied,
     Dismissed(Option<Nanos>),
     Aborted,
     /// No answer, and none will come.
-    Lost,
+    NoAnswer,
     /// Nobody took it.
     Refused,
 }
 
-pub(super) struct Item {
+pub(super) struct Scheduled {
     pub(super) at: Nanos,
     pub(super) number: u64,
-    pub(super) what: Happening,
+    pub(super) event: Event,
 }
 
-impl PartialEq for Item {
+impl PartialEq for Scheduled {
     fn eq(&self, other: &Self) -> bool {
         self.number == other.number
     }
 }
 
-impl Eq for Item {}
+impl Eq for Scheduled {}
 
-impl PartialOrd for Item {
+impl PartialOrd for Scheduled {
     fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
         Some(self.cmp(other))
     }
 }
 
-impl Ord for Item {
+impl Ord for Scheduled {
     fn cmp(&self, other: &Self) -> std::cmp::Ordering {
         (self.at, self.number).cmp(&(other.at, other.number))
     }
--- a/crates/world/src/world/faults.rs
+++ b/crates/world/src/world/faults.rs
@@ -4,14 +4,14 @@
 use linestack_dispatch::types::{Health, ListKind};
 use rand::{Rng as _, seq::SliceRandom as _};
 
-use super::event::Happening;
-use super::nodes::Watch;
-use super::{MS, SECOND, World};
+use super::event::Event;
+use super::nodes::DiscoveryWatch;
+use super::{MILLISECOND, SECOND, World};
 use crate::scenario::{Fault, seconds};
 
 impl World<'_> {
-    pub(super) fn pick(&mut self, which: usize) -> Vec<usize> {
-        let t = &self.s.troubles[which];
+    pub(super) fn pick(&mut self, fault: usize) -> Vec<usize> {
+        let t = &self.scenario.troubles[fault];
         let of_nodes = matches!(
             t.kind,
             Fault::NodeKill
@@ -36,95 +36,98 @@
         all
     }
 
-    pub(super) fn trouble(&mut self, which: usize, begins: bool) {
-        let t = self.s.troubles[which].clone();
-        let victims = if begins {
-            let victims = self.pick(which);
-            self.victims[which].clone_from(&victims);
-            victims
+    pub(super) fn trouble(&mut self, fault: usize, begins: bool) {
+        let t = self.scenario.troubles[fault].clone();
+        let targets = if begins {
+            let targets = self.pick(fault);
+            self.fault_targets[fault].clone_from(&targets);
+            targets
         } else {
-            self.victims[which].clone()
+            self.fault_targets[fault].clone()
         };
         match t.kind {
             Fault::DiscoveryDown => {
                 self.discovery_down = begins;
                 for node in 0..self.nodes.len() {
-                    if begins && std::mem::replace(&mut self.nodes[node].watch, Watch::Off) == Watch::On {
-                        let life = self.nodes[node].life;
+                    if begins
+                        && std::mem::replace(&mut self.nodes[node].watch, DiscoveryWatch::Off)
+                            == DiscoveryWatch::On
+                    {
+                        let incarnation = self.nodes[node].incarnation;
                         let input = Input::Listed { kind: ListKind::Failed, endpoints: Vec::new() };
-                        self.after(MS, Happening::Feed { node, life, input });
+                        self.schedule_after(MILLISECOND, Event::NodeInput { node, incarnation, input });
                     }
                 }
             }
             Fault::DiscoveryFlaps => {
                 self.discovery_flaps = begins;
                 for node in 0..self.nodes.len() {
-                    if !begins && self.nodes[node].watch == Watch::On {
+                    if !begins && self.nodes[node].watch == DiscoveryWatch::On {
                         let list = self.list();
                         self.tell(node, ListKind::Whole, list);
                     }
                 }
             }
-            Fault::Resets => self.resets = if begins { t.size } else { 0.0 },
+            Fault::Resets => self.reset_rate = if begins { t.size } else { 0.0 },
             Fault::Grow if begins => {
                 let new = (self.executors.len() as f64 * t.part).round().max(1.0) as usize;
                 for i in 0..new {
                     let e = &self.executors[i % self.executors.len()];
                     let (spec, zone) = (e.spec, e.zone);
                     let at = seconds(t.for_s * i as f64 / new as f64);
-                    self.after(at, Happening::Joins { spec, zone });
+                    self.schedule_after(at, Event::ExecutorJoins { spec, zone });
                 }
             }
             Fault::Roll if begins => {
-                let gap = t.for_s / victims.len() as f64;
-                for (i, executor) in victims.into_iter().enumerate() {
+                let gap = t.for_s / targets.len() as f64;
+                for (i, executor) in targets.into_iter().enumerate() {
                     let at = seconds(gap * i as f64);
                     let (spec, zone) = (self.executors[executor].spec, self.executors[executor].zone);
-                    self.after(at, Happening::Joins { spec, zone });
-                    self.after(at + SECOND, Happening::Drains { executor });
-                    self.after(at + 5 * SECOND, Happening::Leaves { executor });
+                    self.schedule_after(at, Event::ExecutorJoins { spec, zone });
+                    self.schedule_after(at + SECOND, Event::ExecutorDrains { executor });
+                    self.schedule_after(at + 5 * SECOND, Event::ExecutorLeaves { executor });
                 }
             }
             Fault::NodeRoll if begins => {
-                let gap = t.for_s / victims.len() as f64;
-                for (i, node) in victims.into_iter().enumerate() {
-                    self.after(seconds(gap * i as f64), Happening::Stops { node });
+                let gap = t.for_s / targets.len() as f64;
+                for (i, node) in targets.into_iter().enumerate() {
+                    self.schedule_after(seconds(gap * i as f64), Event::NodeStops { node });
                 }
             }
             Fault::NodeKill if begins => {
-                for node in victims {
+                for node in targets {
                     if self.nodes[node].machine.is_some() {
                         self.node_ends(node);
                     }
                 }
             }
             Fault::Switch => {
-                for node in victims {
-                    let (life, seed) = (self.nodes[node].life, self.rng.random());
-                    let mut settings = Box::new(self.s.settings(self.nodes[node].zone, seed));
+                for node in targets {
+                    let (incarnation, seed) = (self.nodes[node].incarnation, self.rng.random());
+                    let mut settings = Box::new(self.scenario.settings(self.nodes[node].zone, seed));
                     if begins {
                         (settings.orders.may_probe, settings.orders.may_duplicate) = (false, false);
                         settings.orders.connection_price = 0.08;
                     }
-                    self.feed(node, life, Input::Terms { settings, version: 0 });
+                    self.feed(node, incarnation, Input::Terms { settings, version: 0 });
                 }
             }
             Fault::NodePause if begins => {
-                for node in victims {
+                for node in targets {
                     let until = self.now + seconds(t.for_s);
-                    let slot = &mut self.nodes[node];
-                    (slot.busy_until, slot.paused_until) = (until, until);
+                    let state = &mut self.nodes[node];
+                    (state.busy_until, state.paused_until) = (until, until);
                 }
             }
             Fault::NodeSlow => {
                 // With `size` of its time gone, each thing takes so much longer.
-                let cpu = self.s.nodes.cpu_us.max(50.0) * 1e3 / (1.0 - t.size.min(0.95));
-                let cpu = if begins { cpu } else { self.s.nodes.cpu_us * 1e3 };
-                victims.into_iter().for_each(|node| self.nodes[node].cpu = cpu);
+                let cpu = self.scenario.nodes.cpu_us.max(50.0) * 1e3 / (1.0 - t.size.min(0.95));
+                let cpu = if begins { cpu } else { self.scenario.nodes.cpu_us * 1e3 };
+                targets.into_iter().for_each(|node| self.nodes[node].cpu_per_input = cpu);
             }
             Fault::Flood if begins => {
-                for node in victims {
-                    self.after(0, Happening::Flood { which, node });
+                for node in targets {
+                    self.schedule_after(0, Event::FloodConnects { fault, node });
                 }
             }
             Fault::Grow
@@ -133,15 +136,15 @@
             | Fault::NodeKill
             | Fault::NodePause
             | Fault::Flood => {}
-            _ => victims.into_iter().for_each(|executor| self.ail(which, executor, begins)),
+            _ => targets.into_iter().for_each(|executor| self.ail(fault, executor, begins)),
         }
     }
 
     /// A trouble of one executor begins or ends.
-    pub(super) fn ail(&mut self, which: usize, executor: usize, begins: bool) {
-        let (t, now) = (self.s.troubles[which].clone(), self.now);
+    pub(super) fn ail(&mut self, fault: usize, executor: usize, begins: bool) {
+        let (t, now) = (self.scenario.troubles[fault].clone(), self.now);
         let e = &mut self.executors[executor];
-        if e.fallen {
+        if e.collapsed {
             return;
         }
         e.advance(now);
@@ -152,13 +155,13 @@
                 return self.announce(executor, Health::Gone, true);
             }
             Fault::Vanish if begins => {
-                e.ills.vanished = true;
+                e.faults.unreachable = true;
                 self.reflect(executor);
                 return self.announce(executor, Health::Gone, true);
             }
             Fault::Vanish => {
                 // Its connections are reset when it is back; what it had is gone.
-                e.ills.vanished = false;
+                e.faults.unreachable = false;
                 self.executor_ends(executor, true);
                 return self.executor_starts(executor);
             }
@@ -168,31 +171,31 @@
                 self.executor_ends(executor, true);
                 return self.announce(executor, Health::Gone, false);
             }
-            Fault::Hang => e.ills.hung = begins,
+            Fault::Hang => e.faults.hangs = begins,
             Fault::Pauses | Fault::Neighbour => {
                 if begins {
-                    self.after(0, Happening::Step { which, executor, on: true });
+                    self.schedule_after(0, Event::FaultToggles { fault, executor, on: true });
                 } else {
-                    e.ills.paused = false;
-                    e.ills.neighbour_on = false;
+                    e.faults.paused = false;
+                    e.faults.neighbour_active = false;
                 }
             }
-            Fault::Slow => e.ills.slow = begins.then_some(t.size.max(0.01)),
-            Fault::FastErrors => e.ills.fails = part,
-            Fault::ProductFails => e.ills.product_fails = begins,
-            Fault::Lose => e.ills.loses = part,
-            Fault::Refuse => e.ills.refuses = part,
-            Fault::Garbage => e.ills.garbage = part,
-            Fault::Lie => e.ills.lies = begins,
-            Fault::ReportsLate => e.ills.late = seconds(part),
+            Fault::Slow => e.faults.slowed_to = begins.then_some(t.size.max(0.01)),
+            Fault::FastErrors => e.faults.error_rate = part,
+            Fault::ProductFails => e.faults.product_fails = begins,
+            Fault::Lose => e.faults.loss_rate = part,
+            Fault::Refuse => e.faults.refusal_rate = part,
+            Fault::Garbage => e.faults.garbage_rate = part,
+            Fault::Lie => e.faults.reports_idle = begins,
+            Fault::ReportsLate => e.faults.report_delay = seconds(part),
             Fault::Cut => {
-                e.ills.deaf = begins && t.size != 1.0;
-                e.ills.mute = begins && t.size != 2.0;
+                e.faults.inbound_cut = begins && t.size != 1.0;
+                e.faults.outbound_cut = begins && t.size != 2.0;
                 if !begins {
                     // Neither side knows what the other missed; what is left is reset.
                     self.reset_all(executor);
                     self.clear(executor);
-                    self.executors[executor].life += 1;
+                    self.executors[executor].incarnation += 1;
                 }
             }
             _ => {}
@@ -201,35 +204,35 @@
     }
 
     /// Pauses and neighbours come and go while they last.
-    pub(super) fn step(&mut self, which: usize, executor: usize, on: bool) {
-        let t = self.s.troubles[which].clone();
+    pub(super) fn step(&mut self, fault: usize, executor: usize, on: bool) {
+        let t = self.scenario.troubles[fault].clone();
         let over = self.now >= seconds(t.at_s + t.for_s);
         let e = &mut self.executors[executor];
         e.advance(self.now);
         let (on, span) = (on && !over, self.rng.random_range(0.5..1.5));
         let next = if t.kind == Fault::Pauses {
-            e.ills.paused = on;
+            e.faults.paused = on;
             if on { t.size } else { 1.5 * span }
         } else {
-            (e.ills.neighbour, e.ills.neighbour_on) = (t.size.min(1.0), on);
+            (e.faults.neighbour_share, e.faults.neighbour_active) = (t.size.min(1.0), on);
             2.0 * span
         };
         self.turn(executor);
         if !over {
-            self.after(seconds(next.max(0.001)), Happening::Step { which, executor, on: !on });
+            self.schedule_after(seconds(next.max(0.001)), Event::FaultToggles { fault, executor, on: !on });
         }
     }
 
-    pub(super) fn flood(&mut self, which: usize, node: usize) {
-        let t = &self.s.troubles[which];
+    pub(super) fn flood(&mut self, fault: usize, node: usize) {
+        let t = &self.scenario.troubles[fault];
         if self.now >= seconds(t.at_s + t.for_s) {
             return;
         }
-        let (life, client) = (self.nodes[node].life, self.flood);
-        self.flood += 1;
+        let (incarnation, client) = (self.nodes[node].incarnation, self.next_flood_client);
+        self.next_flood_client += 1;
         if self.nodes[node].machine.as_ref().is_some_and(|m| !m.crowded()) {
-            self.feed(node, life, Input::ClientUp { client });
+            self.feed(node, incarnation, Input::ClientUp { client });
         }
-        self.after(seconds(1.0 / t.size.max(1e-3)), Happening::Flood { which, node });
+        self.schedule_after(seconds(1.0 / t.size.max(1e-3)), Event::FloodConnects { fault, node });
     }
 }
--- a/crates/world/src/world/mod.rs
+++ b/crates/world/src/world/mod.rs
@@ -1,4 +1,4 @@
-//! The event loop: what the nodes ask for goes into the world, what happens there comes back to them.
+//! The event loop: event the nodes ask for goes into the world, event happens there comes back to them.
 
 mod clients;
 mod discovery;
@@ -23,54 +23,54 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
-use crate::executor::{Executor, Line};
+use crate::executor::{ConnectionId, Executor};
 use crate::judge::Judge;
 use crate::outcome::Outcome;
 use crate::scenario::{Scenario, millis, seconds};
 use crate::{Machine, Seat, Truth};
-use clients::{Attempt, First};
-use event::{Happening, Item};
-use execution::Mark;
+use clients::{Attempt, ClientRequest};
+use event::{Event, Scheduled};
+use execution::IdempotencyRecord;
 use network::Connection;
-use nodes::{Slot, Watch};
+use nodes::{DiscoveryWatch, NodeState};
 
-const MS: Nanos = 1_000_000;
+const MILLISECOND: Nanos = 1_000_000;
 
-const SECOND: Nanos = 1_000 * MS;
+const SECOND: Nanos = 1_000 * MILLISECOND;
 
 /// Silent clients are numbered from here on.
-const FLOOD: Client = 1 << 60;
+const FLOOD_CLIENTS_FROM: Client = 1 << 60;
 
 /// After the last client came, what still runs is waited for so long at most.
-const AFTER: Nanos = 60 * SECOND;
+const GRACE_AFTER_SPAN: Nanos = 60 * SECOND;
 
 struct World<'a> {
-    s: &'a Scenario,
+    scenario: &'a Scenario,
     rng: Pcg64Mcg,
     now: Nanos,
-    queue: BinaryHeap<Reverse<Item>>,
+    queue: BinaryHeap<Reverse<Scheduled>>,
     number: u64,
-    nodes: Vec<Slot>,
+    nodes: Vec<NodeState>,
     executors: Vec<Executor>,
-    connections: BTreeMap<Line, Connection>,
-    firsts: Vec<First>,
+    connections: BTreeMap<ConnectionId, Connection>,
+    requests: Vec<ClientRequest>,
     attempts: Vec<Attempt>,
     /// Stamped work that a group remembers.
-    marks: HashMap<(u16, usize), Mark>,
-    listed: Vec<(Health, Nanos)>,
+    idempotency: HashMap<(u16, usize), IdempotencyRecord>,
+    listings: Vec<(Health, Nanos)>,
     discovery_down: bool,
     discovery_flaps: bool,
-    discovery_busy: Nanos,
-    resets: f64,
-    victims: Vec<Vec<usize>>,
+    discovery_busy_until: Nanos,
+    reset_rate: f64,
+    fault_targets: Vec<Vec<usize>>,
     judge: Judge,
-    out: Outcome,
+    outcome: Outcome,
     truth: Arc<Mutex<Truth>>,
     maker: &'a dyn Fn(Seat) -> Box<dyn Machine>,
     effects: Vec<Effect>,
-    flood: Client,
-    useful: f64,
-    open: usize,
+    next_flood_client: Client,
+    useful_work: f64,
+    open_requests: usize,
 }
 
 /// Plays a scenario that [`Scenario::check`] finds no fault with. `maker` makes the nodes.
@@ -79,12 +79,12 @@
     world.start();
     let end = seconds(s.span_s);
     while let Some(Reverse(item)) = world.queue.pop() {
-        if item.at > end + AFTER || (item.at > end && world.open == 0) {
+        if item.at > end + GRACE_AFTER_SPAN || (item.at > end && world.open_requests == 0) {
             break;
         }
         world.now = item.at;
-        world.out.events += 1;
-        world.happen(item.what);
+        world.outcome.events += 1;
+        world.handle(item.event);
     }
     world.finish()
 }
@@ -114,7 +114,7 @@
             ..Outcome::default()
         };
         Self {
-            s,
+            scenario: s,
             rng: Pcg64Mcg::seed_from_u64(s.seed),
             now: SECOND,
             queue: BinaryHeap::new(),
@@ -122,201 +122,217 @@
             nodes: Vec::new(),
             executors: Vec::new(),
             connections: BTreeMap::new(),
-            firsts: Vec::new(),
+            requests: Vec::new(),
             attempts: Vec::new(),
-            marks: HashMap::new(),
-            listed: Vec::new(),
+            idempotency: HashMap::new(),
+            listings: Vec::new(),
             discovery_down: false,
             discovery_flaps: false,
-            discovery_busy: 0,
-            resets: 0.0,
-            victims: vec![Vec::new(); s.troubles.len()],
+            discovery_busy_until: 0,
+            reset_rate: 0.0,
+            fault_targets: vec![Vec::new(); s.troubles.len()],
             judge,
-            out,
+            outcome: out,
             truth: Arc::default(),
             maker,
             effects: Vec::new(),
-            flood: FLOOD,
-            useful: 0.0,
-            open: 0,
+            next_flood_client: FLOOD_CLIENTS_FROM,
+            useful_work: 0.0,
+            open_requests: 0,
         }
     }
 
-    fn at(&mut self, at: Nanos, what: Happening) {
+    fn schedule_at(&mut self, at: Nanos, event: Event) {
         self.number += 1;
-        let item = Item { at: at.max(self.now), number: self.number, what };
+        let item = Scheduled { at: at.max(self.now), number: self.number, event };
         self.queue.push(Reverse(item));
     }
 
-    fn after(&mut self, span: Nanos, what: Happening) {
-        self.at(self.now + span, what);
+    fn schedule_after(&mut self, span: Nanos, event: Event) {
+        self.schedule_at(self.now + span, event);
     }
 
     fn start(&mut self) {
-        // A small part of a second is left before the first client, for lists and probes.
+        // A small part of a second is left before the request client, for lists and probes.
         self.now = 0;
-        for (spec, e) in self.s.executors.iter().enumerate() {
+        for (spec, e) in self.scenario.executors.iter().enumerate() {
             for i in 0..e.count {
-                let zone = ((i as usize + spec) % usize::from(self.s.zones)) as u16;
+                let zone = ((i as usize + spec) % usize::from(self.scenario.zones)) as u16;
                 self.join(spec, zone);
             }
         }
-        self.listed = self.executors.iter().map(|_| (Health::Ready, 0)).collect();
-        for node in 0..self.s.nodes.count as usize {
-            let zone = (node % usize::from(self.s.zones)) as u16;
-            self.nodes.push(Slot {
+        self.listings = self.executors.iter().map(|_| (Health::Ready, 0)).collect();
+        for node in 0..self.scenario.nodes.count as usize {
+            let zone = (node % usize::from(self.scenario.zones)) as u16;
+            self.nodes.push(NodeState {
                 machine: None,
-                life: 0,
+                incarnation: 0,
                 zone,
-                admitted: false,
+                in_rotation: false,
                 stopping: false,
-                armed: Nanos::MAX,
+                timer_at: Nanos::MAX,
                 busy_until: 0,
                 paused_until: 0,
                 inbox: VecDeque::new(),
-                resuming: false,
-                watch: Watch::Off,
-                cpu: self.s.nodes.cpu_us * 1e3,
-                kept: Vec::new(),
+                resume_scheduled: false,
+                watch: DiscoveryWatch::Off,
+                cpu_per_input: self.scenario.nodes.cpu_us * 1e3,
+                persisted: Vec::new(),
             });
             lock(&self.truth).places.push(Vec::new());
-            let spread = self.rng.random_range(0..100 * MS);
-            self.after(spread, Happening::Starts { node });
+            let spread = self.rng.random_range(0..100 * MILLISECOND);
+            self.schedule_after(spread, Event::NodeStarts { node });
         }
-        let begins = 200 * MS;
-        if self.s.load.closed > 0 {
-            for client in 0..self.s.load.closed as usize {
-                let spread = self.rng.random_range(0..100 * MS);
-                self.at(begins + spread, Happening::Asks { client });
+        let begins = 200 * MILLISECOND;
+        if self.scenario.load.closed > 0 {
+            for client in 0..self.scenario.load.closed as usize {
+                let spread = self.rng.random_range(0..100 * MILLISECOND);
+                self.schedule_at(begins + spread, Event::ClientAsks { client });
             }
         } else {
-            self.at(begins, Happening::Arrives);
+            self.schedule_at(begins, Event::ClientArrives);
         }
-        for (which, t) in self.s.troubles.iter().enumerate() {
-            self.at(seconds(t.at_s), Happening::Trouble { which, begins: true });
-            self.at(seconds(t.at_s + t.for_s), Happening::Trouble { which, begins: false });
+        for (fault, t) in self.scenario.troubles.iter().enumerate() {
+            self.schedule_at(seconds(t.at_s), Event::FaultChanges { fault, begins: true });
+            self.schedule_at(seconds(t.at_s + t.for_s), Event::FaultChanges { fault, begins: false });
         }
-        self.at(SECOND, Happening::Sweep);
+        self.schedule_at(SECOND, Event::JudgeSweeps);
     }
 
     fn finish(mut self) -> Outcome {
-        self.judge.sweep(self.now + AFTER);
-        self.out.breaches = std::mem::take(&mut self.judge.breaches);
-        self.out.broken = self.judge.broken;
-        self.out.work_by_executor = self.executors.iter().map(|e| e.worked).collect();
-        let worked: f64 = self.out.work_by_executor.iter().sum();
-        self.out.waste = if worked > 0.0 { (1.0 - self.useful / worked).max(0.0) } else { 0.0 };
-        self.out.finish(self.s);
-        self.out
+        self.judge.sweep(self.now + GRACE_AFTER_SPAN);
+        self.outcome.breaches = std::mem::take(&mut self.judge.breaches);
+        self.outcome.broken = self.judge.broken;
+        self.outcome.work_by_executor = self.executors.iter().map(|e| e.worked).collect();
+        let worked: f64 = self.outcome.work_by_executor.iter().sum();
+        self.outcome.waste = if worked > 0.0 { (1.0 - self.useful_work / worked).max(0.0) } else { 0.0 };
+        self.outcome.finish(self.scenario);
+        self.outcome
     }
 
-    fn happen(&mut self, what: Happening) {
-        match what {
-            Happening::Arrives => self.arrives(),
-            Happening::Asks { client } => {
-                if self.now < seconds(self.s.span_s) {
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::ClientArrives => self.arrives(),
+            Event::ClientAsks { client } => {
+                if self.now < seconds(self.scenario.span_s) {
                     self.ask(Some(client));
                 }
             }
-            Happening::AtNode { attempt } => self.at_node(attempt),
-            Happening::Back { attempt, ending } => self.back(attempt, ending),
-            Happening::GivesUp { attempt, leaves } => self.gives_up(attempt, leaves),
-            Happening::Again { first } => self.attempt(first, 0),
-            Happening::Feed { node, life, input } => self.feed(node, life, input),
-            Happening::Resume { node, life } => {
-                if self.nodes[node].life == life {
-                    self.nodes[node].resuming = false;
+            Event::RequestAtNode { attempt } => self.at_node(attempt),
+            Event::ResponseAtClient { attempt, outcome } => self.back(attempt, outcome),
+            Event::ClientGivesUp { attempt, leaves } => self.gives_up(attempt, leaves),
+            Event::ClientRetries { request } => self.attempt(request, 0),
+            Event::NodeInput { node, incarnation, input } => self.feed(node, incarnation, input),
+            Event::NodeResumes { node, incarnation } => {
+                if self.nodes[node].incarnation == incarnation {
+                    self.nodes[node].resume_scheduled = false;
                     self.work(node);
                 }
             }
-            Happening::Tick { node, life, at } => {
-                if self.nodes[node].life == life && self.nodes[node].armed == at {
-                    self.nodes[node].armed = Nanos::MAX;
-                    self.feed(node, life, Input::Tick);
+            Event::NodeTimer { node, incarnation, at } => {
+                if self.nodes[node].incarnation == incarnation && self.nodes[node].timer_at == at {
+                    self.nodes[node].timer_at = Nanos::MAX;
+                    self.feed(node, incarnation, Input::Tick);
                 }
             }
-            Happening::Syn { line } => self.syn(line),
-            Happening::Up { line } => {
-                let up = self.connections.get_mut(&line).filter(|c| !c.closed);
+            Event::ConnectAtExecutor { connection } => self.syn(connection),
+            Event::ConnectedAtNode { connection } => {
+                let up = self.connections.get_mut(&connection).filter(|c| !c.closed);
                 if up.map(|c| c.up = true).is_some() {
-                    self.feed(line.node, line.life, Input::LinkUp { link: line.link });
+                    self.feed(
+                        connection.node,
+                        connection.incarnation,
+                        Input::LinkUp { link: connection.link },
+                    );
                 }
             }
-            Happening::Down { line, broken } => self.down(line, broken),
-            Happening::Fin { line } => self.fin(line),
-            Happening::Request { line, attempt } => self.request(line, attempt),
-            Happening::Probe { line } => self.probe(line),
-            Happening::Probed { line, answered, report } => {
-                if self.heard(line) {
-                    let link = line.link;
-                    self.feed(line.node, line.life, Input::Probed { link, answered, report });
-                    self.feed(line.node, line.life, Input::Freed { link, named: true });
+            Event::DisconnectedAtNode { connection, broken } => self.down(connection, broken),
+            Event::ClosedAtExecutor { connection } => self.fin(connection),
+            Event::JobAtExecutor { connection, attempt } => self.request(connection, attempt),
+            Event::ProbeAtExecutor { connection } => self.probe(connection),
+            Event::ProbeReplyAtNode { connection, answered, report } => {
+                if self.heard(connection) {
+                    let link = connection.link;
+                    self.feed(
+                        connection.node,
+                        connection.incarnation,
+                        Input::Probed { link, answered, report },
+                    );
+                    self.feed(connection.node, connection.incarnation, Input::Freed { link, named: true });
                 }
             }
-            Happening::Reply { line, attempt, ended, report } => self.reply(line, attempt, ended, report),
-            Happening::Note { line, attempt } => {
-                let on = self.connections.get(&line).is_some_and(|c| c.busy == Some(Some(attempt)));
+            Event::ReplyAtNode { connection, attempt, outcome, report } => {
+                self.reply(connection, attempt, outcome, report)
+            }
+            Event::NoticeAtNode { connection, attempt } => {
+                let on = self.connections.get(&connection).is_some_and(|c| c.busy == Some(Some(attempt)));
                 if on {
-                    self.feed(line.node, line.life, Input::Noted { link: line.link });
+                    self.feed(
+                        connection.node,
+                        connection.incarnation,
+                        Input::Noted { link: connection.link },
+                    );
                 }
             }
-            Happening::Progress { executor, life, line, attempt } => {
+            Event::ProgressDue { executor, incarnation, connection, attempt } => {
                 let e = &self.executors[executor];
-                let running =
-                    e.life == life && e.running.iter().any(|j| j.attempt == attempt && j.line == line);
+                let running = e.incarnation == incarnation
+                    && e.running.iter().any(|j| j.attempt == attempt && j.connection == connection);
                 if running {
-                    if !e.halted() {
-                        self.pass_to_node(line, Happening::Note { line, attempt });
+                    if !e.is_stalled() {
+                        self.pass_to_node(connection, Event::NoticeAtNode { connection, attempt });
                     }
-                    let again = Happening::Progress { executor, life, line, attempt };
-                    self.after(seconds(self.s.progress_s), again);
+                    let again = Event::ProgressDue { executor, incarnation, connection, attempt };
+                    self.schedule_after(seconds(self.scenario.progress_s), again);
                 }
             }
-            Happening::Wake { executor, wake } => {
+            Event::ExecutorWakes { executor, wake } => {
                 if self.executors[executor].wake == wake {
                     self.turn(executor);
                 }
             }
-            Happening::Trouble { which, begins } => self.trouble(which, begins),
-            Happening::Step { which, executor, on } => self.step(which, executor, on),
-            Happening::Publish { executor, health, started } => self.publish(executor, health, started),
-            Happening::Call { node, life } => self.call(node, life),
-            Happening::Starts { node } => self.starts(node),
-            Happening::Kill { node, life } => {
-                if self.nodes[node].life == life && self.nodes[node].machine.is_some() {
+            Event::FaultChanges { fault, begins } => self.trouble(fault, begins),
+            Event::FaultToggles { fault, executor, on } => self.step(fault, executor, on),
+            Event::DiscoveryPublishes { executor, health, started } => {
+                self.publish(executor, health, started)
+            }
+            Event::DiscoveryCall { node, incarnation } => self.call(node, incarnation),
+            Event::NodeStarts { node } => self.starts(node),
+            Event::NodeKilled { node, incarnation } => {
+                if self.nodes[node].incarnation == incarnation && self.nodes[node].machine.is_some() {
                     self.node_ends(node);
                 }
             }
-            Happening::Stops { node } => self.stops(node),
-            Happening::Notice { node } => {
-                let slot = &mut self.nodes[node];
-                slot.admitted = slot.machine.as_ref().is_some_and(|m| m.ready(self.now));
+            Event::NodeStops { node } => self.stops(node),
+            Event::HealthChecked { node } => {
+                let state = &mut self.nodes[node];
+                state.in_rotation = state.machine.as_ref().is_some_and(|m| m.ready(self.now));
             }
-            Happening::Drains { executor } => self.drains(executor),
-            Happening::Leaves { executor } => {
+            Event::ExecutorDrains { executor } => self.drains(executor),
+            Event::ExecutorLeaves { executor } => {
                 self.executor_ends(executor, true);
                 self.announce(executor, Health::Gone, false);
             }
-            Happening::Joins { spec, zone } => {
+            Event::ExecutorJoins { spec, zone } => {
                 let executor = self.join(spec, zone);
                 self.executors[executor].started = self.now;
                 self.announce(executor, Health::Ready, false);
             }
-            Happening::Flood { which, node } => self.flood(which, node),
-            Happening::Kept { node, life, keep, ticket } => {
+            Event::FloodConnects { fault, node } => self.flood(fault, node),
+            Event::RecordPersisted { node, incarnation, keep, ticket } => {
                 // What a kill finds on its way to the disk is lost.
-                if self.nodes[node].life == life && self.nodes[node].machine.is_some() {
-                    self.nodes[node].kept.push(keep);
+                if self.nodes[node].incarnation == incarnation && self.nodes[node].machine.is_some() {
+                    self.nodes[node].persisted.push(keep);
                     if let Some(ticket) = ticket {
-                        self.feed(node, life, Input::Kept { ticket, lasts: true });
+                        self.feed(node, incarnation, Input::Kept { ticket, lasts: true });
                     }
                 }
             }
-            Happening::Sweep => {
+            Event::JudgeSweeps => {
                 self.judge.sweep(self.now);
                 let now = self.now;
-                self.marks.retain(|_, m| m.held > 0 || m.until > now);
-                self.after(SECOND, Happening::Sweep);
+                self.idempotency.retain(|_, m| m.held > 0 || m.until > now);
+                self.schedule_after(SECOND, Event::JudgeSweeps);
             }
         }
     }
--- a/crates/world/src/world/nodes.rs
+++ b/crates/world/src/world/nodes.rs
@@ -9,41 +9,41 @@
 use linestack_recovery::{Fates, Keep};
 use rand::Rng as _;
 
-use super::event::{Ending, Happening};
+use super::event::{ClientOutcome, Event};
 use super::fleet::executor_at;
-use super::{MS, SECOND, World, lock};
-use crate::executor::Line;
+use super::{MILLISECOND, SECOND, World, lock};
+use crate::executor::ConnectionId;
 use crate::scenario::seconds;
 use crate::{Machine, Seat};
 
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub(super) enum Watch {
+pub(super) enum DiscoveryWatch {
     Off,
     Calling,
     On,
 }
 
-pub(super) struct Slot {
+pub(super) struct NodeState {
     pub(super) machine: Option<Box<dyn Machine>>,
-    pub(super) life: u32,
+    pub(super) incarnation: u32,
     pub(super) zone: u16,
     /// The front sends clients to it.
-    pub(super) admitted: bool,
+    pub(super) in_rotation: bool,
     pub(super) stopping: bool,
-    pub(super) armed: Nanos,
+    pub(super) timer_at: Nanos,
     pub(super) busy_until: Nanos,
     pub(super) paused_until: Nanos,
     pub(super) inbox: VecDeque<Input>,
-    pub(super) resuming: bool,
-    pub(super) watch: Watch,
-    pub(super) cpu: f64,
+    pub(super) resume_scheduled: bool,
+    pub(super) watch: DiscoveryWatch,
+    pub(super) cpu_per_input: f64,
     /// What its disk has, and how old that is.
-    pub(super) kept: Vec<Keep>,
+    pub(super) persisted: Vec<Keep>,
 }
 
 impl World<'_> {
-    pub(super) fn feed(&mut self, node: usize, life: u32, input: Input) {
-        if self.nodes[node].life == life && self.nodes[node].machine.is_some() {
+    pub(super) fn feed(&mut self, node: usize, incarnation: u32, input: Input) {
+        if self.nodes[node].incarnation == incarnation && self.nodes[node].machine.is_some() {
             self.nodes[node].inbox.push_back(input);
             self.work(node);
         }
@@ -52,20 +52,20 @@
     /// Lets a node take what has come, one thing after the other, as it has time.
     pub(super) fn work(&mut self, node: usize) {
         loop {
-            let slot = &mut self.nodes[node];
-            if slot.inbox.is_empty() {
+            let state = &mut self.nodes[node];
+            if state.inbox.is_empty() {
                 return;
             }
-            if slot.busy_until > self.now {
-                if !std::mem::replace(&mut slot.resuming, true) {
-                    let (at, life) = (slot.busy_until, slot.life);
-                    self.at(at, Happening::Resume { node, life });
+            if state.busy_until > self.now {
+                if !std::mem::replace(&mut state.resume_scheduled, true) {
+                    let (at, incarnation) = (state.busy_until, state.incarnation);
+                    self.schedule_at(at, Event::NodeResumes { node, incarnation });
                 }
                 return;
             }
-            let (Some(input), Some(machine)) = (slot.inbox.pop_front(), &mut slot.machine) else { return };
-            slot.busy_until = self.now + slot.cpu as Nanos;
-            let life = slot.life;
+            let (Some(input), Some(machine)) = (state.inbox.pop_front(), &mut state.machine) else { return };
+            state.busy_until = self.now + state.cpu_per_input as Nanos;
+            let incarnation = state.incarnation;
             let listed = matches!(input, Input::Listed { .. });
             if let Input::Submitted { client, .. } = &input {
                 self.attempts[*client as usize].read = Some(self.now);
@@ -78,13 +78,13 @@
                 let place = |w| machine.address(w).map(executor_at);
                 lock(&self.truth).places[node] = (0..known).map(place).collect();
             }
-            if due < slot.armed {
+            if due < state.timer_at {
                 let at = due.max(self.now + 1);
-                slot.armed = at;
-                self.at(at, Happening::Tick { node, life, at });
+                state.timer_at = at;
+                self.schedule_at(at, Event::NodeTimer { node, incarnation, at });
             }
             for effect in effects.drain(..) {
-                self.carry_out(node, life, effect);
+                self.carry_out(node, incarnation, effect);
             }
             self.effects = effects;
         }
@@ -92,17 +92,18 @@
 
     pub(super) fn starts(&mut self, node: usize) {
         let seed = self.rng.random();
-        let slot = &mut self.nodes[node];
-        slot.life += 1;
-        let (life, zone) = (slot.life, slot.zone);
-        (slot.stopping, slot.resuming, slot.armed) = (false, false, Nanos::MAX);
-        (slot.busy_until, slot.watch, slot.cpu) = (0, Watch::Off, self.s.nodes.cpu_us * 1e3);
-        slot.inbox.clear();
-        let settings = self.s.settings(zone, seed);
-        let starts = &self.s.nodes.starts;
+        let state = &mut self.nodes[node];
+        state.incarnation += 1;
+        let (incarnation, zone) = (state.incarnation, state.zone);
+        (state.stopping, state.resume_scheduled, state.timer_at) = (false, false, Nanos::MAX);
+        (state.busy_until, state.watch, state.cpu_per_input) =
+            (0, DiscoveryWatch::Off, self.scenario.nodes.cpu_us * 1e3);
+        state.inbox.clear();
+        let settings = self.scenario.settings(zone, seed);
+        let starts = &self.scenario.nodes.starts;
         let start = starts.on.then(|| {
             let terms = Terms {
-                nodes: self.s.nodes.count,
+                nodes: self.scenario.nodes.count,
                 connects_per_s: starts.connects_per_s,
                 lists_per_s: starts.lists_per_s,
                 sessions_per_s: 0.0,
@@ -113,29 +114,29 @@
             let found = Found { proved: true, fresh: true, old: false };
             Start::new(terms, found, [self.rng.random(), self.rng.random()], self.now)
         });
-        let remembered = self.s.nodes.store.then(|| {
+        let remembered = self.scenario.nodes.store.then(|| {
             let mut fates = Fates::new(3600 * SECOND, usize::MAX, usize::MAX);
-            let kept = &self.nodes[node].kept;
-            fates.restore(kept.iter().cloned());
-            let age = kept.iter().map(|k| k.at + 1).max().unwrap_or(0);
+            let persisted = &self.nodes[node].persisted;
+            fates.restore(persisted.iter().cloned());
+            let age = persisted.iter().map(|k| k.at + 1).max().unwrap_or(0);
             Remembered { fates, age, now: self.now, by_stamp: true, doubtful: 0 }
         });
-        let slot = &mut self.nodes[node];
+        let state = &mut self.nodes[node];
         let seat = Seat {
             now: self.now,
             start,
             remembered,
             node,
             settings,
-            sockets: self.s.nodes.sockets,
-            memory: self.s.nodes.memory_mb << 20,
+            sockets: self.scenario.nodes.sockets,
+            memory: self.scenario.nodes.memory_mb << 20,
             truth: Arc::clone(&self.truth),
         };
-        slot.machine = Some((self.maker)(seat));
+        state.machine = Some((self.maker)(seat));
         // The list as it was last known.
         let known = self.list();
-        self.feed(node, life, Input::Listed { kind: ListKind::Cached, endpoints: known });
-        self.after(10 * MS, Happening::Notice { node });
+        self.feed(node, incarnation, Input::Listed { kind: ListKind::Cached, endpoints: known });
+        self.schedule_after(10 * MILLISECOND, Event::HealthChecked { node });
     }
 
     pub(super) fn stops(&mut self, node: usize) {
@@ -143,36 +144,44 @@
             return;
         }
         self.nodes[node].stopping = true;
-        let life = self.nodes[node].life;
-        self.feed(node, life, Input::Stop);
-        self.after(300 * MS, Happening::Notice { node });
-        let kill = seconds(self.s.nodes.kill_after_s);
-        self.after(kill, Happening::Kill { node, life });
+        let incarnation = self.nodes[node].incarnation;
+        self.feed(node, incarnation, Input::Stop);
+        self.schedule_after(300 * MILLISECOND, Event::HealthChecked { node });
+        let kill = seconds(self.scenario.nodes.kill_after_s);
+        self.schedule_after(kill, Event::NodeKilled { node, incarnation });
     }
 
     /// A node's process ends, however that came, and is started again later.
     pub(super) fn node_ends(&mut self, node: usize) {
-        let life = self.nodes[node].life;
+        let incarnation = self.nodes[node].incarnation;
         self.nodes[node].machine = None;
-        self.judge.died((node, life));
-        let (from, to) = (Line { node, life, link: 0 }, Line { node, life, link: Link::MAX });
-        let lines: Vec<Line> = self.connections.range(from..=to).map(|(l, _)| *l).collect();
-        for line in lines {
-            if let Some(c) = self.connections.get_mut(&line) {
+        self.judge.died((node, incarnation));
+        let (from, to) = (
+            ConnectionId { node, incarnation, link: 0 },
+            ConnectionId { node, incarnation, link: Link::MAX },
+        );
+        let connections: Vec<ConnectionId> = self.connections.range(from..=to).map(|(l, _)| *l).collect();
+        for connection in connections {
+            if let Some(c) = self.connections.get_mut(&connection) {
                 c.closed = true;
             }
-            self.pass_to_executor(line, Happening::Fin { line });
+            self.pass_to_executor(connection, Event::ClosedAtExecutor { connection });
         }
         for attempt in 0..self.attempts.len() {
             let a = &self.attempts[attempt];
-            if !a.over && !a.answered && a.at.is_some_and(|(n, l, taken)| (n, l) == (node, life) && taken > 0)
+            if !a.over
+                && !a.answered
+                && a.at.is_some_and(|(n, l, taken)| (n, l) == (node, incarnation) && taken > 0)
             {
-                self.after(MS, Happening::Back { attempt, ending: Ending::Lost });
+                self.schedule_after(
+                    MILLISECOND,
+                    Event::ResponseAtClient { attempt, outcome: ClientOutcome::NoAnswer },
+                );
             }
         }
-        let notice = seconds(self.s.clients.notice_s);
-        self.after(notice, Happening::Notice { node });
-        let back = seconds(self.s.nodes.back_after_s);
-        self.after(back, Happening::Starts { node });
+        let notice = seconds(self.scenario.clients.notice_s);
+        self.schedule_after(notice, Event::HealthChecked { node });
+        let back = seconds(self.scenario.nodes.back_after_s);
+        self.schedule_after(back, Event::NodeStarts { node });
     }
 }
