--- a/crates/world/src/executor.rs
+++ b/crates/world/src/executor.rs
@@ -196,11 +196,11 @@
         Some(now + (span * 1e9).ceil().min(1e18) as Nanos + 1)
     }
 
-    /// Starts what fits, in order; the head waits until it does.
-    pub(crate) fn start(&mut self, now: Nanos) -> usize {
-        let before = self.running.len();
+    /// Starts what fits, in order; the head waits until it does. Returns copies of what was started.
+    pub(crate) fn start(&mut self, now: Nanos) -> Vec<Job> {
+        let mut started = Vec::new();
         if self.is_stalled() {
-            return before;
+            return started;
         }
         while let Some(job) = self.waiting.front() {
             if self.in_use + job.slots > self.slots + 1e-9 {
@@ -209,9 +209,10 @@
             let Some(mut job) = self.waiting.pop_front() else { break };
             job.started = now;
             self.in_use += job.slots;
+            started.push(job.clone());
             self.running.push(job);
         }
-        before
+        started
     }
 
     /// Takes out what is done.
@@ -233,12 +234,44 @@
         self.in_use = self.running.iter().map(|j| j.slots).sum();
     }
 
-    /// Forgets all that it holds, as at the end of a process.
-    pub(crate) fn clear(&mut self) {
-        self.running.clear();
-        self.waiting.clear();
+    /// Forgets all that it holds, as at the end of a process, and returns it: what ran, then what waited.
+    pub(crate) fn clear(&mut self) -> Vec<Job> {
+        let held = self.running.drain(..).chain(self.waiting.drain(..)).collect();
         (self.in_use, self.overhead, self.connections) = (0.0, 0.0, 0);
         self.reports.clear();
+        held
+    }
+
+    /// Takes out the jobs of a connection that wait, and those that run if `cancels` says so.
+    pub(crate) fn drop_jobs_of(&mut self, connection: ConnectionId, cancels: bool) -> Vec<Job> {
+        let of_it = |job: &&Job| job.connection == connection;
+        let mut dropped: Vec<Job> = self.waiting.iter().filter(of_it).cloned().collect();
+        self.waiting.retain(|job| job.connection != connection);
+        if cancels {
+            dropped.extend(self.running.iter().filter(of_it).cloned());
+            self.running.retain(|job| job.connection != connection);
+            self.count();
+        }
+        dropped
+    }
+
+    /// Whether a job that wants so many slots may start or wait here.
+    pub(crate) fn admits(&self, slots: f64) -> bool {
+        let must_wait = self.in_use + slots > self.slots || !self.waiting.is_empty();
+        let queue_full = self.waiting.len() >= self.queue;
+        slots <= self.slots && !(must_wait && queue_full)
+    }
+
+    /// Whether an attempt's job runs here for a connection.
+    pub(crate) fn is_running(&self, connection: ConnectionId, attempt: usize) -> bool {
+        self.running.iter().any(|job| job.attempt == attempt && job.connection == connection)
+    }
+
+    /// Ends the running job of a connection without its work being done.
+    pub(crate) fn skip(&mut self, connection: ConnectionId) {
+        if let Some(job) = self.running.iter_mut().find(|job| job.connection == connection) {
+            job.left = 0.0;
+        }
     }
 
     pub(crate) fn free(&self) -> f64 {
--- a/crates/world/src/world/clients.rs
+++ b/crates/world/src/world/clients.rs
@@ -1,297 +1,299 @@
-//! Clients: when they come, where they go, and when they come again.
+//! Clients: which node they go to, how long they wait, and when they retry.
 
 use std::sync::Arc;
 
 use bytes::Bytes;
 use linestack_core::{Client, Input, Intake, Nanos, Shipment};
 use rand::Rng as _;
-use rand_distr::{Distribution as _, LogNormal};
 
-use super::event::{ClientOutcome, Event};
+use super::event::{ClientOutcome, Event, GiveUp};
+use super::nodes::NodeState;
 use super::{MILLISECOND, SECOND, World};
 use crate::judge::Rule;
-use crate::scenario::{Backoff, Repeats, Scenario, Shape, millis, seconds};
+use crate::scenario::{Backoff, Repeats, millis, seconds};
 
-/// How many nodes a client tries at once when they refuse it.
-const REFUSALS: u32 = 3;
+/// How many further nodes a client tries at once when one refuses its connection.
+const MAX_REFUSALS: u32 = 3;
 
-/// What a client wants, with its retries.
+/// How long a client needs to see that a connection failed or is not accepted.
+const FAILURE_SEEN_AFTER: Nanos = MILLISECOND;
+
+/// A client waits this long at a node that accepts no connection for now.
+const ACCEPT_RETRY: Nanos = 2 * MILLISECOND;
+
+/// Back-off doubles at most this many times.
+const MAX_DOUBLINGS: u32 = 10;
+
+/// What a client wants, over all its attempts.
 pub(super) struct ClientRequest {
     pub(super) product: usize,
     pub(super) tenant: usize,
+    /// Seconds of work at speed 1.
     pub(super) work: f64,
     pub(super) zone: u16,
-    pub(super) born: Nanos,
-    pub(super) retries: u32,
+    pub(super) created_at: Nanos,
+    pub(super) retries_left: u32,
     pub(super) tries: u32,
-    pub(super) done: bool,
-    /// Which of the clients that ask again once they are answered.
-    pub(super) closed: Option<usize>,
-    /// The node that was asked last, and how many executions of it began.
-    pub(super) node: Option<usize>,
-    pub(super) began: u32,
+    pub(super) satisfied: bool,
+    /// The closed-loop client that made it, which asks again once it is answered.
+    pub(super) closed_client: Option<usize>,
+    /// The node that was asked last.
+    pub(super) last_node: Option<usize>,
+    /// How many executions of it began.
+    pub(super) executions_begun: u32,
 }
 
+/// One try of a request at one node. A client's number at the node is the index of its attempt.
 pub(super) struct Attempt {
     pub(super) request: usize,
-    pub(super) sent: Nanos,
+    pub(super) sent_at: Nanos,
+    /// How many nodes refused this try before.
     pub(super) refusals: u32,
-    /// The node that holds it, and when it took it.
-    pub(super) at: Option<(usize, u32, Nanos)>,
+    pub(super) assigned: Option<Assignment>,
     /// When the node came to read it.
-    pub(super) read: Option<Nanos>,
+    pub(super) read_at: Option<Nanos>,
     /// The client has its answer, or has given up.
     pub(super) over: bool,
     /// The node has answered.
     pub(super) answered: bool,
 }
 
+/// The node process that an attempt was sent to.
+#[derive(Clone, Copy)]
+pub(super) struct Assignment {
+    pub(super) node: usize,
+    pub(super) incarnation: u32,
+    /// When the node accepted it; none while it is on its way.
+    pub(super) accepted_at: Option<Nanos>,
+}
+
 impl World<'_> {
-    pub(super) fn times(&self, now: Nanos) -> f64 {
-        let t = now as f64 / 1e9;
-        let load = &self.scenario.load;
-        let step = load.steps.iter().rev().find(|s| s.at_s <= t).map_or(1.0, |s| s.times);
-        let turn = t / load.period_s;
-        let swing = match load.shape {
-            Shape::Steady => 1.0,
-            Shape::Bursty if turn.fract() < 0.5 => 1.0 + load.swing,
-            Shape::Bursty => 1.0 - load.swing,
-            Shape::Wave => 1.0 + load.swing * (turn * std::f64::consts::TAU).sin(),
+    /// Sends a request to a node. `refusals` counts the nodes that refused this try before.
+    pub(super) fn start_attempt(&mut self, request: usize, refusals: u32) {
+        if refusals == 0 {
+            self.requests[request].tries += 1;
+            self.outcome.tries += 1;
+        }
+        let candidates = self.nodes_for(self.requests[request].zone);
+        let attempt = self.attempts.len();
+        self.attempts.push(Attempt {
+            request,
+            sent_at: self.now,
+            refusals,
+            assigned: None,
+            read_at: None,
+            over: false,
+            answered: false,
+        });
+        self.schedule_give_up(attempt);
+        let same = self.requests[request].last_node.filter(|_| self.scenario.clients.same_node);
+        let drawn = self.draw_node(&candidates);
+        let Some(node) = same.or(drawn) else {
+            let outcome = ClientOutcome::NoAnswer;
+            return self.schedule_after(FAILURE_SEEN_AFTER, Event::ResponseAtClient { attempt, outcome });
         };
-        step * swing
+        self.requests[request].last_node = Some(node);
+        let incarnation = self.nodes[node].incarnation;
+        self.attempts[attempt].assigned = Some(Assignment { node, incarnation, accepted_at: None });
+        let delay = self.client_delay();
+        self.schedule_after(delay, Event::RequestAtNode { attempt });
     }
 
-    pub(super) fn arrives(&mut self) {
-        if self.now >= seconds(self.scenario.span_s) {
-            return;
-        }
-        let most = self.scenario.load.steps.iter().map(|s| s.times).fold(1.0, f64::max)
-            * (1.0 + self.scenario.load.swing);
-        let shares: f64 = self.scenario.tenants.iter().map(|t| t.share).sum();
-        let sent: f64 = self.scenario.tenants.iter().map(|t| t.share * t.usage).sum();
-        let rate = self.scenario.rate() * sent / shares.max(1e-9) * most;
-        let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate;
-        self.schedule_after(seconds(gap), Event::ClientArrives);
-        if self.rng.random::<f64>() * most < self.times(self.now) {
-            self.ask(None);
-        }
+    /// The nodes in rotation of a zone; those of all zones where it has none.
+    fn nodes_for(&self, zone: u16) -> Vec<usize> {
+        let near = self.nodes_in_rotation(|node| node.zone == zone);
+        if near.is_empty() { self.nodes_in_rotation(|_| true) } else { near }
     }
 
-    pub(super) fn ask(&mut self, closed: Option<usize>) {
-        let product = self.weighted(|s| s.products.iter().map(|p| p.share).collect());
-        let tenant = self.weighted(|s| s.tenants.iter().map(|t| t.share * t.usage).collect());
-        let p = &self.scenario.products[product];
-        let work = if p.cv > 0.0 {
-            let variance = (1.0 + p.cv * p.cv).ln();
-            let spread = LogNormal::new((p.work_ms / 1e3).ln() - variance / 2.0, variance.sqrt());
-            spread.map_or(p.work_ms / 1e3, |d| d.sample(&mut self.rng))
-        } else {
-            p.work_ms / 1e3
-        };
-        let zone = self.rng.random_range(0..self.scenario.zones);
-        let (born, retries) = (self.now, self.scenario.clients.retries);
-        self.requests.push(ClientRequest {
-            product,
-            tenant,
-            work,
-            zone,
-            born,
-            retries,
-            tries: 0,
-            done: false,
-            closed,
-            node: None,
-            began: 0,
-        });
-        self.open_requests += 1;
-        self.outcome.asked += 1;
-        self.outcome.worth += p.payoff;
-        let second = (born / SECOND) as usize;
-        if self.outcome.asked_by_second.len() <= second {
-            self.outcome.asked_by_second.resize(second + 1, 0.0);
-            self.outcome.won_by_second.resize(second + 1, 0.0);
-        }
-        self.outcome.asked_by_second[second] += p.payoff;
-        self.attempt(self.requests.len() - 1, 0);
+    fn nodes_in_rotation(&self, wanted: impl Fn(&NodeState) -> bool) -> Vec<usize> {
+        let nodes = self.nodes.iter().enumerate();
+        nodes.filter(|(_, node)| node.in_rotation && wanted(node)).map(|(index, _)| index).collect()
     }
 
-    pub(super) fn weighted(&mut self, weights: impl Fn(&Scenario) -> Vec<f64>) -> usize {
-        let weights = weights(self.scenario);
-        let mut draw = self.rng.random::<f64>() * weights.iter().sum::<f64>();
-        for (i, weight) in weights.iter().enumerate() {
-            draw -= weight;
-            if draw < 0.0 {
-                return i;
-            }
+    fn draw_node(&mut self, candidates: &[usize]) -> Option<usize> {
+        if candidates.is_empty() {
+            return None;
         }
-        weights.len() - 1
+        Some(candidates[self.rng.random_range(0..candidates.len())])
     }
 
-    /// A try of a client: it goes to a node of its zone, if one is there.
-    pub(super) fn attempt(&mut self, request: usize, refusals: u32) {
-        let zone = self.requests[request].zone;
-        if refusals == 0 {
-            self.requests[request].tries += 1;
-            self.outcome.tries += 1;
-        }
-        let near = |w: &Self, near: bool| -> Vec<usize> {
-            let in_rotation = |n: &usize| w.nodes[*n].in_rotation && (!near || w.nodes[*n].zone == zone);
-            (0..w.nodes.len()).filter(in_rotation).collect()
-        };
-        let mut nodes = near(self, true);
-        if nodes.is_empty() {
-            nodes = near(self, false);
-        }
-        let attempt = self.attempts.len();
-        let (sent, at) = (self.now, None);
-        self.attempts.push(Attempt { request, sent, refusals, at, read: None, over: false, answered: false });
-        let deadline = millis(self.scenario.products[self.requests[request].product].cut_off_ms);
-        self.schedule_after(deadline, Event::ClientGivesUp { attempt, leaves: false });
-        if self.scenario.clients.leave > 0.0 && self.rng.random::<f64>() < self.scenario.clients.leave {
+    /// Schedules the attempt's deadline, and for some clients an earlier moment at which they leave.
+    fn schedule_give_up(&mut self, attempt: usize) {
+        let product = self.requests[self.attempts[attempt].request].product;
+        let deadline = millis(self.scenario.products[product].cut_off_ms);
+        let reason = GiveUp::DeadlinePassed;
+        self.schedule_after(deadline, Event::ClientGivesUp { attempt, reason });
+        let leaving_part = self.scenario.clients.leave;
+        if leaving_part > 0.0 && self.rng.random::<f64>() < leaving_part {
             let span = self.rng.random_range(0..deadline.max(1));
-            self.schedule_after(span, Event::ClientGivesUp { attempt, leaves: true });
+            self.schedule_after(span, Event::ClientGivesUp { attempt, reason: GiveUp::Leaves });
         }
-        let again = self.requests[request].node.filter(|_| self.scenario.clients.same_node);
-        let drawn = (!nodes.is_empty()).then(|| nodes[self.rng.random_range(0..nodes.len())]);
-        let Some(node) = again.or(drawn) else {
-            return self.schedule_after(
-                MILLISECOND,
-                Event::ResponseAtClient { attempt, outcome: ClientOutcome::NoAnswer },
-            );
-        };
-        self.requests[request].node = Some(node);
-        self.attempts[attempt].at = Some((node, self.nodes[node].incarnation, 0));
-        let way = self.client_way();
-        self.schedule_after(way, Event::RequestAtNode { attempt });
     }
 
-    pub(super) fn client_way(&mut self) -> Nanos {
+    /// The time that a message takes between a client and a node.
+    pub(super) fn client_delay(&mut self) -> Nanos {
         let jitter = 1.0 + self.scenario.network.jitter * self.rng.random::<f64>();
         millis(self.scenario.network.client_ms * jitter)
     }
 
-    pub(super) fn at_node(&mut self, attempt: usize) {
-        let Some((node, _, _)) = self.attempts[attempt].at.filter(|_| !self.attempts[attempt].over) else {
+    /// A submission reaches its node, which takes it, lets it wait for a connection, or is not there.
+    pub(super) fn request_at_node(&mut self, attempt: usize) {
+        if self.attempts[attempt].over {
             return;
-        };
+        }
+        let Some(Assignment { node, .. }) = self.attempts[attempt].assigned else { return };
         let state = &self.nodes[node];
         let Some(machine) = &state.machine else {
-            return self.schedule_after(
-                MILLISECOND,
-                Event::ResponseAtClient { attempt, outcome: ClientOutcome::Refused },
-            );
+            let outcome = ClientOutcome::Refused;
+            return self.schedule_after(FAILURE_SEEN_AFTER, Event::ResponseAtClient { attempt, outcome });
         };
         if machine.crowded() {
-            return self.schedule_after(2 * MILLISECOND, Event::RequestAtNode { attempt });
+            return self.schedule_after(ACCEPT_RETRY, Event::RequestAtNode { attempt });
         }
-        let (incarnation, request) = (state.incarnation, &self.requests[self.attempts[attempt].request]);
-        let p = &self.scenario.products[request.product];
-        let (product, tenant) = (request.product as u8, request.tenant as u16);
-        let marked = p.repeats == Repeats::Stamped || self.scenario.nodes.store;
-        let stamp = marked.then(|| self.attempts[attempt].request.to_string().into());
-        let id = Bytes::from(attempt.to_string());
-        let shipment = Arc::new(Shipment { id, stamp, ..Shipment::default() });
-        let patience = millis(p.cut_off_ms);
-        let intake = Intake { product, tenant, patience, slots: p.slots, memory: 0.0, shipment };
-        self.attempts[attempt].at = Some((node, incarnation, self.now));
+        self.submit(attempt, node, state.incarnation);
+    }
+
+    fn submit(&mut self, attempt: usize, node: usize, incarnation: u32) {
+        let accepted_at = Some(self.now);
+        self.attempts[attempt].assigned = Some(Assignment { node, incarnation, accepted_at });
         self.outcome.taken += 1;
-        let memory = seconds(p.memory_s);
-        // The node counts from when it reads it, for nothing tells it more.
-        self.judge.taken(attempt, (node, incarnation), p.repeats, memory, self.now + patience);
+        let product = &self.scenario.products[self.requests[self.attempts[attempt].request].product];
+        let intake = self.intake(attempt);
+        // The node counts the deadline from when it reads the submission, for nothing tells it more.
+        let deadline = self.now + intake.patience;
+        let memory = seconds(product.memory_s);
+        self.judge.taken(attempt, (node, incarnation), product.repeats, memory, deadline);
         let client = attempt as Client;
-        self.feed(node, incarnation, Input::ClientUp { client });
-        self.feed(node, incarnation, Input::Submitted { client, intake });
+        self.give_input(node, incarnation, Input::ClientUp { client });
+        self.give_input(node, incarnation, Input::Submitted { client, intake });
     }
 
-    pub(super) fn gives_up(&mut self, attempt: usize, leaves: bool) {
-        let a = &self.attempts[attempt];
-        if a.over {
+    /// The submission as the node is given it.
+    fn intake(&self, attempt: usize) -> Intake {
+        let index = self.attempts[attempt].request;
+        let request = &self.requests[index];
+        let product = &self.scenario.products[request.product];
+        let stamped = product.repeats == Repeats::Stamped || self.scenario.nodes.store;
+        let stamp = stamped.then(|| index.to_string().into());
+        let id = Bytes::from(attempt.to_string());
+        Intake {
+            product: request.product as u8,
+            tenant: request.tenant as u16,
+            patience: millis(product.cut_off_ms),
+            slots: product.slots,
+            memory: 0.0,
+            shipment: Arc::new(Shipment { id, stamp, ..Shipment::default() }),
+        }
+    }
+
+    /// A client stops waiting, unless it has its answer.
+    pub(super) fn client_gives_up(&mut self, attempt: usize, reason: GiveUp) {
+        if std::mem::replace(&mut self.attempts[attempt].over, true) {
             return;
         }
-        let (answered, at) = (a.answered, a.at);
-        self.attempts[attempt].over = true;
-        if let Some((node, incarnation, _)) = at.filter(|(_, _, taken)| *taken > 0) {
-            if !answered {
-                // What was taken late, by the client's clock, or is left early is nobody's fault.
-                let in_turn = self.attempts[attempt].sent + millis(self.scenario.rules.slack_ms);
-                let read = self.attempts[attempt].read.is_some_and(|read| read <= in_turn);
-                // Paused, it can do nothing; what it has not come to is still to be judged by others' rules.
-                let paused = self.nodes[node].busy_until > self.now;
-                if !leaves && !paused && read && self.nodes[node].incarnation == incarnation {
-                    self.judge.breach(Rule::Lost, self.now, format!("{attempt}: its client gave up"));
-                }
-                self.judge.excuse(attempt);
+        let assigned = self.attempts[attempt].assigned;
+        if let Some(assignment) = assigned.filter(|a| a.accepted_at.is_some()) {
+            if !self.attempts[attempt].answered {
+                self.judge_unanswered(attempt, assignment, reason);
             }
-            self.feed(node, incarnation, Input::ClientGone { client: attempt as Client });
+            let gone = Input::ClientGone { client: attempt as Client };
+            self.give_input(assignment.node, assignment.incarnation, gone);
         }
         self.outcome.unanswered += 1;
         let request = self.attempts[attempt].request;
-        if leaves {
-            self.requests[request].retries = 0;
+        if reason == GiveUp::Leaves {
+            self.requests[request].retries_left = 0;
+        }
+        self.retry_or_end(request, ClientOutcome::NoAnswer);
+    }
+
+    /// A client gave up on a node that had accepted its submission: was that the node's fault?
+    fn judge_unanswered(&mut self, attempt: usize, assignment: Assignment, reason: GiveUp) {
+        let Assignment { node, incarnation, .. } = assignment;
+        // What was read late, by the client's clock, or is left early is nobody's fault.
+        let latest = self.attempts[attempt].sent_at + millis(self.scenario.rules.slack_ms);
+        let read_in_time = self.attempts[attempt].read_at.is_some_and(|read_at| read_at <= latest);
+        // A paused node can do nothing; what it has not come to is still to be judged by other rules.
+        let paused = self.nodes[node].busy_until > self.now;
+        let same_process = self.nodes[node].incarnation == incarnation;
+        if reason == GiveUp::DeadlinePassed && !paused && read_in_time && same_process {
+            self.judge.breach(Rule::Lost, self.now, format!("{attempt}: its client gave up"));
         }
-        self.once_more(request, ClientOutcome::NoAnswer);
+        self.judge.excuse(attempt);
     }
 
-    pub(super) fn back(&mut self, attempt: usize, outcome: ClientOutcome) {
-        let a = &mut self.attempts[attempt];
-        if std::mem::replace(&mut a.over, true) {
+    /// A response, or the end of its connection, reaches a client that may still wait for it.
+    pub(super) fn response_at_client(&mut self, attempt: usize, outcome: ClientOutcome) {
+        if std::mem::replace(&mut self.attempts[attempt].over, true) {
             return;
         }
-        let (request, refusals) = (a.request, a.refusals);
+        let Attempt { request, refusals, .. } = self.attempts[attempt];
         match outcome {
             ClientOutcome::Satisfied => {
-                let f = &mut self.requests[request];
-                if !std::mem::replace(&mut f.done, true) {
-                    let p = &self.scenario.products[f.product];
-                    let took = (self.now - f.born) as f64 / 1e9;
-                    let in_time = took <= p.agreed_ms / 1e3 + p.stretch * f.work;
-                    let worth = if in_time { p.payoff } else { p.payoff * p.late_payoff };
-                    self.outcome.in_time += u64::from(in_time);
-                    self.outcome.won_by_second[(f.born / SECOND) as usize] += worth;
-                    self.outcome.by_product[f.product] += worth;
-                    self.outcome.by_tenant[f.tenant] += worth;
-                    self.outcome.answer_times.push(took as f32);
-                    self.useful_work += f.work;
-                }
-                self.over(request);
-            }
-            ClientOutcome::Refused if refusals < REFUSALS => {
-                self.attempt(request, refusals + 1);
+                self.count_satisfied(request);
+                self.end_request(request);
             }
-            _ => {
-                if matches!(outcome, ClientOutcome::NoAnswer | ClientOutcome::Refused) {
-                    self.outcome.unanswered += 1;
-                }
-                self.once_more(request, outcome);
+            ClientOutcome::Refused if refusals < MAX_REFUSALS => self.start_attempt(request, refusals + 1),
+            ClientOutcome::NoAnswer | ClientOutcome::Refused => {
+                self.outcome.unanswered += 1;
+                self.retry_or_end(request, outcome);
             }
+            ClientOutcome::Dismissed(_) | ClientOutcome::Aborted => self.retry_or_end(request, outcome),
         }
     }
 
-    pub(super) fn once_more(&mut self, request: usize, outcome: ClientOutcome) {
-        let (f, c) = (&mut self.requests[request], &self.scenario.clients);
-        if f.done || f.retries == 0 {
-            return self.over(request);
+    /// Counts the worth of a request that was satisfied, once.
+    fn count_satisfied(&mut self, request: usize) {
+        let request = &mut self.requests[request];
+        if std::mem::replace(&mut request.satisfied, true) {
+            return;
         }
-        f.retries -= 1;
-        let doubled = f64::from(1 << (f.tries - 1).min(10));
-        let own = match c.backoff {
-            Backoff::None => 0.0,
-            Backoff::Fixed => c.wait_ms,
-            Backoff::Exponential => c.wait_ms * doubled,
-        };
-        let own = millis(own * self.rng.random_range(0.5..1.5));
+        let product = &self.scenario.products[request.product];
+        let took_s = (self.now - request.created_at) as f64 / 1e9;
+        let in_time = took_s <= product.agreed_ms / 1e3 + product.stretch * request.work;
+        let worth = if in_time { product.payoff } else { product.payoff * product.late_payoff };
+        self.outcome.in_time += u64::from(in_time);
+        self.outcome.won_by_second[(request.created_at / SECOND) as usize] += worth;
+        self.outcome.by_product[request.product] += worth;
+        self.outcome.by_tenant[request.tenant] += worth;
+        self.outcome.answer_times.push(took_s as f32);
+        self.useful_work += request.work;
+    }
+
+    /// Lets a client retry after its back-off, if it has retries left.
+    fn retry_or_end(&mut self, request: usize, outcome: ClientOutcome) {
+        if self.requests[request].satisfied || self.requests[request].retries_left == 0 {
+            return self.end_request(request);
+        }
+        self.requests[request].retries_left -= 1;
+        let backoff = self.draw_backoff(self.requests[request].tries);
         let wait = match outcome {
-            ClientOutcome::Dismissed(Some(come_back)) if self.rng.random::<f64>() < c.heed => {
-                come_back.max(own)
+            ClientOutcome::Dismissed(Some(retry_after)) if self.heeds_retry_after() => {
+                retry_after.max(backoff)
             }
-            _ => own,
+            _ => backoff,
         };
         self.schedule_after(wait, Event::ClientRetries { request });
     }
 
-    pub(super) fn over(&mut self, request: usize) {
+    fn draw_backoff(&mut self, tries: u32) -> Nanos {
+        let clients = &self.scenario.clients;
+        let doubled = f64::from(1 << (tries - 1).min(MAX_DOUBLINGS));
+        let mean_ms = match clients.backoff {
+            Backoff::None => 0.0,
+            Backoff::Fixed => clients.wait_ms,
+            Backoff::Exponential => clients.wait_ms * doubled,
+        };
+        millis(mean_ms * self.rng.random_range(0.5..1.5))
+    }
+
+    fn heeds_retry_after(&mut self) -> bool {
+        self.rng.random::<f64>() < self.scenario.clients.heed
+    }
+
+    fn end_request(&mut self, request: usize) {
         self.open_requests -= 1;
-        if let Some(client) = self.requests[request].closed {
+        if let Some(client) = self.requests[request].closed_client {
             let think = millis(self.scenario.load.think_ms);
             self.schedule_after(think, Event::ClientAsks { client });
         }
--- /dev/null
+++ b/crates/world/src/world/delivery.rs
@@ -0,0 +1,220 @@
+//! Jobs and probes on their way to executors, whether they are admitted there, and the replies.
+
+use bytes::Bytes;
+use linestack_core::{Broken, Input, Nanos, Outcome as ExecutionOutcome, Shipment};
+use linestack_dispatch::types::{Health, Report};
+use rand::Rng as _;
+
+use super::discovery::Detection;
+use super::event::Event;
+use super::network::InFlight;
+use super::{MILLISECOND, World};
+use crate::executor::ConnectionId;
+use crate::scenario::{Repeats, millis, seconds};
+
+/// A node sees after this time that a connection was reset while it sent.
+const RESET_SEEN_AFTER: Nanos = 3 * MILLISECOND;
+
+/// What becomes of a job that reaches an executor.
+enum Admission {
+    Queued,
+    /// Answered at once, without being executed.
+    Answered(ExecutionOutcome),
+    /// Lost without a word.
+    Lost,
+}
+
+impl World<'_> {
+    /// A node sends a job over a connection.
+    pub(super) fn send_job(&mut self, connection: ConnectionId, shipment: &Shipment) {
+        let id = std::str::from_utf8(&shipment.id).ok().and_then(|id| id.parse::<usize>().ok());
+        let Some(attempt) = id.filter(|a| *a < self.attempts.len()) else { return };
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        state.in_flight = Some(InFlight::Job { attempt });
+        state.acknowledged = false;
+        let index = state.executor;
+        let executor = &self.executors[index];
+        self.judge.sent(attempt, connection, index, executor.group, self.now);
+        self.outcome.executions += 1;
+        self.outcome.crossings += u64::from(executor.zone != self.nodes[connection.node].zone);
+        if executor.alive && executor.is_cold(self.now) {
+            self.push_cold_executor(index, attempt);
+        }
+        if self.reset_rate > 0.0 && self.rng.random::<f64>() < self.reset_rate {
+            return self.reset_while_sending(connection, attempt);
+        }
+        self.pass_to_executor(connection, Event::JobAtExecutor { connection, attempt });
+    }
+
+    /// A job is sent to a cold executor, which collapses if that is more than it bears.
+    fn push_cold_executor(&mut self, index: usize, attempt: usize) {
+        let request = &self.requests[self.attempts[attempt].request];
+        // The mean of the product counts: nobody is told that this job is an outlier.
+        let work = self.scenario.products[request.product].work_ms / 1e3;
+        let capacity = self.executors[index].capacity(self.now);
+        if self.judge.cold(index, work, capacity, self.now) {
+            self.executors[index].collapsed = true;
+            self.executor_ends(index);
+            self.announce(index, Health::Gone, Detection::Silent);
+        }
+    }
+
+    /// A connection is reset before, under or after the last byte of a job.
+    fn reset_while_sending(&mut self, connection: ConnectionId, attempt: usize) {
+        const BEFORE_LAST_BYTE: u32 = 0;
+        const AFTER_LAST_BYTE: u32 = 2;
+        let moment: u32 = self.rng.random_range(0..3);
+        if moment == AFTER_LAST_BYTE {
+            self.pass_to_executor(connection, Event::JobAtExecutor { connection, attempt });
+        }
+        let written = moment > BEFORE_LAST_BYTE;
+        let broken = Broken { begun: true, written, answered: false, here: false, spoilt: false };
+        let event = Event::DisconnectedAtNode { connection, broken: Some(broken) };
+        self.schedule_after(RESET_SEEN_AFTER, event);
+    }
+
+    /// A job reaches an executor.
+    pub(super) fn job_at_executor(&mut self, connection: ConnectionId, attempt: usize) {
+        let Some(state) = self.connections.get(&connection) else { return };
+        let (index, idle_since) = (state.executor, state.idle_since);
+        let executor = &self.executors[index];
+        let same_process = state.executor_incarnation == Some(executor.incarnation);
+        // The reset is under way, or nobody is there to send one.
+        if !same_process || executor.faults.inbound_cut || executor.faults.unreachable {
+            return;
+        }
+        if self.now > idle_since + seconds(self.scenario.executors[executor.spec].idle_s) {
+            return self.disconnect_node(connection);
+        }
+        match self.admit(index, attempt) {
+            Admission::Queued => self.enqueue(index, connection, attempt),
+            Admission::Answered(outcome) => self.send_reply(index, connection, attempt, outcome),
+            Admission::Lost => {}
+        }
+    }
+
+    /// What an executor does with a job that has reached it, by its faults and its queue.
+    fn admit(&mut self, index: usize, attempt: usize) -> Admission {
+        let executor = &self.executors[index];
+        let faults = executor.faults.clone();
+        let draining = executor.draining;
+        let error_rate = faults.error_rate.max(self.scenario.executors[executor.spec].error_rate);
+        let product_index = self.requests[self.attempts[attempt].request].product;
+        let product = &self.scenario.products[product_index];
+        if faults.hangs {
+            return Admission::Queued;
+        }
+        if draining || self.happens_at_rate(faults.refusal_rate) {
+            return Admission::Answered(ExecutionOutcome::Full);
+        }
+        if self.happens_at_rate(error_rate) || (faults.product_fails && product_index == 0) {
+            return Admission::Answered(ExecutionOutcome::Error);
+        }
+        if self.happens_at_rate(faults.loss_rate) {
+            return Admission::Lost;
+        }
+        if product.repeats == Repeats::Stamped && self.is_duplicate(index, attempt) {
+            return Admission::Answered(ExecutionOutcome::Satisfied);
+        }
+        if !self.executors[index].admits(product.slots) {
+            return Admission::Answered(ExecutionOutcome::Full);
+        }
+        Admission::Queued
+    }
+
+    /// Draws whether something of this rate happens. A rate of 0 draws nothing.
+    fn happens_at_rate(&mut self, rate: f64) -> bool {
+        rate > 0.0 && self.rng.random::<f64>() < rate
+    }
+
+    /// An executor replies to a job, with its load report.
+    pub(super) fn send_reply(
+        &mut self,
+        index: usize,
+        connection: ConnectionId,
+        attempt: usize,
+        outcome: ExecutionOutcome,
+    ) {
+        let report = self.load_report(index);
+        if self.happens_at_rate(self.executors[index].faults.garbage_rate) {
+            let broken = Broken { begun: true, written: true, answered: true, here: false, spoilt: false };
+            let message = Event::DisconnectedAtNode { connection, broken: Some(broken) };
+            return self.pass_to_node(connection, message);
+        }
+        let now = self.now;
+        if let Some(state) = self.connections.get_mut(&connection) {
+            state.idle_since = now;
+        }
+        self.pass_to_node(connection, Event::ReplyAtNode { connection, attempt, outcome, report });
+    }
+
+    /// The load report that an executor's answer holds, if executors report at all.
+    fn load_report(&mut self, index: usize) -> Option<Report> {
+        let reports = &self.scenario.reports;
+        let (period, delay) = (millis(reports.period_ms), millis(reports.delay_ms));
+        let executor = &mut self.executors[index];
+        reports.told.then(|| executor.report(self.now, period, delay, reports.noise, &mut self.rng))
+    }
+
+    /// The reply to a job reaches the node, if it still waits for one.
+    pub(super) fn reply_at_node(
+        &mut self,
+        connection: ConnectionId,
+        attempt: usize,
+        outcome: ExecutionOutcome,
+        report: Option<Report>,
+    ) {
+        if !self.reply_is_awaited(connection) {
+            return;
+        }
+        match outcome {
+            ExecutionOutcome::Satisfied => self.judge.made(attempt),
+            ExecutionOutcome::Full => self.judge.never_ran(attempt, connection),
+            _ => {}
+        }
+        let ConnectionId { node, incarnation, link } = connection;
+        let result = Bytes::from_static(b"done");
+        self.give_input(node, incarnation, Input::Ended { link, outcome, result, report });
+        self.give_input(node, incarnation, Input::Freed { link, named: true });
+    }
+
+    /// A notice of a job's start or progress reaches the node, if it still waits for that job.
+    pub(super) fn progress_at_node(&mut self, connection: ConnectionId, attempt: usize) {
+        let job = Some(InFlight::Job { attempt });
+        if self.connections.get(&connection).is_some_and(|state| state.in_flight == job) {
+            let input = Input::Noted { link: connection.link };
+            self.give_input(connection.node, connection.incarnation, input);
+        }
+    }
+
+    /// A probe reaches an executor, which answers with its load report.
+    pub(super) fn probe_at_executor(&mut self, connection: ConnectionId) {
+        let Some(state) = self.connections.get(&connection) else { return };
+        let index = state.executor;
+        let executor = &mut self.executors[index];
+        let same_process = state.executor_incarnation == Some(executor.incarnation);
+        if !same_process || executor.faults.inbound_cut || executor.is_stalled() {
+            return;
+        }
+        let cost = self.scenario.executors[executor.spec].probe_ms / 1e3;
+        executor.add_overhead(self.now, cost);
+        self.run_executor(index);
+        let (answered, report) = (Some(true), self.load_report(index));
+        self.pass_to_node(connection, Event::ProbeReplyAtNode { connection, answered, report });
+    }
+
+    /// The answer to a probe reaches the node, if it still waits for one.
+    pub(super) fn probe_reply_at_node(
+        &mut self,
+        connection: ConnectionId,
+        answered: Option<bool>,
+        report: Option<Report>,
+    ) {
+        if !self.reply_is_awaited(connection) {
+            return;
+        }
+        let ConnectionId { node, incarnation, link } = connection;
+        self.give_input(node, incarnation, Input::Probed { link, answered, report });
+        self.give_input(node, incarnation, Input::Freed { link, named: true });
+    }
+}
--- a/crates/world/src/world/effects.rs
+++ b/crates/world/src/world/effects.rs
@@ -1,73 +1,36 @@
 //! What a node asks for is carried out in the world.
 
-use linestack_core::{Answer, Client, Effect, Input, Link, Phase};
+use std::net::SocketAddr;
+
+use linestack_core::{Answer, Client, Effect, Input, Link, Nanos, Phase};
 
 use super::event::{ClientOutcome, Event};
 use super::fleet::executor_at;
-use super::network::Connection;
+use super::network::{Connection, InFlight};
 use super::nodes::DiscoveryWatch;
-use super::{FLOOD_CLIENTS_FROM, MILLISECOND, World, count};
+use super::{FIRST_FLOOD_CLIENT, MILLISECOND, World, count_in_second};
 use crate::executor::{ConnectionId, Executor};
 use crate::judge::Rule;
 use crate::scenario::millis;
 
+/// A client sees after this time that its node closed its connection without an answer.
+const CLOSE_SEEN_AFTER: Nanos = MILLISECOND;
+
+/// A node's request to discovery is under way for this time.
+const DISCOVERY_DELAY: Nanos = MILLISECOND;
+
 impl World<'_> {
+    /// Carries out one effect of a node's process.
     pub(super) fn carry_out(&mut self, node: usize, incarnation: u32, effect: Effect) {
         let id = |link: Link| ConnectionId { node, incarnation, link };
         match effect {
             Effect::Answer { client, answer, .. } => self.answer(node, incarnation, client, &answer),
-            Effect::CloseClient { client } | Effect::DropClient { client } => {
-                if client < FLOOD_CLIENTS_FROM && !self.attempts[client as usize].answered {
-                    // The connection ends with no whole answer.
-                    self.schedule_after(
-                        MILLISECOND,
-                        Event::ResponseAtClient {
-                            attempt: client as usize,
-                            outcome: ClientOutcome::NoAnswer,
-                        },
-                    );
-                }
-                self.nodes[node].inbox.push_back(Input::ClientGone { client });
-            }
-            Effect::Open { link, address, .. } => {
-                let executor = executor_at(address);
-                let connection = Connection {
-                    executor,
-                    incarnation: None,
-                    busy: None,
-                    answered: false,
-                    up: false,
-                    closed: false,
-                    to_node: 0,
-                    to_executor: 0,
-                    idle_since: self.now,
-                };
-                self.connections.insert(id(link), connection);
-                self.outcome.handshakes += 1;
-                count(&mut self.outcome.handshakes_by_second, self.now);
-                self.pass_to_executor(id(link), Event::ConnectAtExecutor { connection: id(link) });
-            }
-            Effect::Send { link, shipment, .. } => self.send(id(link), &shipment),
-            Effect::Probe { link } => {
-                self.outcome.probes += 1;
-                if let Some(c) = self.connections.get_mut(&id(link)) {
-                    c.busy = Some(None);
-                }
-                self.pass_to_executor(id(link), Event::ProbeAtExecutor { connection: id(link) });
-            }
-            Effect::CloseLink { link } => {
-                if let Some(c) = self.connections.get_mut(&id(link)) {
-                    c.closed = true;
-                    c.busy = None;
-                    self.pass_to_executor(id(link), Event::ClosedAtExecutor { connection: id(link) });
-                }
-            }
-            Effect::Watch => {
-                if self.nodes[node].watch == DiscoveryWatch::Off {
-                    self.nodes[node].watch = DiscoveryWatch::Calling;
-                    self.schedule_after(MILLISECOND, Event::DiscoveryCall { node, incarnation });
-                }
-            }
+            Effect::CloseClient { client } | Effect::DropClient { client } => self.close_client(node, client),
+            Effect::Open { link, address, .. } => self.open_connection(id(link), address),
+            Effect::Send { link, shipment, .. } => self.send_job(id(link), &shipment),
+            Effect::Probe { link } => self.send_probe(id(link)),
+            Effect::CloseLink { link } => self.close_connection(id(link)),
+            Effect::Watch => self.watch_discovery(node, incarnation),
             Effect::Fault(what) => self.judge.breach(Rule::Invariant, self.now, what.into()),
             Effect::Report(_) | Effect::Stage(_) => {}
             Effect::Keep { keep, ticket } => {
@@ -78,35 +41,86 @@
         }
     }
 
-    pub(super) fn answer(&mut self, node: usize, incarnation: u32, client: Client, answer: &Answer) {
-        let Some(a) = self.attempts.get_mut(client as usize) else { return };
-        a.answered = true;
-        self.judge.answered(client as usize, answer, self.now);
-        let outcome = match answer {
+    /// A node answers a client, which ends the client's connection.
+    fn answer(&mut self, node: usize, incarnation: u32, client: Client, answer: &Answer) {
+        let attempt = client as usize;
+        let Some(state) = self.attempts.get_mut(attempt) else { return };
+        state.answered = true;
+        self.judge.answered(attempt, answer, self.now);
+        let outcome = self.count_answer(attempt, answer);
+        let delay = self.client_delay();
+        self.schedule_after(delay, Event::ResponseAtClient { attempt, outcome });
+        let state = &mut self.nodes[node];
+        if state.incarnation == incarnation {
+            state.inbox.push_back(Input::ClientPhase { client, phase: Phase::Idle });
+            state.inbox.push_back(Input::ClientGone { client });
+        }
+    }
+
+    fn count_answer(&mut self, attempt: usize, answer: &Answer) -> ClientOutcome {
+        match answer {
             Answer::Satisfied(_) => {
                 self.outcome.satisfied += 1;
                 ClientOutcome::Satisfied
             }
-            Answer::Dismissed(come_back) => {
+            Answer::Dismissed(retry_after) => {
                 self.outcome.dismissed += 1;
-                let request = &self.requests[self.attempts[client as usize].request];
-                let slots = self.scenario.products[request.product].slots;
-                let now = self.now;
-                let room =
-                    |e: &Executor| !e.is_stalled() && !e.draining && !e.is_cold(now) && e.free() >= slots;
-                self.outcome.dismissed_with_room += u64::from(self.executors.iter().any(room));
-                ClientOutcome::Dismissed(*come_back)
+                self.outcome.dismissed_with_room += u64::from(self.has_room_for(attempt));
+                ClientOutcome::Dismissed(*retry_after)
             }
             Answer::Aborted | Answer::Repeated => {
                 self.outcome.aborted += 1;
                 ClientOutcome::Aborted
             }
-        };
-        let way = self.client_way();
-        self.schedule_after(way, Event::ResponseAtClient { attempt: client as usize, outcome });
-        if self.nodes[node].incarnation == incarnation {
-            self.nodes[node].inbox.push_back(Input::ClientPhase { client, phase: Phase::Idle });
-            self.nodes[node].inbox.push_back(Input::ClientGone { client });
+        }
+    }
+
+    /// Whether some warm executor that is up has free slots for an attempt's job.
+    fn has_room_for(&self, attempt: usize) -> bool {
+        let request = &self.requests[self.attempts[attempt].request];
+        let slots = self.scenario.products[request.product].slots;
+        let available = |e: &Executor| !e.is_stalled() && !e.draining && !e.is_cold(self.now);
+        self.executors.iter().any(|e| available(e) && e.free() >= slots)
+    }
+
+    /// A node closes a client's connection; without an answer the client hears nothing more.
+    fn close_client(&mut self, node: usize, client: Client) {
+        let attempt = client as usize;
+        if client < FIRST_FLOOD_CLIENT && !self.attempts[attempt].answered {
+            let outcome = ClientOutcome::NoAnswer;
+            self.schedule_after(CLOSE_SEEN_AFTER, Event::ResponseAtClient { attempt, outcome });
+        }
+        self.nodes[node].inbox.push_back(Input::ClientGone { client });
+    }
+
+    fn open_connection(&mut self, connection: ConnectionId, address: SocketAddr) {
+        let state = Connection::new(executor_at(address), self.now);
+        self.connections.insert(connection, state);
+        self.outcome.handshakes += 1;
+        count_in_second(&mut self.outcome.handshakes_by_second, self.now);
+        self.pass_to_executor(connection, Event::ConnectAtExecutor { connection });
+    }
+
+    fn send_probe(&mut self, connection: ConnectionId) {
+        self.outcome.probes += 1;
+        if let Some(state) = self.connections.get_mut(&connection) {
+            state.in_flight = Some(InFlight::Probe);
+        }
+        self.pass_to_executor(connection, Event::ProbeAtExecutor { connection });
+    }
+
+    fn close_connection(&mut self, connection: ConnectionId) {
+        if let Some(state) = self.connections.get_mut(&connection) {
+            state.closed = true;
+            state.in_flight = None;
+            self.pass_to_executor(connection, Event::ClosedAtExecutor { connection });
+        }
+    }
+
+    fn watch_discovery(&mut self, node: usize, incarnation: u32) {
+        if self.nodes[node].watch == DiscoveryWatch::Off {
+            self.nodes[node].watch = DiscoveryWatch::Calling;
+            self.schedule_after(DISCOVERY_DELAY, Event::DiscoveryCall { node, incarnation });
         }
     }
 }
--- a/crates/world/src/world/execution.rs
+++ b/crates/world/src/world/execution.rs
@@ -1,270 +1,121 @@
-//! Executions: jobs are sent to executors, wait, run and are answered.
-
-use bytes::Bytes;
-use linestack_core::{Broken, Input, Nanos, Outcome as ExecutionOutcome, Shipment};
-use linestack_dispatch::types::{Health, Report};
-use rand::Rng as _;
+//! Executions: jobs wait in executors, run and are done.
 
+use super::World;
 use super::event::Event;
-use super::{MILLISECOND, World};
 use crate::executor::{ConnectionId, Job};
-use crate::scenario::{Repeats, millis, seconds};
-
-/// A group remembers a key for its span after it last had to do with it, and while it holds a copy.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct IdempotencyRecord {
-    pub(super) ran: bool,
-    pub(super) held: u32,
-    pub(super) until: Nanos,
-}
-
-impl IdempotencyRecord {
-    pub(super) fn known(&self, now: Nanos) -> bool {
-        self.ran && (self.held > 0 || self.until > now)
-    }
-}
+use crate::scenario::{Repeats, seconds};
+use linestack_core::Outcome as ExecutionOutcome;
 
 impl World<'_> {
-    pub(super) fn send(&mut self, connection: ConnectionId, shipment: &Shipment) {
-        let id = std::str::from_utf8(&shipment.id).ok().and_then(|id| id.parse::<usize>().ok());
-        let Some(attempt) = id.filter(|a| *a < self.attempts.len()) else { return };
-        let Some(c) = self.connections.get_mut(&connection) else { return };
-        (c.busy, c.answered) = (Some(Some(attempt)), false);
-        let executor = c.executor;
-        let (group, zone) = (self.executors[executor].group, self.executors[executor].zone);
-        self.judge.sent(attempt, connection, executor, group, self.now);
-        self.outcome.executions += 1;
-        self.outcome.crossings += u64::from(zone != self.nodes[connection.node].zone);
-        if self.executors[executor].is_cold(self.now) && self.executors[executor].alive {
-            let request = &self.requests[self.attempts[attempt].request];
-            // By what a job of the product takes on average: nobody is told that this one is an outlier.
-            let work = self.scenario.products[request.product].work_ms / 1e3;
-            let capacity = self.executors[executor].capacity(self.now);
-            if self.judge.cold(executor, work, capacity, self.now) {
-                self.executors[executor].collapsed = true;
-                self.executor_ends(executor, true);
-                self.announce(executor, Health::Gone, true);
-            }
-        }
-        if self.reset_rate > 0.0 && self.rng.random::<f64>() < self.reset_rate {
-            let how = self.rng.random_range(0..3);
-            let broken =
-                Broken { begun: true, written: how > 0, answered: false, here: false, spoilt: false };
-            if how == 2 {
-                self.pass_to_executor(connection, Event::JobAtExecutor { connection, attempt });
-            }
-            let down = Event::DisconnectedAtNode { connection, broken: Some(broken) };
-            return self.schedule_after(3 * MILLISECOND, down);
-        }
-        self.pass_to_executor(connection, Event::JobAtExecutor { connection, attempt });
-    }
-
-    pub(super) fn request(&mut self, connection: ConnectionId, attempt: usize) {
-        let now = self.now;
-        let Some(c) = self.connections.get(&connection) else { return };
-        let (executor, incarnation, idle_since) = (c.executor, c.incarnation, c.idle_since);
-        let e = &self.executors[executor];
-        // The reset is under way, or nobody is there to send one.
-        if incarnation != Some(e.incarnation) || e.faults.inbound_cut || e.faults.unreachable {
-            return;
-        }
-        if now > idle_since + seconds(self.scenario.executors[e.spec].idle_s) {
-            return self.pass_to_node(connection, Event::DisconnectedAtNode { connection, broken: None });
+    /// An executor takes a job, acknowledges it and puts it into its queue.
+    pub(super) fn enqueue(&mut self, index: usize, connection: ConnectionId, attempt: usize) {
+        if let Some(state) = self.connections.get_mut(&connection) {
+            state.acknowledged = true;
         }
-        let (faults, draining, spec) = (e.faults.clone(), e.draining, e.spec);
+        self.hold_key(index, attempt);
         let request = &self.requests[self.attempts[attempt].request];
-        let (product, work) = (request.product, request.work);
-        let p = &self.scenario.products[product];
-        if faults.hangs {
-            // Taken, and nothing comes of it while it lasts.
-            return self.enqueue(executor, connection, attempt, work, p.slots);
-        }
-        let fails = faults.error_rate.max(self.scenario.executors[spec].error_rate);
-        if draining || (faults.refusal_rate > 0.0 && self.rng.random::<f64>() < faults.refusal_rate) {
-            return self.reply_later(executor, connection, attempt, ExecutionOutcome::Full);
-        }
-        if (fails > 0.0 && self.rng.random::<f64>() < fails) || (faults.product_fails && product == 0) {
-            return self.reply_later(executor, connection, attempt, ExecutionOutcome::Error);
-        }
-        if faults.loss_rate > 0.0 && self.rng.random::<f64>() < faults.loss_rate {
-            return;
-        }
-        let key = (self.executors[executor].group, self.attempts[attempt].request);
-        if p.repeats == Repeats::Stamped && self.idempotency.get(&key).is_some_and(|m| m.known(now)) {
-            // Seen before: not carried out again.
-            return self.reply_later(executor, connection, attempt, ExecutionOutcome::Satisfied);
-        }
-        let e = &self.executors[executor];
-        let full = e.in_use + p.slots > e.slots || !e.waiting.is_empty();
-        if p.slots > e.slots || (full && e.waiting.len() >= e.queue) {
-            return self.reply_later(executor, connection, attempt, ExecutionOutcome::Full);
-        }
-        self.enqueue(executor, connection, attempt, work, p.slots);
+        let slots = self.scenario.products[request.product].slots;
+        let executor = &mut self.executors[index];
+        executor.advance(self.now);
+        executor.waiting.push_back(Job { connection, attempt, left: request.work, slots, started: 0 });
+        self.run_executor(index);
     }
 
-    pub(super) fn enqueue(
-        &mut self,
-        executor: usize,
-        connection: ConnectionId,
-        attempt: usize,
-        left: f64,
-        slots: f64,
-    ) {
-        if let Some(c) = self.connections.get_mut(&connection) {
-            c.answered = true;
-        }
-        let key = (self.executors[executor].group, self.attempts[attempt].request);
-        self.idempotency.entry(key).or_default().held += 1;
-        let e = &mut self.executors[executor];
-        e.advance(self.now);
-        e.waiting.push_back(Job { connection, attempt, left, slots, started: 0 });
-        self.turn(executor);
-    }
-
-    /// Lets an executor go on: what is done is answered, what fits is started, and it is woken when more is.
-    pub(super) fn turn(&mut self, executor: usize) {
+    /// Lets an executor go on: what is done is answered, what fits is started, and it is woken when more may
+    /// be done. To be called after every change of its state.
+    pub(super) fn run_executor(&mut self, index: usize) {
         let now = self.now;
-        let e = &mut self.executors[executor];
-        e.advance(now);
-        let done = if e.is_stalled() { Vec::new() } else { e.done() };
-        let before = e.start(now);
-        let began: Vec<(ConnectionId, usize)> =
-            e.running.iter().skip(before.min(e.running.len())).map(|j| (j.connection, j.attempt)).collect();
-        let incarnation = e.incarnation;
-        for (connection, attempt) in began {
-            self.began(executor, incarnation, connection, attempt);
+        let executor = &mut self.executors[index];
+        executor.advance(now);
+        let done = if executor.is_stalled() { Vec::new() } else { executor.done() };
+        for job in executor.start(now) {
+            self.job_begins(index, &job);
         }
         for job in done {
-            self.let_go(executor, &job);
-            self.reply_later(executor, job.connection, job.attempt, ExecutionOutcome::Satisfied);
+            self.release_job(index, &job);
+            self.send_reply(index, job.connection, job.attempt, ExecutionOutcome::Satisfied);
         }
-        let e = &mut self.executors[executor];
-        e.wake += 1;
-        let wake = e.wake;
-        if let Some(at) = e.next(now) {
-            self.schedule_at(at, Event::ExecutorWakes { executor, wake });
+        self.schedule_wake(index);
+        if !self.executors[index].is_cold(now) {
+            self.judge.warm(index);
         }
-        if !self.executors[executor].is_cold(now) {
-            self.judge.warm(executor);
-        }
-        self.reflect(executor);
+        self.update_truth(index);
     }
 
-    /// An executor holds a job no longer.
-    pub(super) fn let_go(&mut self, executor: usize, job: &Job) {
-        let request = self.attempts[job.attempt].request;
-        let memory = seconds(self.scenario.products[self.requests[request].product].memory_s);
-        let until = self.now + memory;
-        if let Some(key) = self.idempotency.get_mut(&(self.executors[executor].group, request)) {
-            key.held = key.held.saturating_sub(1);
-            key.until = key.until.max(until);
+    /// Wakes an executor when its next job may be done. Earlier wake-ups are void.
+    fn schedule_wake(&mut self, index: usize) {
+        let executor = &mut self.executors[index];
+        executor.wake += 1;
+        let wake = executor.wake;
+        if let Some(at) = executor.next(self.now) {
+            self.schedule_at(at, Event::ExecutorWakes { executor: index, wake });
         }
     }
 
-    /// All that it holds is gone.
-    pub(super) fn clear(&mut self, executor: usize) {
-        let e = &mut self.executors[executor];
-        let held: Vec<Job> = e.running.drain(..).chain(e.waiting.drain(..)).collect();
-        e.clear();
-        held.iter().for_each(|job| self.let_go(executor, job));
+    pub(super) fn executor_wakes(&mut self, index: usize, wake: u64) {
+        if self.executors[index].wake == wake {
+            self.run_executor(index);
+        }
     }
 
-    pub(super) fn began(
-        &mut self,
-        executor: usize,
-        incarnation: u32,
-        connection: ConnectionId,
-        attempt: usize,
-    ) {
+    /// A job begins to run, unless its group has executed a copy of it while this one waited.
+    fn job_begins(&mut self, index: usize, job: &Job) {
+        let (connection, attempt) = (job.connection, job.attempt);
         let request = self.attempts[attempt].request;
-        let p = &self.scenario.products[self.requests[request].product];
-        if p.repeats == Repeats::Stamped {
-            let key = (self.executors[executor].group, request);
-            if self.idempotency.get(&key).is_some_and(|m| m.known(self.now)) {
-                // Its twin began while it waited.
-                let e = &mut self.executors[executor];
-                if let Some(job) = e.running.iter_mut().find(|j| j.connection == connection) {
-                    job.left = 0.0;
-                }
-                return;
+        let repeats = self.scenario.products[self.requests[request].product].repeats;
+        if repeats == Repeats::Stamped {
+            if self.is_duplicate(index, attempt) {
+                return self.executors[index].skip(connection);
             }
-            let key = self.idempotency.entry(key).or_default();
-            (key.ran, key.until) = (true, self.now + seconds(p.memory_s));
+            self.mark_executed(index, attempt);
         }
         self.judge.ran(attempt, self.now);
-        if p.repeats == Repeats::OneShot {
+        if repeats == Repeats::OneShot {
             let request = &mut self.requests[request];
-            request.began += 1;
-            self.outcome.ran_again += u64::from(request.began == 2);
+            request.executions_begun += 1;
+            self.outcome.ran_again += u64::from(request.executions_begun == 2);
         }
         if self.scenario.tells_start {
-            self.pass_to_node(connection, Event::NoticeAtNode { connection, attempt });
+            self.pass_to_node(connection, Event::ProgressAtNode { connection, attempt });
         }
         if self.scenario.progress_s > 0.0 {
-            let next = Event::ProgressDue { executor, incarnation, connection, attempt };
-            self.schedule_after(seconds(self.scenario.progress_s), next);
+            let incarnation = self.executors[index].incarnation;
+            self.schedule_progress(index, incarnation, connection, attempt);
         }
     }
 
-    pub(super) fn reply_later(
+    fn schedule_progress(
         &mut self,
         executor: usize,
+        incarnation: u32,
         connection: ConnectionId,
         attempt: usize,
-        outcome: ExecutionOutcome,
     ) {
-        let report = self.report(executor);
-        let garbage = self.executors[executor].faults.garbage_rate;
-        if garbage > 0.0 && self.rng.random::<f64>() < garbage {
-            let broken = Broken { begun: true, written: true, answered: true, here: false, spoilt: false };
-            return self
-                .pass_to_node(connection, Event::DisconnectedAtNode { connection, broken: Some(broken) });
-        }
-        let now = self.now;
-        if let Some(c) = self.connections.get_mut(&connection) {
-            c.idle_since = now;
-        }
-        self.pass_to_node(connection, Event::ReplyAtNode { connection, attempt, outcome, report });
+        let period = seconds(self.scenario.progress_s);
+        self.schedule_after(period, Event::ProgressDue { executor, incarnation, connection, attempt });
     }
 
-    pub(super) fn report(&mut self, executor: usize) -> Option<Report> {
-        let r = &self.scenario.reports;
-        let (period, delay) = (millis(r.period_ms), millis(r.delay_ms));
-        let e = &mut self.executors[executor];
-        r.told.then(|| e.report(self.now, period, delay, r.noise, &mut self.rng))
-    }
-
-    pub(super) fn reply(
+    /// An executor that can tells of a job's progress, and does so again while the job runs.
+    pub(super) fn progress_due(
         &mut self,
+        index: usize,
+        incarnation: u32,
         connection: ConnectionId,
         attempt: usize,
-        outcome: ExecutionOutcome,
-        report: Option<Report>,
     ) {
-        if !self.heard(connection) {
+        let executor = &self.executors[index];
+        if executor.incarnation != incarnation || !executor.is_running(connection, attempt) {
             return;
         }
-        match outcome {
-            ExecutionOutcome::Satisfied => self.judge.made(attempt),
-            ExecutionOutcome::Full => self.judge.never_ran(attempt, connection),
-            _ => {}
+        if !executor.is_stalled() {
+            self.pass_to_node(connection, Event::ProgressAtNode { connection, attempt });
         }
-        let (link, result) = (connection.link, Bytes::from_static(b"done"));
-        self.feed(connection.node, connection.incarnation, Input::Ended { link, outcome, result, report });
-        self.feed(connection.node, connection.incarnation, Input::Freed { link, named: true });
+        self.schedule_progress(index, incarnation, connection, attempt);
     }
 
-    pub(super) fn probe(&mut self, connection: ConnectionId) {
-        let Some(c) = self.connections.get(&connection) else { return };
-        let (executor, incarnation) = (c.executor, c.incarnation);
-        let e = &mut self.executors[executor];
-        if incarnation != Some(e.incarnation) || e.faults.inbound_cut || e.is_stalled() {
-            return;
-        }
-        let cost = self.scenario.executors[e.spec].probe_ms / 1e3;
-        e.add_overhead(self.now, cost);
-        self.turn(executor);
-        let report = self.report(executor);
-        self.pass_to_node(connection, Event::ProbeReplyAtNode { connection, answered: Some(true), report });
+    /// An executor loses all jobs that it holds.
+    pub(super) fn drop_all_jobs(&mut self, index: usize) {
+        let dropped = self.executors[index].clear();
+        dropped.iter().for_each(|job| self.release_job(index, job));
     }
 }
--- a/crates/world/src/world/fleet.rs
+++ b/crates/world/src/world/fleet.rs
@@ -1,91 +1,130 @@
 //! The fleet of executors: they join, start, drain and end.
 
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 
+use linestack_core::Nanos;
 use linestack_dispatch::types::Health;
 use rand::Rng as _;
 
-use super::event::Event;
+use super::discovery::Detection;
 use super::{World, lock};
-use crate::executor::{ConnectionId, Executor};
+use crate::executor::{ActiveFaults, ConnectionId, Executor};
 
-pub(super) fn address(executor: usize) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + executor as u32), 80))
+/// Executors have addresses from 10.0.0.0 on, by their indices.
+const FIRST_ADDRESS: u32 = 0x0a00_0000;
+const EXECUTOR_PORT: u16 = 80;
+
+/// The address of an executor.
+pub(super) fn address_of(executor: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from(FIRST_ADDRESS + executor as u32), EXECUTOR_PORT))
 }
 
+/// The executor with an address.
 pub(super) fn executor_at(address: SocketAddr) -> usize {
     match address {
-        SocketAddr::V4(v4) => (u32::from(*v4.ip()) - 0x0a00_0000) as usize,
+        SocketAddr::V4(v4) => (u32::from(*v4.ip()) - FIRST_ADDRESS) as usize,
         SocketAddr::V6(_) => usize::MAX,
     }
 }
 
 impl World<'_> {
-    pub(super) fn join(&mut self, spec: usize, zone: u16) -> usize {
-        let e = &self.scenario.executors[spec];
+    /// Makes the scenario's executors, spread over the zones; discovery lists them from the beginning.
+    pub(super) fn set_up_executors(&mut self) {
+        for (spec, executors) in self.scenario.executors.iter().enumerate() {
+            for place in 0..executors.count as usize {
+                let zone = ((place + spec) % usize::from(self.scenario.zones)) as u16;
+                self.add_executor(spec, zone, self.now);
+            }
+        }
+        self.discovery.list_all_ready(self.executors.len());
+    }
+
+    /// A new executor is started, cold, and announced.
+    pub(super) fn executor_joins(&mut self, spec: usize, zone: u16) {
+        let index = self.add_executor(spec, zone, self.now);
+        self.executors[index].started = self.now;
+        self.announce(index, Health::Ready, Detection::Announced);
+    }
+
+    fn add_executor(&mut self, spec: usize, zone: u16, now: Nanos) -> usize {
         let index = self.executors.len();
-        let speed = e.speed * (1.0 + e.speed_spread * self.rng.random_range(-1.0..=1.0));
-        // Groups lie in one zone.
-        let group = (index / usize::from(self.scenario.zones) / e.group as usize)
-            * usize::from(self.scenario.zones)
-            + usize::from(zone);
+        let terms = &self.scenario.executors[spec];
+        let speed = terms.speed * (1.0 + terms.speed_spread * self.rng.random_range(-1.0..=1.0));
+        let group = self.group_of(index, terms.group as usize, zone);
         let name = format!("e{index}");
-        self.executors.push(Executor::new(name, spec, e, zone, group as u16, speed, self.now));
-        self.reflect(index);
+        self.executors.push(Executor::new(name, spec, terms, zone, group, speed, now));
+        self.update_truth(index);
         index
     }
 
-    pub(super) fn executor_ends(&mut self, executor: usize, resets: bool) {
-        let e = &mut self.executors[executor];
-        e.advance(self.now);
-        e.alive = false;
-        e.incarnation += 1;
-        e.wake += 1;
-        self.clear(executor);
-        if resets {
-            self.reset_all(executor);
-        }
-        self.reflect(executor);
+    /// The group of an executor among groups of a size. All members of a group are in one zone.
+    fn group_of(&self, index: usize, size: usize, zone: u16) -> u16 {
+        let zones = usize::from(self.scenario.zones);
+        let group_in_zone = index / zones / size;
+        (group_in_zone * zones + usize::from(zone)) as u16
     }
 
-    /// Every connection to it is reset.
-    pub(super) fn reset_all(&mut self, executor: usize) {
-        let here = self.connections.iter().filter(|(_, c)| c.executor == executor && c.incarnation.is_some());
-        let connections: Vec<ConnectionId> = here.map(|(l, _)| *l).collect();
-        for connection in connections {
-            self.pass_to_node(connection, Event::DisconnectedAtNode { connection, broken: None });
-        }
+    /// An executor's process ends, with all that it holds; its connections are reset.
+    pub(super) fn executor_ends(&mut self, index: usize) {
+        let executor = &mut self.executors[index];
+        executor.advance(self.now);
+        executor.alive = false;
+        executor.incarnation += 1;
+        executor.wake += 1;
+        self.drop_all_jobs(index);
+        self.reset_connections_of(index);
+        self.update_truth(index);
+    }
+
+    /// Resets every connection that an executor has accepted.
+    pub(super) fn reset_connections_of(&mut self, index: usize) {
+        let accepted = self
+            .connections
+            .iter()
+            .filter(|(_, state)| state.executor == index && state.executor_incarnation.is_some());
+        let ids: Vec<ConnectionId> = accepted.map(|(id, _)| *id).collect();
+        ids.into_iter().for_each(|connection| self.disconnect_node(connection));
     }
 
-    pub(super) fn executor_starts(&mut self, executor: usize) {
+    /// An executor's process starts again, cold. One that collapsed stays down.
+    pub(super) fn executor_starts(&mut self, index: usize) {
         let now = self.now;
-        let e = &mut self.executors[executor];
-        if e.collapsed {
+        let executor = &mut self.executors[index];
+        if executor.collapsed {
             return;
         }
-        e.advance(now);
-        (e.alive, e.draining, e.started) = (true, false, now);
-        e.faults = crate::executor::ActiveFaults::default();
-        self.judge.warm(executor);
-        self.announce(executor, Health::Ready, false);
-        self.turn(executor);
+        executor.advance(now);
+        executor.alive = true;
+        executor.draining = false;
+        executor.started = now;
+        executor.faults = ActiveFaults::default();
+        self.judge.warm(index);
+        self.announce(index, Health::Ready, Detection::Announced);
+        self.run_executor(index);
     }
 
-    pub(super) fn drains(&mut self, executor: usize) {
-        self.executors[executor].draining = true;
-        self.reflect(executor);
-        self.announce(executor, Health::Draining, false);
+    /// An executor takes no new jobs from now on.
+    pub(super) fn executor_drains(&mut self, index: usize) {
+        self.executors[index].draining = true;
+        self.update_truth(index);
+        self.announce(index, Health::Draining, Detection::Announced);
     }
 
-    pub(super) fn reflect(&mut self, executor: usize) {
-        let e = &self.executors[executor];
-        let now = self.now;
-        let state = (!e.is_stalled() && !e.draining, e.free(), e.capacity(now));
+    /// An executor leaves for good.
+    pub(super) fn executor_leaves(&mut self, index: usize) {
+        self.executor_ends(index);
+        self.announce(index, Health::Gone, Detection::Announced);
+    }
+
+    /// Writes down the state of an executor for policies that may see the truth.
+    pub(super) fn update_truth(&mut self, index: usize) {
+        let executor = &self.executors[index];
+        let available = !executor.is_stalled() && !executor.draining;
+        let state = (available, executor.free(), executor.capacity(self.now));
         let mut truth = lock(&self.truth);
-        if truth.executors.len() <= executor {
-            truth.executors.resize(executor + 1, (false, 0.0, 0.0));
+        if truth.executors.len() <= index {
+            truth.executors.resize(index + 1, (false, 0.0, 0.0));
         }
-        truth.executors[executor] = state;
+        truth.executors[index] = state;
     }
 }
--- a/crates/world/src/world/mod.rs
+++ b/crates/world/src/world/mod.rs
@@ -1,202 +1,194 @@
-//! The event loop: event the nodes ask for goes into the world, event happens there comes back to them.
+//! The simulation: nodes' effects are carried out on a model of their surroundings, and what happens there
+//! comes back to the nodes as inputs.
+//!
+//! | module | what it models |
+//! | --- | --- |
+//! | `event`, `dispatch` | the event queue, and which part handles an event |
+//! | `load`, `clients` | when submissions are made, and how clients retry |
+//! | `nodes`, `effects` | the nodes' processes, and what they ask for |
+//! | `network` | connections between nodes and executors |
+//! | `delivery`, `execution`, `idempotency` | jobs on their way to executors, in them, and remembered by them |
+//! | `fleet` | executors that join, start, drain and end |
+//! | `discovery` | the list of executors, and who is told of changes |
+//! | `faults` | the faults of a scenario, by their names |
 
 mod clients;
+mod delivery;
 mod discovery;
+mod dispatch;
 mod effects;
 mod event;
 mod execution;
 mod faults;
 mod fleet;
+mod idempotency;
+mod load;
 mod network;
 mod nodes;
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
-use std::collections::BinaryHeap;
-use std::collections::HashMap;
-use std::collections::VecDeque;
-use std::sync::Arc;
-use std::sync::Mutex;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use linestack_core::{Client, Effect, Input, Nanos};
-use linestack_dispatch::types::Health;
+use linestack_core::{Client, Effect, Nanos};
 use rand::{Rng as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
+use self::clients::{Attempt, ClientRequest};
+use self::discovery::Discovery;
+use self::event::{Event, EventQueue, FaultPhase};
+use self::idempotency::{IdempotencyKey, IdempotencyRecord};
+use self::network::Connection;
+use self::nodes::NodeState;
 use crate::executor::{ConnectionId, Executor};
 use crate::judge::Judge;
 use crate::outcome::Outcome;
-use crate::scenario::{Scenario, millis, seconds};
+use crate::scenario::{Rules, Scenario, millis, seconds};
 use crate::{Machine, Seat, Truth};
-use clients::{Attempt, ClientRequest};
-use event::{Event, Scheduled};
-use execution::IdempotencyRecord;
-use network::Connection;
-use nodes::{DiscoveryWatch, NodeState};
 
 const MILLISECOND: Nanos = 1_000_000;
-
 const SECOND: Nanos = 1_000 * MILLISECOND;
 
-/// Silent clients are numbered from here on.
-const FLOOD_CLIENTS_FROM: Client = 1 << 60;
+/// Silent clients of floods are numbered from here on, out of the way of attempts.
+const FIRST_FLOOD_CLIENT: Client = 1 << 60;
 
-/// After the last client came, what still runs is waited for so long at most.
+/// The world runs at most this long after the last client came, for what is still open.
 const GRACE_AFTER_SPAN: Nanos = 60 * SECOND;
 
+/// Nodes start within this time, each at its own moment, and so do closed-loop clients.
+const START_SPREAD: Nanos = 100 * MILLISECOND;
+
+/// The first client comes after this time, which leaves room for lists and probes.
+const LOAD_BEGINS: Nanos = 200 * MILLISECOND;
+
+/// The whole state of a world.
 struct World<'a> {
     scenario: &'a Scenario,
+    /// The only source of chance.
     rng: Pcg64Mcg,
     now: Nanos,
-    queue: BinaryHeap<Reverse<Scheduled>>,
-    number: u64,
+    queue: EventQueue,
     nodes: Vec<NodeState>,
     executors: Vec<Executor>,
     connections: BTreeMap<ConnectionId, Connection>,
     requests: Vec<ClientRequest>,
     attempts: Vec<Attempt>,
-    /// Stamped work that a group remembers.
-    idempotency: HashMap<(u16, usize), IdempotencyRecord>,
-    listings: Vec<(Health, Nanos)>,
-    discovery_down: bool,
-    discovery_flaps: bool,
-    discovery_busy_until: Nanos,
+    /// What groups of executors remember of stamped work.
+    idempotency: HashMap<IdempotencyKey, IdempotencyRecord>,
+    discovery: Discovery,
+    /// The part of all sends whose connection is reset.
     reset_rate: f64,
+    /// By fault of the scenario: the nodes or executors that it took when it began.
     fault_targets: Vec<Vec<usize>>,
     judge: Judge,
     outcome: Outcome,
     truth: Arc<Mutex<Truth>>,
-    maker: &'a dyn Fn(Seat) -> Box<dyn Machine>,
+    make_node: &'a dyn Fn(Seat) -> Box<dyn Machine>,
+    /// An empty buffer for a node's effects, kept for its memory.
     effects: Vec<Effect>,
     next_flood_client: Client,
+    /// Seconds of work of the submissions that were satisfied.
     useful_work: f64,
+    /// Submissions that are neither satisfied nor given up by their clients.
     open_requests: usize,
 }
 
 /// Plays a scenario that [`Scenario::check`] finds no fault with. `maker` makes the nodes.
+///
+/// The same scenario and the same kind of nodes give the same outcome, to the byte.
 pub fn run(s: &Scenario, maker: &dyn Fn(Seat) -> Box<dyn Machine>) -> Outcome {
     let mut world = World::new(s, maker);
-    world.start();
+    world.set_up();
     let end = seconds(s.span_s);
-    while let Some(Reverse(item)) = world.queue.pop() {
-        if item.at > end + GRACE_AFTER_SPAN || (item.at > end && world.open_requests == 0) {
+    while let Some((at, event)) = world.queue.pop() {
+        let all_over = at > end && world.open_requests == 0;
+        if all_over || at > end + GRACE_AFTER_SPAN {
             break;
         }
-        world.now = item.at;
+        world.now = at;
         world.outcome.events += 1;
-        world.handle(item.event);
+        world.handle(event);
     }
     world.finish()
 }
 
-fn count(seconds: &mut Vec<u64>, at: Nanos) {
-    let second = (at / SECOND) as usize;
-    if seconds.len() <= second {
-        seconds.resize(second + 1, 0);
-    }
-    seconds[second] += 1;
-}
-
 impl<'a> World<'a> {
-    fn new(s: &'a Scenario, maker: &'a dyn Fn(Seat) -> Box<dyn Machine>) -> Self {
-        let rules = &s.rules;
-        let judge = Judge::new(
-            millis(rules.drain_grace_ms),
-            millis(rules.slack_ms),
-            millis(rules.fall_window_ms),
-            rules.fall_multiple,
-        );
-        let out = Outcome {
-            scenario: s.name.clone(),
-            seed: s.seed,
-            by_product: vec![0.0; s.products.len()],
-            by_tenant: vec![0.0; s.tenants.len()],
-            ..Outcome::default()
-        };
+    fn new(scenario: &'a Scenario, make_node: &'a dyn Fn(Seat) -> Box<dyn Machine>) -> Self {
         Self {
-            scenario: s,
-            rng: Pcg64Mcg::seed_from_u64(s.seed),
-            now: SECOND,
-            queue: BinaryHeap::new(),
-            number: 0,
+            scenario,
+            rng: Pcg64Mcg::seed_from_u64(scenario.seed),
+            now: 0,
+            queue: EventQueue::default(),
             nodes: Vec::new(),
             executors: Vec::new(),
             connections: BTreeMap::new(),
             requests: Vec::new(),
             attempts: Vec::new(),
             idempotency: HashMap::new(),
-            listings: Vec::new(),
-            discovery_down: false,
-            discovery_flaps: false,
-            discovery_busy_until: 0,
+            discovery: Discovery::default(),
             reset_rate: 0.0,
-            fault_targets: vec![Vec::new(); s.troubles.len()],
-            judge,
-            outcome: out,
+            fault_targets: vec![Vec::new(); scenario.troubles.len()],
+            judge: judge_of(&scenario.rules),
+            outcome: empty_outcome(scenario),
             truth: Arc::default(),
-            maker,
+            make_node,
             effects: Vec::new(),
-            next_flood_client: FLOOD_CLIENTS_FROM,
+            next_flood_client: FIRST_FLOOD_CLIENT,
             useful_work: 0.0,
             open_requests: 0,
         }
     }
 
+    /// Schedules an event; one for a time that has passed happens now.
     fn schedule_at(&mut self, at: Nanos, event: Event) {
-        self.number += 1;
-        let item = Scheduled { at: at.max(self.now), number: self.number, event };
-        self.queue.push(Reverse(item));
+        self.queue.push(at.max(self.now), event);
     }
 
     fn schedule_after(&mut self, span: Nanos, event: Event) {
         self.schedule_at(self.now + span, event);
     }
 
-    fn start(&mut self) {
-        // A small part of a second is left before the request client, for lists and probes.
-        self.now = 0;
-        for (spec, e) in self.scenario.executors.iter().enumerate() {
-            for i in 0..e.count {
-                let zone = ((i as usize + spec) % usize::from(self.scenario.zones)) as u16;
-                self.join(spec, zone);
-            }
-        }
-        self.listings = self.executors.iter().map(|_| (Health::Ready, 0)).collect();
+    /// Makes executors and nodes, and schedules the first events.
+    fn set_up(&mut self) {
+        self.set_up_executors();
+        self.set_up_nodes();
+        self.set_up_load();
+        self.set_up_faults();
+        self.schedule_at(SECOND, Event::Sweep);
+    }
+
+    fn set_up_nodes(&mut self) {
         for node in 0..self.scenario.nodes.count as usize {
             let zone = (node % usize::from(self.scenario.zones)) as u16;
-            self.nodes.push(NodeState {
-                machine: None,
-                incarnation: 0,
-                zone,
-                in_rotation: false,
-                stopping: false,
-                timer_at: Nanos::MAX,
-                busy_until: 0,
-                paused_until: 0,
-                inbox: VecDeque::new(),
-                resume_scheduled: false,
-                watch: DiscoveryWatch::Off,
-                cpu_per_input: self.scenario.nodes.cpu_us * 1e3,
-                persisted: Vec::new(),
-            });
+            self.nodes.push(NodeState::new(zone, self.scenario.nodes.cpu_us));
             lock(&self.truth).places.push(Vec::new());
-            let spread = self.rng.random_range(0..100 * MILLISECOND);
+            let spread = self.rng.random_range(0..START_SPREAD);
             self.schedule_after(spread, Event::NodeStarts { node });
         }
-        let begins = 200 * MILLISECOND;
-        if self.scenario.load.closed > 0 {
-            for client in 0..self.scenario.load.closed as usize {
-                let spread = self.rng.random_range(0..100 * MILLISECOND);
-                self.schedule_at(begins + spread, Event::ClientAsks { client });
-            }
-        } else {
-            self.schedule_at(begins, Event::ClientArrives);
+    }
+
+    fn set_up_load(&mut self) {
+        if self.scenario.load.closed == 0 {
+            return self.schedule_at(LOAD_BEGINS, Event::ClientArrives);
         }
-        for (fault, t) in self.scenario.troubles.iter().enumerate() {
-            self.schedule_at(seconds(t.at_s), Event::FaultChanges { fault, begins: true });
-            self.schedule_at(seconds(t.at_s + t.for_s), Event::FaultChanges { fault, begins: false });
+        for client in 0..self.scenario.load.closed as usize {
+            let spread = self.rng.random_range(0..START_SPREAD);
+            self.schedule_at(LOAD_BEGINS + spread, Event::ClientAsks { client });
+        }
+    }
+
+    fn set_up_faults(&mut self) {
+        for (fault, trouble) in self.scenario.troubles.iter().enumerate() {
+            let (begin, end) = (seconds(trouble.at_s), seconds(trouble.at_s + trouble.for_s));
+            self.schedule_at(begin, Event::FaultChanges { fault, phase: FaultPhase::Begins });
+            self.schedule_at(end, Event::FaultChanges { fault, phase: FaultPhase::Ends });
         }
-        self.schedule_at(SECOND, Event::JudgeSweeps);
+    }
+
+    /// Drops what is long over, has the judge find what is overdue, and does so again a second later.
+    fn sweep(&mut self) {
+        self.judge.sweep(self.now);
+        self.forget_expired_keys();
+        self.schedule_after(SECOND, Event::Sweep);
     }
 
     fn finish(mut self) -> Outcome {
@@ -204,140 +196,47 @@
         self.outcome.breaches = std::mem::take(&mut self.judge.breaches);
         self.outcome.broken = self.judge.broken;
         self.outcome.work_by_executor = self.executors.iter().map(|e| e.worked).collect();
-        let worked: f64 = self.outcome.work_by_executor.iter().sum();
-        self.outcome.waste = if worked > 0.0 { (1.0 - self.useful_work / worked).max(0.0) } else { 0.0 };
+        self.outcome.waste = self.wasted_part();
         self.outcome.finish(self.scenario);
         self.outcome
     }
 
-    fn handle(&mut self, event: Event) {
-        match event {
-            Event::ClientArrives => self.arrives(),
-            Event::ClientAsks { client } => {
-                if self.now < seconds(self.scenario.span_s) {
-                    self.ask(Some(client));
-                }
-            }
-            Event::RequestAtNode { attempt } => self.at_node(attempt),
-            Event::ResponseAtClient { attempt, outcome } => self.back(attempt, outcome),
-            Event::ClientGivesUp { attempt, leaves } => self.gives_up(attempt, leaves),
-            Event::ClientRetries { request } => self.attempt(request, 0),
-            Event::NodeInput { node, incarnation, input } => self.feed(node, incarnation, input),
-            Event::NodeResumes { node, incarnation } => {
-                if self.nodes[node].incarnation == incarnation {
-                    self.nodes[node].resume_scheduled = false;
-                    self.work(node);
-                }
-            }
-            Event::NodeTimer { node, incarnation, at } => {
-                if self.nodes[node].incarnation == incarnation && self.nodes[node].timer_at == at {
-                    self.nodes[node].timer_at = Nanos::MAX;
-                    self.feed(node, incarnation, Input::Tick);
-                }
-            }
-            Event::ConnectAtExecutor { connection } => self.syn(connection),
-            Event::ConnectedAtNode { connection } => {
-                let up = self.connections.get_mut(&connection).filter(|c| !c.closed);
-                if up.map(|c| c.up = true).is_some() {
-                    self.feed(
-                        connection.node,
-                        connection.incarnation,
-                        Input::LinkUp { link: connection.link },
-                    );
-                }
-            }
-            Event::DisconnectedAtNode { connection, broken } => self.down(connection, broken),
-            Event::ClosedAtExecutor { connection } => self.fin(connection),
-            Event::JobAtExecutor { connection, attempt } => self.request(connection, attempt),
-            Event::ProbeAtExecutor { connection } => self.probe(connection),
-            Event::ProbeReplyAtNode { connection, answered, report } => {
-                if self.heard(connection) {
-                    let link = connection.link;
-                    self.feed(
-                        connection.node,
-                        connection.incarnation,
-                        Input::Probed { link, answered, report },
-                    );
-                    self.feed(connection.node, connection.incarnation, Input::Freed { link, named: true });
-                }
-            }
-            Event::ReplyAtNode { connection, attempt, outcome, report } => {
-                self.reply(connection, attempt, outcome, report)
-            }
-            Event::NoticeAtNode { connection, attempt } => {
-                let on = self.connections.get(&connection).is_some_and(|c| c.busy == Some(Some(attempt)));
-                if on {
-                    self.feed(
-                        connection.node,
-                        connection.incarnation,
-                        Input::Noted { link: connection.link },
-                    );
-                }
-            }
-            Event::ProgressDue { executor, incarnation, connection, attempt } => {
-                let e = &self.executors[executor];
-                let running = e.incarnation == incarnation
-                    && e.running.iter().any(|j| j.attempt == attempt && j.connection == connection);
-                if running {
-                    if !e.is_stalled() {
-                        self.pass_to_node(connection, Event::NoticeAtNode { connection, attempt });
-                    }
-                    let again = Event::ProgressDue { executor, incarnation, connection, attempt };
-                    self.schedule_after(seconds(self.scenario.progress_s), again);
-                }
-            }
-            Event::ExecutorWakes { executor, wake } => {
-                if self.executors[executor].wake == wake {
-                    self.turn(executor);
-                }
-            }
-            Event::FaultChanges { fault, begins } => self.trouble(fault, begins),
-            Event::FaultToggles { fault, executor, on } => self.step(fault, executor, on),
-            Event::DiscoveryPublishes { executor, health, started } => {
-                self.publish(executor, health, started)
-            }
-            Event::DiscoveryCall { node, incarnation } => self.call(node, incarnation),
-            Event::NodeStarts { node } => self.starts(node),
-            Event::NodeKilled { node, incarnation } => {
-                if self.nodes[node].incarnation == incarnation && self.nodes[node].machine.is_some() {
-                    self.node_ends(node);
-                }
-            }
-            Event::NodeStops { node } => self.stops(node),
-            Event::HealthChecked { node } => {
-                let state = &mut self.nodes[node];
-                state.in_rotation = state.machine.as_ref().is_some_and(|m| m.ready(self.now));
-            }
-            Event::ExecutorDrains { executor } => self.drains(executor),
-            Event::ExecutorLeaves { executor } => {
-                self.executor_ends(executor, true);
-                self.announce(executor, Health::Gone, false);
-            }
-            Event::ExecutorJoins { spec, zone } => {
-                let executor = self.join(spec, zone);
-                self.executors[executor].started = self.now;
-                self.announce(executor, Health::Ready, false);
-            }
-            Event::FloodConnects { fault, node } => self.flood(fault, node),
-            Event::RecordPersisted { node, incarnation, keep, ticket } => {
-                // What a kill finds on its way to the disk is lost.
-                if self.nodes[node].incarnation == incarnation && self.nodes[node].machine.is_some() {
-                    self.nodes[node].persisted.push(keep);
-                    if let Some(ticket) = ticket {
-                        self.feed(node, incarnation, Input::Kept { ticket, lasts: true });
-                    }
-                }
-            }
-            Event::JudgeSweeps => {
-                self.judge.sweep(self.now);
-                let now = self.now;
-                self.idempotency.retain(|_, m| m.held > 0 || m.until > now);
-                self.schedule_after(SECOND, Event::JudgeSweeps);
-            }
-        }
+    /// The part of all work done that satisfied nobody.
+    fn wasted_part(&self) -> f64 {
+        let worked: f64 = self.outcome.work_by_executor.iter().sum();
+        if worked > 0.0 { (1.0 - self.useful_work / worked).max(0.0) } else { 0.0 }
+    }
+}
+
+fn judge_of(rules: &Rules) -> Judge {
+    Judge::new(
+        millis(rules.drain_grace_ms),
+        millis(rules.slack_ms),
+        millis(rules.fall_window_ms),
+        rules.fall_multiple,
+    )
+}
+
+fn empty_outcome(scenario: &Scenario) -> Outcome {
+    Outcome {
+        scenario: scenario.name.clone(),
+        seed: scenario.seed,
+        by_product: vec![0.0; scenario.products.len()],
+        by_tenant: vec![0.0; scenario.tenants.len()],
+        ..Outcome::default()
+    }
+}
+
+/// Counts something in the second in which it happened.
+fn count_in_second(counts: &mut Vec<u64>, at: Nanos) {
+    let second = (at / SECOND) as usize;
+    if counts.len() <= second {
+        counts.resize(second + 1, 0);
     }
+    counts[second] += 1;
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+/// Locks a mutex whose holders keep it consistent between statements.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/world/src/world/network.rs
+++ b/crates/world/src/world/network.rs
@@ -1,4 +1,4 @@
-//! The network: connections between nodes and executors, and event passes on them in order.
+//! The network: connections between nodes and executors, on which messages pass in order and with delay.
 
 use linestack_core::{Broken, Input, Nanos};
 use rand::Rng as _;
@@ -8,120 +8,162 @@
 use crate::executor::{ConnectionId, Job};
 use crate::scenario::millis;
 
+/// A connection from a node to an executor.
 pub(super) struct Connection {
     pub(super) executor: usize,
-    /// Which incarnation of the executor it was made in; none until it is up there.
-    pub(super) incarnation: Option<u32>,
+    /// The incarnation of the executor that accepted it; none until one has.
+    pub(super) executor_incarnation: Option<u32>,
     /// What the node has sent on it and not heard the end of.
-    pub(super) busy: Option<Option<usize>>,
-    /// The executor has taken event is on it, and has said so.
-    pub(super) answered: bool,
-    /// It is up at the node, and the node has not closed it.
-    pub(super) up: bool,
+    pub(super) in_flight: Option<InFlight>,
+    /// The executor has acknowledged that it took the job in flight.
+    pub(super) acknowledged: bool,
+    /// The node has closed it.
     pub(super) closed: bool,
-    pub(super) to_node: Nanos,
-    pub(super) to_executor: Nanos,
+    /// When the last message on it arrives at the node.
+    last_to_node: Nanos,
+    /// When the last message on it arrives at the executor.
+    last_to_executor: Nanos,
     pub(super) idle_since: Nanos,
 }
 
-impl World<'_> {
-    pub(super) fn way(&mut self, connection: ConnectionId, executor: usize) -> Nanos {
-        let same = self.nodes[connection.node].zone == self.executors[executor].zone;
-        let ms = if same { self.scenario.network.same_ms } else { self.scenario.network.cross_ms };
-        millis(ms * (1.0 + self.scenario.network.jitter * self.rng.random::<f64>())).max(1)
+/// What a connection is in use for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum InFlight {
+    Probe,
+    Job { attempt: usize },
+}
+
+impl Connection {
+    /// A connection that a node begins to open now.
+    pub(super) fn new(executor: usize, now: Nanos) -> Self {
+        Self {
+            executor,
+            executor_incarnation: None,
+            in_flight: None,
+            acknowledged: false,
+            closed: false,
+            last_to_node: 0,
+            last_to_executor: 0,
+            idle_since: now,
+        }
     }
+}
 
-    /// In order on each connection.
-    pub(super) fn pass_to_executor(&mut self, connection: ConnectionId, event: Event) {
-        let Some(executor) = self.connections.get(&connection).map(|c| c.executor) else { return };
-        let at = self.now + self.way(connection, executor);
-        let Some(c) = self.connections.get_mut(&connection) else { return };
-        c.to_executor = at.max(c.to_executor + 1);
-        let at = c.to_executor;
-        self.schedule_at(at, event);
+impl World<'_> {
+    /// Sends a message to the executor's end of a connection, behind all that was sent before.
+    pub(super) fn pass_to_executor(&mut self, connection: ConnectionId, message: Event) {
+        let Some(state) = self.connections.get(&connection) else { return };
+        let arrives = self.now + self.draw_delay(connection, state.executor);
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        state.last_to_executor = arrives.max(state.last_to_executor + 1);
+        let at = state.last_to_executor;
+        self.schedule_at(at, message);
     }
 
-    pub(super) fn pass_to_node(&mut self, connection: ConnectionId, event: Event) {
-        let Some(executor) = self.connections.get(&connection).map(|c| c.executor) else { return };
-        let e = &self.executors[executor];
-        if e.faults.outbound_cut || e.faults.unreachable {
+    /// Sends a message to the node's end of a connection, behind all that was sent before. It is lost if
+    /// nothing leaves the executor.
+    pub(super) fn pass_to_node(&mut self, connection: ConnectionId, message: Event) {
+        let Some(state) = self.connections.get(&connection) else { return };
+        let executor = state.executor;
+        let faults = &self.executors[executor].faults;
+        if faults.outbound_cut || faults.unreachable {
             return;
         }
-        let at = self.now + self.way(connection, executor);
-        let Some(c) = self.connections.get_mut(&connection) else { return };
-        c.to_node = at.max(c.to_node + 1);
-        let at = c.to_node;
-        self.schedule_at(at, event);
+        let arrives = self.now + self.draw_delay(connection, executor);
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        state.last_to_node = arrives.max(state.last_to_node + 1);
+        let at = state.last_to_node;
+        self.schedule_at(at, message);
+    }
+
+    /// The time that a message takes, by zones and with jitter.
+    fn draw_delay(&mut self, connection: ConnectionId, executor: usize) -> Nanos {
+        let network = &self.scenario.network;
+        let same_zone = self.nodes[connection.node].zone == self.executors[executor].zone;
+        let ms = if same_zone { network.same_ms } else { network.cross_ms };
+        millis(ms * (1.0 + network.jitter * self.rng.random::<f64>())).max(1)
     }
 
-    pub(super) fn syn(&mut self, connection: ConnectionId) {
-        let Some(c) = self.connections.get(&connection) else { return };
-        let executor = c.executor;
-        let e = &mut self.executors[executor];
-        if e.faults.inbound_cut || e.faults.unreachable {
+    /// A connection attempt reaches the executor, which accepts it while it is up and under its cap.
+    pub(super) fn connect_at_executor(&mut self, connection: ConnectionId) {
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        let index = state.executor;
+        let executor = &mut self.executors[index];
+        if executor.faults.inbound_cut || executor.faults.unreachable {
             return;
         }
-        let spec = &self.scenario.executors[e.spec];
-        if !e.alive || e.connections >= spec.connections as usize {
-            return self.pass_to_node(connection, Event::DisconnectedAtNode { connection, broken: None });
-        }
-        e.connections += 1;
-        let incarnation = e.incarnation;
-        e.add_overhead(self.now, spec.handshake_ms / 1e3);
-        if let Some(c) = self.connections.get_mut(&connection) {
-            c.incarnation = Some(incarnation);
+        let spec = &self.scenario.executors[executor.spec];
+        if !executor.alive || executor.connections >= spec.connections as usize {
+            return self.disconnect_node(connection);
         }
-        self.turn(executor);
+        executor.connections += 1;
+        state.executor_incarnation = Some(executor.incarnation);
+        executor.add_overhead(self.now, spec.handshake_ms / 1e3);
+        self.run_executor(index);
         self.pass_to_node(connection, Event::ConnectedAtNode { connection });
     }
 
-    /// A connection is down at the node.
-    pub(super) fn down(&mut self, connection: ConnectionId, broken: Option<Broken>) {
-        let Some(c) = self.connections.remove(&connection) else { return };
-        if c.closed {
+    /// The node hears that a connection is established, unless it has closed it meanwhile.
+    pub(super) fn connected_at_node(&mut self, connection: ConnectionId) {
+        if self.connections.get(&connection).is_some_and(|state| !state.closed) {
+            let input = Input::LinkUp { link: connection.link };
+            self.give_input(connection.node, connection.incarnation, input);
+        }
+    }
+
+    /// The executor's end of a connection is reset.
+    pub(super) fn disconnect_node(&mut self, connection: ConnectionId) {
+        self.pass_to_node(connection, Event::DisconnectedAtNode { connection, broken: None });
+    }
+
+    /// The node hears that a connection is down. `broken` tells how far a send got, where that is known.
+    pub(super) fn disconnected_at_node(&mut self, connection: ConnectionId, broken: Option<Broken>) {
+        let Some(state) = self.connections.remove(&connection) else { return };
+        if state.closed {
             return;
         }
-        // What was out on it had been written: the last byte leaves a node when it is sent.
-        let out = c.busy.is_some();
-        let answered = out && c.answered;
-        let broken =
-            broken.unwrap_or(Broken { begun: out, written: out, answered, here: false, spoilt: false });
-        if let (Some(Some(attempt)), false) = (c.busy, broken.written) {
+        // What was in flight had been written: the last byte leaves a node when it is sent.
+        let sent = state.in_flight.is_some();
+        let broken = broken.unwrap_or(Broken {
+            begun: sent,
+            written: sent,
+            answered: sent && state.acknowledged,
+            here: false,
+            spoilt: false,
+        });
+        if let (Some(InFlight::Job { attempt }), false) = (state.in_flight, broken.written) {
             self.judge.never_ran(attempt, connection);
         }
-        self.feed(connection.node, connection.incarnation, Input::LinkDown { link: connection.link, broken });
+        let input = Input::LinkDown { link: connection.link, broken };
+        self.give_input(connection.node, connection.incarnation, input);
     }
 
-    /// The executor hears that the node has closed it.
-    pub(super) fn fin(&mut self, connection: ConnectionId) {
-        let Some(c) = self.connections.remove(&connection) else { return };
-        self.hang_up(connection, &c);
-    }
-
-    /// What an executor held for a connection that is gone.
-    pub(super) fn hang_up(&mut self, connection: ConnectionId, c: &Connection) {
+    /// The executor hears that the node has closed a connection, and drops what it held for it.
+    pub(super) fn closed_at_executor(&mut self, connection: ConnectionId) {
+        let Some(state) = self.connections.remove(&connection) else { return };
         let now = self.now;
-        let e = &mut self.executors[c.executor];
-        if c.incarnation != Some(e.incarnation) || e.faults.inbound_cut || e.faults.unreachable {
+        let executor = &mut self.executors[state.executor];
+        let same_process = state.executor_incarnation == Some(executor.incarnation);
+        if !same_process || executor.faults.inbound_cut || executor.faults.unreachable {
             return;
         }
-        e.advance(now);
-        e.connections = e.connections.saturating_sub(1);
-        let mut dropped: Vec<Job> =
-            e.waiting.iter().filter(|j| j.connection == connection).cloned().collect();
-        e.waiting.retain(|j| j.connection != connection);
-        if self.scenario.executors[e.spec].cancels {
-            dropped.extend(e.running.iter().filter(|j| j.connection == connection).cloned());
-            e.running.retain(|j| j.connection != connection);
-            e.count();
-        }
-        dropped.iter().for_each(|job| self.let_go(c.executor, job));
-        self.turn(c.executor);
+        executor.advance(now);
+        executor.connections = executor.connections.saturating_sub(1);
+        let cancels = self.scenario.executors[executor.spec].cancels;
+        let dropped: Vec<Job> = executor.drop_jobs_of(connection, cancels);
+        dropped.iter().for_each(|job| self.release_job(state.executor, job));
+        self.run_executor(state.executor);
     }
 
-    pub(super) fn heard(&mut self, connection: ConnectionId) -> bool {
+    /// A reply reaches the node. False if the node no longer waits for one on this connection.
+    pub(super) fn reply_is_awaited(&mut self, connection: ConnectionId) -> bool {
         let now = self.now;
-        let c = self.connections.get_mut(&connection).filter(|c| !c.closed && c.busy.is_some());
-        c.map(|c| (c.busy, c.idle_since) = (None, now)).is_some()
+        let Some(state) = self.connections.get_mut(&connection) else { return false };
+        if state.closed || state.in_flight.is_none() {
+            return false;
+        }
+        state.in_flight = None;
+        state.idle_since = now;
+        true
     }
 }
