The rig's proxy between two processes is a link, with typed faults and short functions

The keys of plans (`way`, `sides`) stay.

Shown unchanged: crates/rig/tests/rig.rs passes with nothing changed but these names.

--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -11,8 +11,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::http::{header, message};
+use crate::link::Link;
 use crate::plan::Load;
-use crate::way::Way;
 
 /// Beyond the cut-off, before a client gives up on its connection.
 const SLACK: Duration = Duration::from_millis(1500);
@@ -32,7 +32,7 @@
 }
 
 /// One client, until it is told to stop. It asks nodes by chance, one submission at a time, at its pace.
-pub fn ask(number: usize, load: &Load, seed: u64, nodes: &[&Way], stop: &AtomicBool, seen: &Observer) {
+pub fn ask(number: usize, load: &Load, seed: u64, nodes: &[&Link], stop: &AtomicBool, seen: &Observer) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ (number as u64) << 24);
     let gap = Duration::from_secs_f64(load.clients as f64 / load.rate);
     let mut due = Instant::now() + gap.mul_f64(rng.random());
@@ -93,7 +93,7 @@
 
 fn once(
     socket: &mut Option<BufReader<TcpStream>>,
-    way: &Way,
+    link: &Link,
     load: &Load,
     id: &str,
     key: &str,
@@ -105,7 +105,7 @@
         *socket = None;
     }
     if socket.is_none() {
-        *socket = connect(way.address, wait).ok();
+        *socket = connect(link.address, wait).ok();
     }
     let Some(open) = socket else { return Told::Unsent };
     let (product, retry) =
@@ -131,7 +131,7 @@
         }
         _ => match open.get_ref().local_addr() {
             // Nobody was there to take it.
-            Ok(near) if !way.led(near) => Told::Unsent,
+            Ok(near) if !link.reached_target(near) => Told::Unsent,
             _ => Told::Unknown,
         },
     }
--- a/crates/rig/src/draw.rs
+++ b/crates/rig/src/draw.rs
@@ -45,9 +45,9 @@
         let who = processes.choose(&mut rng).cloned().unwrap_or_default();
         let way = ways.choose(&mut rng).cloned().unwrap_or_default();
         let sides = match rng.random_range(0..3) {
-            0 => vec![crate::way::Side::Forth],
-            1 => vec![crate::way::Side::Back],
-            _ => vec![crate::way::Side::Forth, crate::way::Side::Back],
+            0 => vec![crate::link::Side::Forth],
+            1 => vec![crate::link::Side::Back],
+            _ => vec![crate::link::Side::Forth, crate::link::Side::Back],
         };
         let frame = *["prepare", "promise", "accept", "accepted", "beat", "request", "reply"]
             .choose(&mut rng)
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,13 +7,13 @@
 pub mod clients;
 pub mod draw;
 pub mod http;
+pub mod link;
 pub mod load;
 pub mod plan;
 pub mod process;
 pub mod run;
 pub mod stand;
 pub mod started;
-pub mod way;
 
 /// Locks a mutex whose holders keep it consistent between statements.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::way::Side;
+use crate::link::Side;
 
 macro_rules! table {
     ($(#[$doc:meta])* $name:ident { $($(#[$fdoc:meta])* $field:ident: $kind:ty = $default:expr,)* }) => {
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -19,10 +19,10 @@
 
 use crate::check::{Finding, Promise, check, doubled};
 use crate::clients;
+use crate::link::{FrameFault, Link, Side};
 use crate::plan::{DOWN, Deed, Plan, SPEAKER, Starts, Step, meant};
 use crate::process::{PATIENCE, Process, copy};
 use crate::stand::Fleet;
-use crate::way::{Side, Trick, Way};
 use crate::{lock, monotonic};
 
 /// How often logs and histories are looked at for what a step waits for.
@@ -255,9 +255,9 @@
     program: PathBuf,
     folder: PathBuf,
     fleet: Fleet,
-    ways: BTreeMap<String, Arc<Way>>,
+    ways: BTreeMap<String, Arc<Link>>,
     /// Those from clients to nodes.
-    doors: Vec<Arc<Way>>,
+    doors: Vec<Arc<Link>>,
     processes: BTreeMap<String, Process>,
     addresses: HashMap<String, SocketAddr>,
     bus: Arc<Bus>,
@@ -328,7 +328,7 @@
     let stop = Arc::new(AtomicBool::new(false));
     let seen = observe("clients");
     let ways = std::mem::take(&mut rig.doors);
-    let nodes: Vec<&Way> = ways.iter().map(|w| &**w).collect();
+    let nodes: Vec<&Link> = ways.iter().map(|w| &**w).collect();
     let done = std::thread::scope(|scope| {
         for number in 0..plan.load.clients {
             let (nodes, stop, seen) = (&nodes, &stop, &seen);
@@ -478,14 +478,14 @@
         for name in self.plan.ways() {
             let bus = Arc::clone(&self.bus);
             let framed = name.split_once('>').is_some_and(|(_, to)| to.starts_with('c'));
-            let way = Way::open(&name, framed, Arc::new(move |w, s, k| bus.frame(w, s, k)))?;
+            let way = Link::open(&name, framed, Arc::new(move |w, s, k| bus.frame(w, s, k)))?;
             self.ways.insert(name, Arc::new(way));
         }
         let plan = self.plan;
         self.doors = (0..plan.nodes).map(|n| Arc::clone(&self.ways[&format!("k>n{n}")])).collect();
         for (e, address) in self.fleet.executors.iter().enumerate() {
             for n in 0..plan.nodes {
-                self.ways[&format!("n{n}>e{e}")].lead_to(Some(*address));
+                self.ways[&format!("n{n}>e{e}")].set_target(Some(*address));
             }
         }
         let coordinators = |from: &str| -> Vec<String> {
@@ -499,7 +499,7 @@
             let executors: Vec<SocketAddr> =
                 (0..plan.executors).map(|e| self.ways[&format!("{name}>e{e}")].address).collect();
             let list = &self.ways[&format!("{name}>d")];
-            list.lead_to(Some(self.fleet.discovery_with(&executors)?));
+            list.set_target(Some(self.fleet.discovery_with(&executors)?));
             let mut file = self.fleet.configuration(&name, n as u64 + 1);
             file["discovery"] = json!(list.address.to_string());
             let path = process.folder.join("node.json");
@@ -615,7 +615,7 @@
                     let end = format!("p{}", name.trim_start_matches('n'));
                     let told =
                         self.ways.iter().filter(|(w, _)| w.split_once('>').is_some_and(|(_, to)| to == end));
-                    told.for_each(|(_, w)| w.lead_to(peers));
+                    told.for_each(|(_, w)| w.set_target(peers));
                 }
                 Err(why) => {
                     failed.push(why.to_string());
@@ -638,7 +638,7 @@
         };
         for (way, w) in &self.ways {
             if way.split_once('>').is_some_and(|(_, to)| to == name) {
-                w.lead_to(address);
+                w.set_target(address);
             }
         }
     }
@@ -785,9 +785,11 @@
                     Deed::Delay => way.delay(&step.sides, span),
                     Deed::Throttle => way.throttle(&step.sides, step.bytes),
                     Deed::Reset => way.reset(),
-                    Deed::CutAt => way.trick(step.side, kind, Trick::CutAt(step.bytes as usize)),
-                    Deed::Repeat => way.trick(step.side, kind, Trick::Repeat),
-                    Deed::Hold => way.trick(step.side, kind, Trick::Hold),
+                    Deed::CutAt => {
+                        way.fail_next_frame(step.side, kind, FrameFault::CutAt(step.bytes as usize))
+                    }
+                    Deed::Repeat => way.fail_next_frame(step.side, kind, FrameFault::Repeat),
+                    Deed::Hold => way.fail_next_frame(step.side, kind, FrameFault::Hold),
                     Deed::Release => way.release(),
                     _ => {}
                 }
--- a/crates/rig/tests/rig.rs
+++ b/crates/rig/tests/rig.rs
@@ -8,15 +8,15 @@
 
 use linestack_frames::{HEAD, encode};
 use linestack_rig::draw::{draw, shrink};
+use linestack_rig::link::{FrameFault, Link, Side};
 use linestack_rig::plan::{Deed, Plan};
-use linestack_rig::way::{Side, Trick, Way};
 use rstest::rstest;
 
 /// A way to a listener, a connection over it, and what comes out at the far end.
-fn over(framed: bool) -> (Way, TcpStream, Receiver<Vec<u8>>) {
+fn over(framed: bool) -> (Link, TcpStream, Receiver<Vec<u8>>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let way = Way::open("a>b", framed, Arc::new(|_, _, _| {})).unwrap();
-    way.lead_to(Some(listener.local_addr().unwrap()));
+    let way = Link::open("a>b", framed, Arc::new(|_, _, _| {})).unwrap();
+    way.set_target(Some(listener.local_addr().unwrap()));
     let near = TcpStream::connect(way.address).unwrap();
     let (mut far, _) = listener.accept().unwrap();
     let (out, come) = channel();
@@ -66,19 +66,19 @@
 
 #[rstest]
 #[case::as_they_are(None, b"onetwo")]
-#[case::repeated(Some(Trick::Repeat), b"oneonetwo")]
-#[case::held_and_let_go(Some(Trick::Hold), b"twoone")]
-fn frames_are_told_apart(#[case] trick: Option<Trick>, #[case] order: &[u8]) {
+#[case::repeated(Some(FrameFault::Repeat), b"oneonetwo")]
+#[case::held_and_let_go(Some(FrameFault::Hold), b"twoone")]
+fn frames_are_told_apart(#[case] trick: Option<FrameFault>, #[case] order: &[u8]) {
     let (way, mut near, come) = over(true);
     if let Some(trick) = trick {
-        way.trick(Side::Forth, 4, trick);
+        way.fail_next_frame(Side::Forth, 4, trick);
     }
     let frames = [encode(4, b"one").unwrap(), encode(4, b"two").unwrap()].concat();
     near.write_all(&frames).unwrap();
     let count = order.len() / 3;
-    let expected = (HEAD + 3) * if trick == Some(Trick::Hold) { 1 } else { count };
+    let expected = (HEAD + 3) * if trick == Some(FrameFault::Hold) { 1 } else { count };
     let mut bytes = all(&come, expected);
-    if trick == Some(Trick::Hold) {
+    if trick == Some(FrameFault::Hold) {
         way.release();
         bytes.extend(all(&come, HEAD + 3));
     }
@@ -89,7 +89,7 @@
 #[test]
 fn a_frame_is_cut_at_a_byte() {
     let (way, mut near, come) = over(true);
-    way.trick(Side::Forth, 4, Trick::CutAt(5));
+    way.fail_next_frame(Side::Forth, 4, FrameFault::CutAt(5));
     near.write_all(&encode(4, b"one").unwrap()).unwrap();
     let bytes: Vec<u8> = come.iter().flatten().collect();
     assert!(bytes.len() <= 5, "{bytes:?}");
