A run of the rig is set-up, timeline, actions, histories and outcome, a module each

Change: run/{setup,processes,timeline,actions,operator,observations,histories,seconds,recovery,outcome}.rs. `Observations`, `LogTails`, `Sample`, `OpenedConnections`, `Service` and `AwaitedFrames` replace tuples, arrays and maps that were passed along. Public items keep their paths (`run::{run, run_told, scenario, Outcome, Second, Back, Up}`) and their JSON.

--- /dev/null
+++ b/crates/rig/src/run/processes.rs
@@ -0,0 +1,152 @@
+//! Starts and ends processes, and has links lead to those that run.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+
+use super::{POLL_INTERVAL, Rig, leads_to};
+use crate::process::{PATIENCE, Process};
+
+/// A node that does not answer about its health in this time is not healthy.
+const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Rig<'_> {
+    /// A process of the plan, by its name.
+    pub(super) fn process(&mut self, name: &str) -> io::Result<&mut Process> {
+        self.processes.get_mut(name).ok_or_else(|| io::Error::other("no such process"))
+    }
+
+    /// Starts processes, and then waits until each listens. The others run even if one fails.
+    pub(super) fn start(&mut self, names: &[String]) -> io::Result<()> {
+        let failed = self.start_some(names)?;
+        if failed.is_empty() { Ok(()) } else { Err(io::Error::other(failed.join("; "))) }
+    }
+
+    /// As [`Self::start`], of processes none of which is to listen.
+    pub(super) fn start_refused(&mut self, names: &[String]) -> io::Result<()> {
+        let failed = self.start_some(names)?;
+        if failed.len() == names.len() {
+            return Ok(());
+        }
+        Err(io::Error::other(format!("of {names:?} only these failed: {failed:?}")))
+    }
+
+    /// Starts processes, and tells why those that failed did.
+    fn start_some(&mut self, names: &[String]) -> io::Result<Vec<String>> {
+        let mut began = Vec::new();
+        for name in names {
+            let process = self.process(name)?;
+            let log_length = fs::metadata(process.log()).map_or(0, |m| m.len());
+            process.start()?;
+            // Whoever was there before is gone, and so is its address.
+            self.set_address(name, None);
+            began.push((name, log_length));
+        }
+        let mut failed = Vec::new();
+        for (name, log_length) in began {
+            match self.process(name)?.listens(log_length) {
+                Ok(address) => self.process_listens(name, address, log_length),
+                Err(why) => failed.push(why.to_string()),
+            }
+        }
+        Ok(failed)
+    }
+
+    fn process_listens(&mut self, name: &str, address: SocketAddr, log_length: u64) {
+        self.set_address(name, Some(address));
+        self.set_peer_address(name, log_length);
+        if self.plan.coordinators == 0 {
+            self.write_active(name);
+        }
+    }
+
+    /// Has links lead to where a process listens, or nowhere.
+    fn set_address(&mut self, name: &str, address: Option<SocketAddr>) {
+        match address {
+            Some(address) => self.addresses.insert(name.to_owned(), address),
+            None => self.addresses.remove(name),
+        };
+        self.set_targets(name, address);
+    }
+
+    /// Has other nodes' links lead to where a node answers peers, if its log tells.
+    fn set_peer_address(&self, name: &str, log_length: u64) {
+        let word = self.processes[name].word("peers_at=", log_length);
+        let address = word.and_then(|address| address.parse().ok());
+        self.set_targets(&format!("p{}", name.trim_start_matches('n')), address);
+    }
+
+    fn set_targets(&self, end: &str, address: Option<SocketAddr>) {
+        let links = self.links.iter().filter(|(name, _)| leads_to(name, |other| other == end));
+        links.for_each(|(_, link)| link.set_target(address));
+    }
+
+    /// Waits until every node says that clients should come.
+    pub(super) fn wait_until_serving(&self) -> io::Result<()> {
+        let begin = Instant::now();
+        for number in 0..self.plan.nodes {
+            let name = format!("n{number}");
+            while !self.is_healthy(&name) {
+                if begin.elapsed() > PATIENCE {
+                    return Err(io::Error::other(format!("{name} does not serve")));
+                }
+                std::thread::sleep(POLL_INTERVAL);
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn is_healthy(&self, name: &str) -> bool {
+        let Some(address) = self.addresses.get(name) else { return false };
+        crate::http::get(*address, "/healthz", HEALTH_TIMEOUT).is_ok_and(|status| status == 200)
+    }
+
+    /// Ends all that runs, nodes first, and tells of those that had ended by themselves.
+    pub(super) fn end(&mut self) -> io::Result<Vec<String>> {
+        let mut faults = Vec::new();
+        for operator in self.operators.drain(..) {
+            let _ = operator.join();
+        }
+        if self.plan.coordinators > 0 {
+            faults.extend(self.wait_until_settled());
+        }
+        let names = self.plan.processes();
+        for name in &names {
+            faults.extend(self.tell_to_stop(name)?);
+        }
+        for name in &names {
+            faults.extend(self.wait_until_stopped(name)?);
+        }
+        Ok(faults)
+    }
+
+    /// Tells a process to stop; a fault if it had ended by itself.
+    fn tell_to_stop(&mut self, name: &str) -> io::Result<Option<String>> {
+        let Some(process) = self.processes.get_mut(name) else { return Ok(None) };
+        if process.paused {
+            process.pause(false)?;
+        }
+        if let Some(status) = process.ended()? {
+            return Ok(Some(format!("{name} ended by itself: {status}")));
+        }
+        if process.running() {
+            process.signal(Signal::TERM)?;
+        }
+        Ok(None)
+    }
+
+    /// Waits for a process that was told to stop; a fault if it does not end as it should.
+    fn wait_until_stopped(&mut self, name: &str) -> io::Result<Option<String>> {
+        let Some(process) = self.processes.get_mut(name) else { return Ok(None) };
+        if !process.running() {
+            return Ok(None);
+        }
+        match process.wait(PATIENCE)? {
+            Some(status) if status.success() => Ok(None),
+            other => Ok(Some(format!("{name} was told to stop: {other:?}"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/run/setup.rs
@@ -0,0 +1,252 @@
+//! Sets a run up: stand-ins, links, and the configuration of each process.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+
+use linestack_history::Line;
+use linestack_world::{Executors, Product, Repeats, Scenario, Tenant};
+use serde_json::{Value, json};
+
+use super::observations::{LogTails, Observations};
+use super::{Rig, leads_to, observer};
+use crate::clients;
+use crate::link::Link;
+use crate::plan::{Plan, Starts};
+use crate::process::Process;
+use crate::stand::Fleet;
+
+/// The name of the fleet that coordinators and nodes belong to.
+pub(super) const FLEET_NAME: &str = "rig";
+
+/// Nodes remember submissions for so many seconds.
+const REMEMBER_S: u64 = 600;
+
+/// Coordinators hold leadership for this part of a lease, and this many milliseconds at least.
+const LEASES_PER_HOLD: u64 = 4;
+const MIN_HOLD_MS: u64 = 100;
+
+/// The policy that a fleet begins with.
+const FIRST_POLICY: u64 = 1;
+
+/// What the stand-ins are.
+#[must_use]
+pub fn scenario(plan: &Plan) -> Scenario {
+    let product = |name: &str, repeats| Product {
+        name: name.into(),
+        work_ms: plan.work_ms,
+        agreed_ms: plan.load.cut_off_ms as f64 / 2.0,
+        cut_off_ms: plan.load.cut_off_ms as f64,
+        repeats,
+        ..Product::default()
+    };
+    let executors = Executors {
+        count: plan.executors,
+        slots: plan.slots,
+        cores: f64::from(plan.slots),
+        cold_from: plan.cold_from,
+        cold_s: plan.cold_ms / 1e3,
+        ..Executors::default()
+    };
+    let mut scenario = Scenario {
+        seed: plan.seed,
+        executors: vec![executors],
+        products: vec![
+            product(clients::ONE_SHOT, Repeats::OneShot),
+            product(clients::HARMLESS, Repeats::Harmless),
+        ],
+        tenants: vec![Tenant { name: "all".into(), ..Tenant::default() }],
+        ..Scenario::default()
+    };
+    scenario.nodes.count = plan.nodes as u32;
+    scenario.load.per_s = plan.load.rate;
+    scenario
+}
+
+impl<'a> Rig<'a> {
+    /// Starts the stand-ins, opens the links and configures all processes. None of them runs yet.
+    pub(super) fn set_up(
+        plan: &'a Plan,
+        program: &Path,
+        folder: &Path,
+        history: Sender<Line>,
+    ) -> io::Result<Self> {
+        let fleet = Fleet::start_seen(&scenario(plan), Some(observer(&history, "executors")))?;
+        let mut rig = Self {
+            plan,
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            first_policy: fleet.configuration("any", 1)["settings"].clone(),
+            fleet,
+            links: BTreeMap::new(),
+            processes: BTreeMap::new(),
+            addresses: HashMap::new(),
+            observations: Arc::default(),
+            tails: LogTails::default(),
+            opened: Arc::default(),
+            history,
+            operators: Vec::new(),
+            file_policies: HashMap::new(),
+        };
+        rig.open_links()?;
+        for number in 0..plan.nodes {
+            rig.set_up_node(number)?;
+        }
+        for number in 0..plan.coordinators {
+            rig.set_up_coordinator(number)?;
+        }
+        Ok(rig)
+    }
+
+    fn open_links(&mut self) -> io::Result<()> {
+        for name in self.plan.ways() {
+            let framed = leads_to(&name, |end| end.starts_with('c'));
+            let observations: Arc<Observations> = Arc::clone(&self.observations);
+            let observer = move |link: &str, side, kind| observations.frame_passed(link, side, kind);
+            let link = Link::open(&name, framed, Arc::new(observer))?;
+            self.links.insert(name, Arc::new(link));
+        }
+        for (number, address) in self.fleet.executors.iter().enumerate() {
+            for node in 0..self.plan.nodes {
+                self.links[&format!("n{node}>e{number}")].set_target(Some(*address));
+            }
+        }
+        Ok(())
+    }
+
+    fn set_up_node(&mut self, number: usize) -> io::Result<()> {
+        let plan = self.plan;
+        let name = format!("n{number}");
+        let mut process = Process::new(&name, self.folder.join(&name), &self.program, &[]);
+        fs::create_dir_all(process.store())?;
+        let file = self.node_file(&name, number)?;
+        write_file(&mut process, "PROXY_CONFIG", "node.json", &file.to_string())?;
+        if plan.store {
+            let store = store_of(&process);
+            let terms = json!({"store": {"folder": store, "same-by": "idempotency-key",
+                "remember-s": REMEMBER_S}});
+            write_toml(&mut process, "PROXY_STORE", "store.toml", &terms)?;
+            self.init_store(&store, Earlier::None)?;
+        }
+        if plan.peers {
+            let ask = self.peer_addresses(number);
+            let terms = json!({"peers": {"fleet": FLEET_NAME, "listen": "127.0.0.1:0", "ask": ask}});
+            write_toml(&mut process, "PROXY_PEERS", "peers.toml", &terms)?;
+        }
+        if plan.starts.on {
+            let Starts { connects_per_s, lists_per_s, sessions_per_s, .. } = plan.starts;
+            let terms = json!({"start": {"connects-per-s": connects_per_s, "lists-per-s": lists_per_s,
+                "sessions-per-s": sessions_per_s}});
+            write_toml(&mut process, "PROXY_START", "start.toml", &terms)?;
+        }
+        if plan.coordinators > 0 {
+            let terms = json!({"fleet": {"id": FLEET_NAME, "member": name,
+                "coordinators": self.coordinators_for(&name), "folder": process.store(),
+                "mode": if plan.strict { "strict" } else { "available" },
+                "history": process.folder.join("history")}});
+            write_toml(&mut process, "PROXY_FLEET", "fleet.toml", &terms)?;
+        }
+        self.processes.insert(name, process);
+        Ok(())
+    }
+
+    /// A node's own file, by which it reaches discovery and executors over its links.
+    fn node_file(&self, name: &str, number: usize) -> io::Result<Value> {
+        let link_to = |executor| self.links[&format!("{name}>e{executor}")].address;
+        let executors: Vec<SocketAddr> = (0..self.plan.executors).map(link_to).collect();
+        let discovery = &self.links[&format!("{name}>d")];
+        discovery.set_target(Some(self.fleet.discovery_with(&executors)?));
+        let mut file = self.fleet.configuration(name, number as u64 + 1);
+        file["discovery"] = json!(discovery.address.to_string());
+        Ok(file)
+    }
+
+    /// Where a node reaches the other nodes, to learn from them.
+    fn peer_addresses(&self, number: usize) -> Vec<String> {
+        let others = (0..self.plan.nodes).filter(|other| *other != number);
+        others.map(|other| self.links[&format!("n{number}>p{other}")].address.to_string()).collect()
+    }
+
+    /// Where a process reaches each coordinator; empty for itself.
+    pub(super) fn coordinators_for(&self, from: &str) -> Vec<String> {
+        let address =
+            |number| self.links.get(&format!("{from}>c{number}")).map(|link| link.address.to_string());
+        (0..self.plan.coordinators).map(|number| address(number).unwrap_or_default()).collect()
+    }
+
+    fn set_up_coordinator(&mut self, number: usize) -> io::Result<()> {
+        let name = format!("c{number}");
+        let folder = self.folder.join(&name);
+        let path = folder.join("coordinator.toml");
+        let words = ["coordinate", &path.display().to_string()];
+        let mut process = Process::new(&name, folder.clone(), &self.program, &words);
+        process.once.push("--first".into());
+        fs::create_dir_all(process.store())?;
+        let first_policy = folder.join("policy.json");
+        fs::write(&first_policy, self.policy(FIRST_POLICY).to_string())?;
+        let lease_ms = self.plan.lease_ms;
+        let terms = json!({"coordinator": {"fleet": FLEET_NAME, "number": number, "listen": "127.0.0.1:0",
+            "peers": self.coordinators_for(&name), "folder": process.store(), "first-policy": first_policy,
+            "lease-ms": lease_ms, "hold-ms": (lease_ms / LEASES_PER_HOLD).max(MIN_HOLD_MS),
+            "history": folder.join("history")}});
+        fs::write(&path, toml::to_string(&terms).map_err(io::Error::other)?)?;
+        self.processes.insert(name, process);
+        Ok(())
+    }
+
+    /// Makes a node's store, as an operator does.
+    pub(super) fn init_store(&self, folder: &Path, earlier: Earlier) -> io::Result<()> {
+        let mut command = Command::new(&self.program);
+        command.args(["store", "init"]).args((earlier == Earlier::Lost).then_some("--lost")).arg(folder);
+        let output = command.output()?;
+        if output.status.success() {
+            return Ok(());
+        }
+        Err(io::Error::other(String::from_utf8_lossy(&output.stderr).into_owned()))
+    }
+
+    /// The settings of a policy's number: they differ in what traffic beyond a share is worth. Those of
+    /// number 0 can't be taken, for they have another product.
+    pub(super) fn policy(&self, number: u64) -> Value {
+        let mut policy = self.first_policy.clone();
+        if let Some(policy) = policy.as_object_mut() {
+            policy.remove("az");
+        }
+        match number {
+            0 => policy["products"][0]["name"] = json!("other"),
+            _ => policy["excessPayoff"] = json!((0.5 + 0.001 * number as f64).min(1.0)),
+        }
+        policy
+    }
+}
+
+/// What there was before a store that is made now.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum Earlier {
+    None,
+    /// An earlier store, which is lost.
+    Lost,
+}
+
+/// The folder of a node's embedded store.
+pub(super) fn store_of(process: &Process) -> PathBuf {
+    process.store().join("kept")
+}
+
+/// Writes a file into a process's folder, and has a variable name it.
+fn write_file(process: &mut Process, variable: &str, file: &str, text: &str) -> io::Result<()> {
+    let path = process.folder.join(file);
+    fs::write(&path, text)?;
+    process.variables.push((variable.into(), path.display().to_string()));
+    Ok(())
+}
+
+fn write_toml(process: &mut Process, variable: &str, file: &str, terms: &Value) -> io::Result<()> {
+    let text = toml::to_string(terms).map_err(io::Error::other)?;
+    write_file(process, variable, file, &text)
+}
