A scenario's types, its check and its nodes' settings are a module each

Why: one file held the keys, a check of 70 lines and the settings, and most keys had no word on what they mean.

--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario/mod.rs
@@ -1,8 +1,9 @@
 //! What a world is made of. Every figure has a default, so that a scenario names only what it is about.
 
+mod check;
+mod settings;
+
 use linestack_core::Nanos;
-use linestack_dispatch::types::{Group, Product as Terms, Repeats as Kind, StandingOrders};
-use linestack_settings::{Names, ReportLayout, Settings};
 use serde::{Deserialize, Serialize};
 
 /// Nanoseconds of a span in seconds.
@@ -33,42 +34,65 @@
 table! {
     /// A world, from one seed.
     Scenario {
+        /// What reports call it.
         name: String = "world".into(),
+        /// All chance comes from this.
         seed: u64 = 1,
         /// Simulated seconds in which clients come. After them the world runs until all is answered.
         span_s: f64 = 30.0,
+        /// Nodes and executors are spread over so many zones.
         zones: u16 = 1,
+        /// The dispatchers.
         nodes: Nodes = Nodes::default(),
+        /// Kinds of executors.
         executors: Vec<Executors> = vec![Executors::default()],
+        /// The load reports of executors.
         reports: Reports = Reports::default(),
-        /// Whether executors tell of starts, and how often of progress (0: never).
+        /// Whether executors tell when a job starts.
         tells_start: bool = false,
+        /// How often executors tell of the progress of a job; 0: never.
         progress_s: f64 = 1.0,
+        /// What clients ask for.
         products: Vec<Product> = vec![Product::default()],
+        /// Who asks.
         tenants: Vec<Tenant> = vec![Tenant::default()],
+        /// How much is asked for.
         load: Load = Load::default(),
+        /// How clients behave.
         clients: Clients = Clients::default(),
+        /// How long messages take.
         network: Network = Network::default(),
+        /// How discovery behaves.
         discovery: Discovery = Discovery::default(),
+        /// What nodes may do, and at which price.
         limits: Limits = Limits::default(),
+        /// The bounds by which the judge goes.
         rules: Rules = Rules::default(),
+        /// The faults, in no particular order.
         troubles: Vec<Trouble> = Vec::new(),
     }
 }
 
 table! {
+    /// The dispatchers of a world, all alike.
     Nodes {
+        /// How many there are.
         count: u32 = 3,
+        /// The most connections of a node.
         sockets: usize = 1024,
+        /// What a node may hold, in MiB.
         memory_mb: usize = 192,
         /// Processor time that each thing that happens takes of a node.
         cpu_us: f64 = 0.0,
-        /// SIGKILL comes so long after SIGTERM, and the node is back so long after it ended.
+        /// SIGKILL comes so long after SIGTERM.
         kill_after_s: f64 = 3.7,
+        /// A node is back so long after it ended.
         back_after_s: f64 = 0.5,
-        /// A disk that lasts: what may have run is known after a kill. What a sync takes.
+        /// A disk that lasts: what may have run is known after a kill.
         store: bool = false,
+        /// How long a write to it takes.
         sync_ms: f64 = 1.0,
+        /// How nodes start.
         starts: Starts = Starts::default(),
     }
 }
@@ -76,8 +100,11 @@
 table! {
     /// A start in stages, if it is on; rates are the fleet's a second, 0 for no bound.
     Starts {
+        /// Whether nodes start in stages.
         on: bool = false,
+        /// Connections to executors.
         connects_per_s: f64 = 0.0,
+        /// Calls for the whole list.
         lists_per_s: f64 = 0.0,
     }
 }
@@ -85,24 +112,33 @@
 table! {
     /// Executors of one kind.
     Executors {
+        /// The kind that discovery lists them as.
         kind: String = "plain".into(),
+        /// How many there are.
         count: u32 = 8,
+        /// Cores that running jobs share.
         cores: f64 = 4.0,
+        /// Seconds of work that one core does in a second.
         speed: f64 = 1.0,
         /// Each one's speed is drawn within this part of it.
         speed_spread: f64 = 0.1,
+        /// The most that may run at once, in slots.
         slots: u32 = 4,
         /// Jobs that may wait there.
         queue: u32 = 16,
         /// How many of them share the memory of stamps.
         group: u32 = 2,
-        /// Capacity right after a start, as a part, and the time until it is whole.
+        /// Capacity right after a start, as a part.
         cold_from: f64 = 0.3,
+        /// The time until it is whole.
         cold_s: f64 = 9.0,
-        /// Of the capacity, what each connection in use up to the cap takes at most.
+        /// The most connections to one of them; it refuses those beyond.
         connections: u32 = 512,
+        /// Work that a new connection costs.
         handshake_ms: f64 = 0.5,
+        /// A connection that is unused for longer is closed.
         idle_s: f64 = 15.0,
+        /// Work that a probe costs.
         probe_ms: f64 = 0.05,
         /// Of jobs, those that fail without any trouble.
         error_rate: f64 = 0.0,
@@ -112,38 +148,55 @@
 }
 
 table! {
+    /// The load reports that executors send with their answers.
     Reports {
-        /// None where executors report nothing.
+        /// Whether executors report at all.
         told: bool = true,
         /// How long a report stands before it is renewed; 0: it is made with each answer.
         period_ms: f64 = 0.0,
+        /// How late a report is.
         delay_ms: f64 = 0.0,
+        /// Each figure is off by this part at most.
         noise: f64 = 0.0,
     }
 }
 
+/// Whether a job may be executed more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Repeats {
+    /// As often as one likes.
     Harmless,
+    /// Within the group of executors that knows its idempotency key, for as long as it does.
     Stamped,
+    /// Never.
     OneShot,
 }
 
 table! {
+    /// A kind of job.
     Product {
+        /// What it is called.
         name: String = "job".into(),
+        /// Its weight among all products.
         share: f64 = 1.0,
+        /// The mean work of a job, in milliseconds at speed 1.
         work_ms: f64 = 400.0,
         /// Coefficient of variation of the work, which is log-normal; 0: always the same.
         cv: f64 = 0.5,
+        /// Slots that a job takes.
         slots: f64 = 1.0,
+        /// A result pays in full up to this time, and what `stretch` adds.
         agreed_ms: f64 = 400.0,
         /// By how many times its own running time the agreed time grows.
         stretch: f64 = 1.25,
+        /// The client's deadline for an answer.
         cut_off_ms: f64 = 5000.0,
+        /// What a result in time is worth.
         payoff: f64 = 1.0,
+        /// The part of it that a late result is worth.
         late_payoff: f64 = 0.3,
+        /// Whether a job may be executed more than once.
         repeats: Repeats = Repeats::Harmless,
         /// For how long a group drops repeats of a stamped one.
         memory_s: f64 = 7.5,
@@ -151,8 +204,11 @@
 }
 
 table! {
+    /// Somebody who submits jobs.
     Tenant {
+        /// What it is called.
         name: String = "tenant".into(),
+        /// Its weight among all tenants, by which it has a quota.
         share: f64 = 1.0,
         /// How many times its share it sends.
         usage: f64 = 1.0,
@@ -160,39 +216,57 @@
 }
 
 table! {
+    /// How much clients submit, and when.
     Load {
-        /// Of the warm capacity of all executors.
+        /// The usual load, as a part of the warm capacity of all executors.
         of_capacity: f64 = 0.6,
         /// Where over 0, these many a second instead.
         per_s: f64 = 0.0,
         /// Where over 0, these many clients, each of which asks again once it is answered.
         closed: u32 = 0,
+        /// How long a closed-loop client waits before it asks again.
         think_ms: f64 = 0.0,
+        /// How the load changes over a period.
         shape: Shape = Shape::Steady,
+        /// By how much it swings about the usual, as a part.
         swing: f64 = 0.3,
+        /// The length of a period.
         period_s: f64 = 10.0,
+        /// Lasting changes.
         steps: Vec<Step> = Vec::new(),
     }
 }
 
+/// How the load changes over a period.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Shape {
+    /// Not at all.
     Steady,
     /// Between 1 + swing and 1 - swing, by turns.
     Bursty,
+    /// As a sine.
     Wave,
 }
 
 table! {
-    /// From then on the load is so many times the usual.
-    Step { at_s: f64 = 0.0, times: f64 = 1.0, }
+    /// A lasting change of the load.
+    Step {
+        /// When it begins.
+        at_s: f64 = 0.0,
+        /// From then on the load is so many times the usual.
+        times: f64 = 1.0,
+    }
 }
 
 table! {
+    /// How clients wait, retry and leave.
     Clients {
+        /// How often a client retries.
         retries: u32 = 1,
+        /// How long it waits before a retry.
         backoff: Backoff = Backoff::Fixed,
+        /// The mean of the first wait.
         wait_ms: f64 = 100.0,
         /// The part of them that heed a come-back time.
         heed: f64 = 1.0,
@@ -205,25 +279,40 @@
     }
 }
 
+/// How long a client waits before a retry. Each wait is off by up to a half, at random.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Backoff {
+    /// Not at all.
     None,
+    /// The same time before each.
     Fixed,
+    /// Twice as long before each.
     Exponential,
 }
 
 table! {
-    /// One way, each.
-    Network { same_ms: f64 = 0.2, cross_ms: f64 = 0.6, client_ms: f64 = 0.3, jitter: f64 = 0.2, }
+    /// How long messages take in one direction, in milliseconds.
+    Network {
+        /// Between a node and an executor of one zone.
+        same_ms: f64 = 0.2,
+        /// Between a node and an executor of different zones.
+        cross_ms: f64 = 0.6,
+        /// Between a client and a node.
+        client_ms: f64 = 0.3,
+        /// Each message takes longer by up to this part.
+        jitter: f64 = 0.2,
+    }
 }
 
 table! {
+    /// How discovery learns of changes and answers.
     Discovery {
         /// Whether it must be asked for changes, or the node is expected to hold a watch.
         asked: bool = false,
-        /// How late it notices a change that a process tells of, and one that it must find out.
+        /// How late it notices a change that a process tells of, on average.
         late_s: f64 = 0.5,
+        /// The same for a change that nobody tells of.
         silent_late_s: f64 = 4.0,
         /// Lines that it writes in a second; calls wait in turn and fail after two seconds.
         lines_per_s: f64 = 20_000.0,
@@ -231,31 +320,46 @@
 }
 
 table! {
+    /// What nodes may do, and at which price: the settings of the fleet.
     Limits {
+        /// Whether nodes may probe executors.
         may_probe: bool = true,
+        /// Whether nodes may cancel executions.
         may_cancel: bool = true,
+        /// Whether nodes may have several copies of a job executed.
         may_duplicate: bool = true,
+        /// The most executions of one submission.
         max_executions: u16 = 3,
         /// The longest come-back time that may be named; 0: none is named.
         come_back_ms: f64 = 2000.0,
+        /// How long a node waits for a connection.
         connect_ms: f64 = 250.0,
+        /// Nodes answer this long before the deadline.
         answer_slack_ms: f64 = 16.0,
+        /// The part of its worth that traffic beyond a quota has.
         excess_payoff: f64 = 1.0,
+        /// What an execution in another zone costs.
         crossing_price: f64 = 0.02,
+        /// What a probe costs.
         probe_price: f64 = 0.002,
     }
 }
 
 table! {
+    /// The bounds by which the judge goes.
     Rules {
+        /// For how long jobs may still be sent to an executor that drains.
         drain_grace_ms: f64 = 500.0,
+        /// A cold executor bears this multiple of its capacity.
         fall_multiple: f64 = 2.5,
+        /// The window over which that counts.
         fall_window_ms: f64 = 1000.0,
         /// Added to every time limit.
         slack_ms: f64 = 50.0,
     }
 }
 
+/// What a trouble does to executors, nodes, connections or discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Fault {
@@ -295,12 +399,15 @@
     Grow,
     /// One after the other drains, leaves and is replaced by a new machine.
     Roll,
+    /// Discovery answers no call, and all watches break.
     DiscoveryDown,
     /// Changes are told twice, or not at all until the next whole list.
     DiscoveryFlaps,
+    /// Nodes are killed.
     NodeKill,
-    /// Stopped by SIGTERM, one after the other.
+    /// Nodes are stopped by SIGTERM, one after the other.
     NodeRoll,
+    /// Nodes stand still while it lasts.
     NodePause,
     /// Of the nodes' time, `size` goes to others.
     NodeSlow,
@@ -312,12 +419,17 @@
 }
 
 table! {
+    /// A fault that begins and ends.
     Trouble {
+        /// What happens.
         kind: Fault = Fault::Crash,
+        /// When it begins.
         at_s: f64 = 5.0,
+        /// How long it lasts.
         for_s: f64 = 10.0,
         /// The part of the executors or nodes that it takes, one at least.
         part: f64 = 0.2,
+        /// How strong it is, as the kind says.
         size: f64 = 0.5,
         /// Where named, only executors of this zone.
         zone: Option<u16> = None,
@@ -325,89 +437,6 @@
 }
 
 impl Scenario {
-    /// What makes no sense, by key.
-    ///
-    /// # Errors
-    ///
-    /// All faults at once, a line each.
-    pub fn check(&self) -> Result<(), String> {
-        let mut faults = Vec::new();
-        let mut must = |fine: bool, key: &str, why: &str| {
-            if !fine {
-                faults.push(format!("{key}: {why}"));
-            }
-        };
-        let over = |f: f64| f.is_finite() && f > 0.0;
-        let least = |f: f64| f.is_finite() && f >= 0.0;
-        must(over(self.span_s) && self.span_s <= 86_400.0, "span_s", "must be over 0, and a day at most");
-        must(self.zones > 0, "zones", "at least one");
-        must(self.nodes.count > 0, "nodes.count", "at least one");
-        must(self.nodes.sockets >= 64, "nodes.sockets", "at least 64");
-        must(self.nodes.memory_mb >= 4, "nodes.memory_mb", "at least 4");
-        must(least(self.nodes.cpu_us), "nodes.cpu_us", "must not be under 0");
-        must(least(self.nodes.sync_ms), "nodes.sync_ms", "must not be under 0");
-        must(least(self.nodes.starts.connects_per_s), "nodes.starts.connects_per_s", "must not be under 0");
-        must(least(self.nodes.starts.lists_per_s), "nodes.starts.lists_per_s", "must not be under 0");
-        must(least(self.nodes.back_after_s), "nodes.back_after_s", "must not be under 0");
-        must(self.executors.iter().map(|e| e.count).sum::<u32>() > 0, "executors", "no executor");
-        for (i, e) in self.executors.iter().enumerate() {
-            let key = |k: &str| format!("executors[{i}].{k}");
-            must(over(e.cores), &key("cores"), "must be over 0");
-            must(over(e.speed), &key("speed"), "must be over 0");
-            must((0.0..1.0).contains(&e.speed_spread), &key("speed_spread"), "must be from 0 to under 1");
-            must((1..=65_536).contains(&e.slots), &key("slots"), "must be from 1 to 65,536");
-            must(e.connections > 0, &key("connections"), "at least one");
-            must(e.group > 0, &key("group"), "at least one");
-            must(e.cold_from > 0.0 && e.cold_from <= 1.0, &key("cold_from"), "must be over 0, and 1 at most");
-            must((0.0..=1.0).contains(&e.error_rate), &key("error_rate"), "must be from 0 to 1");
-            for (k, v) in [("cold_s", e.cold_s), ("handshake_ms", e.handshake_ms), ("probe_ms", e.probe_ms)] {
-                must(least(v), &key(k), "must not be under 0");
-            }
-            must(over(e.idle_s), &key("idle_s"), "must be over 0");
-        }
-        must((1..=200).contains(&self.products.len()), "products", "from 1 to 200");
-        for (i, p) in self.products.iter().enumerate() {
-            let key = |k: &str| format!("products[{i}].{k}");
-            must(least(p.share), &key("share"), "must not be under 0");
-            must(over(p.work_ms), &key("work_ms"), "must be over 0");
-            must(least(p.cv), &key("cv"), "must not be under 0");
-            must(over(p.slots), &key("slots"), "must be over 0");
-            must(over(p.agreed_ms), &key("agreed_ms"), "must be over 0");
-            must(p.cut_off_ms >= p.agreed_ms, &key("cut_off_ms"), "must not be under the agreed time");
-            must(over(p.payoff), &key("payoff"), "must be over 0");
-            must(least(p.late_payoff) && p.late_payoff <= 1.0, &key("late_payoff"), "must be from 0 to 1");
-        }
-        must(self.products.iter().any(|p| p.share > 0.0), "products", "no share is over 0");
-        must(self.tenants.iter().any(|t| t.share * t.usage > 0.0), "tenants", "nobody sends anything");
-        for (i, t) in self.tenants.iter().enumerate() {
-            must(least(t.share) && least(t.usage), &format!("tenants[{i}]"), "must not be under 0");
-        }
-        let some = over(self.load.of_capacity) || over(self.load.per_s) || self.load.closed > 0;
-        must(some, "load", "empty: one of of_capacity, per_s and closed must be over 0");
-        must((0.0..=1.0).contains(&self.load.swing), "load.swing", "must be from 0 to 1");
-        must(over(self.load.period_s), "load.period_s", "must be over 0");
-        must(self.load.steps.iter().all(|s| least(s.times)), "load.steps", "must not be under 0");
-        must((0.0..=1.0).contains(&self.clients.heed), "clients.heed", "must be from 0 to 1");
-        must((0.0..=1.0).contains(&self.clients.leave), "clients.leave", "must be from 0 to 1");
-        must(least(self.clients.wait_ms), "clients.wait_ms", "must not be under 0");
-        let net = [self.network.same_ms, self.network.cross_ms, self.network.client_ms, self.network.jitter];
-        must(net.into_iter().all(least), "network", "must not be under 0");
-        must(over(self.discovery.lines_per_s), "discovery.lines_per_s", "must be over 0");
-        must(over(self.limits.connect_ms), "limits.connect_ms", "must be over 0");
-        must(self.limits.max_executions > 0, "limits.max_executions", "at least one");
-        must(over(self.rules.fall_window_ms), "rules.fall_window_ms", "must be over 0");
-        must(self.rules.fall_multiple >= 1.0, "rules.fall_multiple", "must not be under 1");
-        for (i, t) in self.troubles.iter().enumerate() {
-            let key = |k: &str| format!("troubles[{i}].{k}");
-            must(least(t.at_s), &key("at_s"), "must not be under 0");
-            must(least(t.for_s), &key("for_s"), "must not be under 0");
-            must(t.part > 0.0 && t.part <= 8.0, &key("part"), "must be over 0, and 8 at most");
-            must(least(t.size), &key("size"), "must not be under 0");
-            must(t.zone.is_none_or(|z| z < self.zones), &key("zone"), "no such zone");
-        }
-        if faults.is_empty() { Ok(()) } else { Err(faults.join("\n")) }
-    }
-
     /// Work that all warm executors do in a second, in seconds.
     #[must_use]
     pub fn capacity(&self) -> f64 {
@@ -425,67 +454,4 @@
         let work: f64 = self.products.iter().map(|p| p.share * p.work_ms / 1e3).sum::<f64>() / shares;
         self.load.of_capacity * self.capacity() / work
     }
-
-    /// What the node in a zone is started with.
-    #[must_use]
-    pub fn settings(&self, zone: u16, seed: u64) -> Settings {
-        let product = |p: &Product| Terms {
-            repeats: match p.repeats {
-                Repeats::Harmless => Kind::Harmless,
-                Repeats::Stamped => Kind::Stamped { group: Group::Cell, memory: seconds(p.memory_s) },
-                Repeats::OneShot => Kind::OneShot,
-            },
-            agreed: millis(p.agreed_ms),
-            stretch: p.stretch,
-            payoff: p.payoff,
-            late_payoff: p.late_payoff,
-            kinds: None,
-            zones: None,
-        };
-        let shares: f64 = self.tenants.iter().map(|t| t.share).sum();
-        let cold = self.executors.iter().map(|e| e.cold_from).fold(1.0, f64::min);
-        let cold_s = self.executors.iter().map(|e| e.cold_s).fold(0.0, f64::max);
-        let idle = self.executors.iter().map(|e| e.idle_s).fold(f64::INFINITY, f64::min);
-        let (limits, rules) = (&self.limits, &self.rules);
-        let some = |ms: f64| (ms > 0.0).then(|| millis(ms));
-        let orders = StandingOrders {
-            seed,
-            nodes: self.nodes.count,
-            zone,
-            products: self.products.iter().map(product).collect(),
-            quotas: self.tenants.iter().map(|t| self.rate() * t.share / shares.max(1e-9)).collect(),
-            excess_payoff: limits.excess_payoff,
-            probe_price: limits.probe_price,
-            crossing_price: if self.zones > 1 { limits.crossing_price } else { 0.0 },
-            connection_price: 0.0,
-            max_executions: limits.max_executions,
-            may_duplicate: limits.may_duplicate,
-            may_probe: limits.may_probe,
-            may_cancel: limits.may_cancel,
-            come_back: some(limits.come_back_ms),
-            connect_timeout: millis(limits.connect_ms),
-            idle: seconds(idle),
-            answer_slack: millis(limits.answer_slack_ms),
-            cold_from: cold,
-            cold_for: seconds(cold_s),
-            fall_multiple: rules.fall_multiple,
-            fall_window: millis(rules.fall_window_ms),
-            ask_within: self.discovery.asked.then(|| seconds(10.0)),
-            progress_every: some(self.progress_s * 1e3),
-            tells_start: self.tells_start,
-            listed_sizes: false,
-            counts_memory: false,
-        };
-        let longest = self.products.iter().map(|p| p.cut_off_ms).fold(0.0, f64::max);
-        let names = Names {
-            products: self.products.iter().map(|p| p.name.clone()).collect(),
-            tenants: self.tenants.iter().map(|t| t.name.clone()).collect(),
-            kinds: self.executors.iter().map(|e| e.kind.clone()).collect(),
-            zones: (0..self.zones).map(|z| format!("z{z}")).collect(),
-            figures: vec!["x0".into(), "backlog".into(), "outstanding".into()],
-        };
-        let layout =
-            ReportLayout { free_slots: Some(0), free_memory: None, waiting: Some(1), in_hand: Some(2) };
-        Settings { orders, layout, names, longest_cut_off: millis(longest), may_tell: false }
-    }
 }
--- /dev/null
+++ b/crates/world/src/scenario/settings.rs
@@ -0,0 +1,99 @@
+//! The settings that a scenario's nodes are started with.
+
+use linestack_dispatch::types::{Group, Product as ProductTerms, Repeats as RepeatTerms, StandingOrders};
+use linestack_settings::{Names, ReportLayout, Settings};
+
+use super::{Product, Repeats, Scenario, millis, seconds};
+
+/// Where discovery must be asked for changes, it is asked within so many seconds.
+const ASK_WITHIN_S: f64 = 10.0;
+
+impl Scenario {
+    /// The settings of a node in a zone. `seed` is that of its decisions.
+    #[must_use]
+    pub fn settings(&self, zone: u16, seed: u64) -> Settings {
+        let deadlines = self.products.iter().map(|p| p.cut_off_ms);
+        Settings {
+            orders: self.standing_orders(zone, seed),
+            layout: ReportLayout {
+                free_slots: Some(0),
+                free_memory: None,
+                waiting: Some(1),
+                in_hand: Some(2),
+            },
+            names: self.names(),
+            longest_cut_off: millis(deadlines.fold(0.0, f64::max)),
+            may_tell: false,
+        }
+    }
+
+    fn standing_orders(&self, zone: u16, seed: u64) -> StandingOrders {
+        let (limits, rules, executors) = (&self.limits, &self.rules, &self.executors);
+        let cold_from = executors.iter().map(|e| e.cold_from).fold(1.0, f64::min);
+        let cold_s = executors.iter().map(|e| e.cold_s).fold(0.0, f64::max);
+        let idle_s = executors.iter().map(|e| e.idle_s).fold(f64::INFINITY, f64::min);
+        let unless_zero = |ms: f64| (ms > 0.0).then(|| millis(ms));
+        StandingOrders {
+            seed,
+            nodes: self.nodes.count,
+            zone,
+            products: self.products.iter().map(product_terms).collect(),
+            quotas: self.quotas(),
+            excess_payoff: limits.excess_payoff,
+            probe_price: limits.probe_price,
+            crossing_price: if self.zones > 1 { limits.crossing_price } else { 0.0 },
+            connection_price: 0.0,
+            max_executions: limits.max_executions,
+            may_duplicate: limits.may_duplicate,
+            may_probe: limits.may_probe,
+            may_cancel: limits.may_cancel,
+            come_back: unless_zero(limits.come_back_ms),
+            connect_timeout: millis(limits.connect_ms),
+            idle: seconds(idle_s),
+            answer_slack: millis(limits.answer_slack_ms),
+            cold_from,
+            cold_for: seconds(cold_s),
+            fall_multiple: rules.fall_multiple,
+            fall_window: millis(rules.fall_window_ms),
+            ask_within: self.discovery.asked.then(|| seconds(ASK_WITHIN_S)),
+            progress_every: unless_zero(self.progress_s * 1e3),
+            tells_start: self.tells_start,
+            listed_sizes: false,
+            counts_memory: false,
+        }
+    }
+
+    /// By tenant: the submissions a second that its share entitles it to.
+    fn quotas(&self) -> Vec<f64> {
+        let shares: f64 = self.tenants.iter().map(|t| t.share).sum();
+        self.tenants.iter().map(|t| self.rate() * t.share / shares.max(1e-9)).collect()
+    }
+
+    fn names(&self) -> Names {
+        Names {
+            products: self.products.iter().map(|p| p.name.clone()).collect(),
+            tenants: self.tenants.iter().map(|t| t.name.clone()).collect(),
+            kinds: self.executors.iter().map(|e| e.kind.clone()).collect(),
+            zones: (0..self.zones).map(|z| format!("z{z}")).collect(),
+            figures: vec!["x0".into(), "backlog".into(), "outstanding".into()],
+        }
+    }
+}
+
+fn product_terms(product: &Product) -> ProductTerms {
+    ProductTerms {
+        repeats: match product.repeats {
+            Repeats::Harmless => RepeatTerms::Harmless,
+            Repeats::Stamped => {
+                RepeatTerms::Stamped { group: Group::Cell, memory: seconds(product.memory_s) }
+            }
+            Repeats::OneShot => RepeatTerms::OneShot,
+        },
+        agreed: millis(product.agreed_ms),
+        stretch: product.stretch,
+        payoff: product.payoff,
+        late_payoff: product.late_payoff,
+        kinds: None,
+        zones: None,
+    }
+}
