Every public item of the world has its documentation, and the compiler asks for it

Why: a field such as `broken` or `taken` of an outcome can't be read without knowing what is counted.

Change: doc comments, and `#![warn(missing_docs)]` for the crate.

--- a/crates/world/src/broken.rs
+++ b/crates/world/src/broken.rs
@@ -10,22 +10,34 @@
 
 use crate::Machine;
 
+/// How a node breaks a rule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
+    /// Breaks [`Rule::AnsweredTwice`](crate::Rule::AnsweredTwice).
     AnswersTwice,
+    /// Breaks [`Rule::Lost`](crate::Rule::Lost).
     AnswersNothing,
+    /// Breaks [`Rule::MadeUp`](crate::Rule::MadeUp).
     MakesUp,
+    /// Breaks [`Rule::ResentMayHaveRun`](crate::Rule::ResentMayHaveRun) and
+    /// [`Rule::RanTwice`](crate::Rule::RanTwice).
     ResendsOneShots,
+    /// Breaks [`Rule::OutsideGroup`](crate::Rule::OutsideGroup).
     ForgetsGroups,
+    /// Breaks [`Rule::DismissedMayHaveRun`](crate::Rule::DismissedMayHaveRun).
     DismissesWhatRan,
+    /// Breaks [`Rule::SentToDrained`](crate::Rule::SentToDrained).
     SendsToDrained,
+    /// Breaks [`Rule::ColdPushedOver`](crate::Rule::ColdPushedOver).
     FloodsCold,
+    /// Breaks [`Rule::SentAfterAnswer`](crate::Rule::SentAfterAnswer).
     SendsAfterAnswer,
 }
 
 /// Links of the tampering hand, out of the way of the node's own.
 const OWN: Link = 1 << 40;
 
+/// A node of which some effects are tampered with.
 pub struct Tampered {
     node: Box<dyn Machine>,
     way: Way,
@@ -40,6 +52,7 @@
 }
 
 impl Tampered {
+    /// Tampers with a sound node.
     #[must_use]
     pub fn new(node: Box<dyn Machine>, way: Way) -> Self {
         let (out, lost, own) = (HashMap::new(), HashSet::new(), HashMap::new());
--- a/crates/world/src/judge.rs
+++ b/crates/world/src/judge.rs
@@ -9,11 +9,11 @@
 use crate::executor::ConnectionId;
 use crate::scenario::Repeats;
 
-/// The four rules, by what breaks them.
+/// The rules, by what breaks them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Rule {
-    /// Taken, and no final answer before the cut-off.
+    /// Taken, and no final answer before the deadline.
     Lost,
     /// A second final answer.
     AnsweredTwice,
@@ -42,10 +42,14 @@
     CHANCE * multiple * capacity * window as f64 / 1e9
 }
 
+/// A rule that was broken once.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Breach {
+    /// Which one.
     pub rule: Rule,
+    /// When, in seconds.
     pub at_s: f64,
+    /// What was broken, and how.
     pub what: String,
 }
 
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -4,6 +4,8 @@
 //! [`run`] plays a [`Scenario`] and returns what came of it. One seed, one outcome, to the byte: no clock,
 //! no thread, no order of a hash table has a part in it. No I/O.
 
+#![warn(missing_docs)]
+
 pub mod broken;
 mod executor;
 mod judge;
@@ -27,11 +29,17 @@
 
 /// A node without its sockets.
 pub trait Machine {
+    /// Takes one input, and adds what the node asks for to `effects`.
     fn take(&mut self, now: Nanos, input: Input, effects: &mut Vec<Effect>);
+    /// When it wants [`Input::Tick`] next.
     fn next_due(&self) -> Nanos;
+    /// Whether clients should come.
     fn ready(&self, now: Nanos) -> bool;
+    /// Whether it accepts no connection of a client for now.
     fn crowded(&self) -> bool;
+    /// What it counts of itself.
     fn stats(&self) -> Stats;
+    /// The address of an executor that it knows by this index.
     fn address(&self, worker: Worker) -> Option<SocketAddr>;
 }
 
@@ -70,29 +78,37 @@
     pub places: Vec<Vec<Option<usize>>>,
 }
 
-/// Where a node stands, and what it is started with.
+/// What a node is started with.
 pub struct Seat {
+    /// Its index.
     pub node: usize,
+    /// The settings of the fleet, for its zone.
     pub settings: Settings,
+    /// The most connections that it may have.
     pub sockets: usize,
+    /// The most that it may hold, in bytes.
     pub memory: usize,
+    /// The true state of all executors, for policies that may see it.
     pub truth: Arc<Mutex<Truth>>,
+    /// The time of the start.
     pub now: Nanos,
-    /// What a start in stages keeps to, and what the disk has of earlier lives.
+    /// What a start in stages keeps to.
     pub start: Option<Start>,
+    /// What the disk has of earlier incarnations.
     pub remembered: Option<Remembered>,
 }
 
 impl Seat {
-    /// A whole node, with decisions of another's making.
+    /// A whole node that decides by another policy.
     #[must_use]
     pub fn with(self, decisions: Box<dyn Decide + Send>) -> Box<dyn Machine> {
         let core = Core::with(decisions, self.settings, self.sockets, self.memory);
-        Box::new(begun(core, self.now, self.start, self.remembered))
+        Box::new(started(core, self.now, self.start, self.remembered))
     }
 }
 
-fn begun(mut core: Core, now: Nanos, start: Option<Start>, remembered: Option<Remembered>) -> Core {
+/// Gives a new node what it starts with.
+fn started(mut core: Core, now: Nanos, start: Option<Start>, remembered: Option<Remembered>) -> Core {
     if let Some(start) = start {
         core.start_by(now, start, Vec::new());
     }
@@ -106,5 +122,5 @@
 #[must_use]
 pub fn linestack(seat: Seat) -> Box<dyn Machine> {
     let core = Core::new(seat.settings, seat.sockets, seat.memory);
-    Box::new(begun(core, seat.now, seat.start, seat.remembered))
+    Box::new(started(core, seat.now, seat.start, seat.remembered))
 }
--- a/crates/world/src/outcome.rs
+++ b/crates/world/src/outcome.rs
@@ -8,55 +8,81 @@
 /// How long after a trouble the worth answered in time was what it had been.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Recovery {
+    /// Which one.
     pub trouble: Fault,
+    /// When it ended.
     pub ended_s: f64,
-    /// None if it was not within the run.
+    /// Seconds from its end; none if it was not within the run.
     pub after_s: Option<f64>,
 }
 
 /// Counts, unless the name says otherwise. Tries are submissions; a client's retries belong to its first.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Outcome {
+    /// The scenario's name.
     pub scenario: String,
+    /// The seed that it was played with.
     pub seed: u64,
+    /// Submissions that clients made, without their retries.
     pub asked: u64,
+    /// The same with their retries.
     pub tries: u64,
+    /// Tries that nodes accepted.
     pub taken: u64,
+    /// Tries that were answered with a result.
     pub satisfied: u64,
+    /// Submissions of which a result came in time.
     pub in_time: u64,
+    /// Tries that were turned away.
     pub dismissed: u64,
     /// Dismissed while some executor that was up and warm had room for it.
     pub dismissed_with_room: u64,
+    /// Tries that were answered without a result, though they had been sent to executors.
     pub aborted: u64,
     /// Tries that ended with no answer: the node died, could not be reached, or the client left.
     pub unanswered: u64,
+    /// Jobs that nodes sent to executors.
     pub executions: u64,
+    /// Those of them that went to another zone.
     pub crossings: u64,
+    /// Probes that nodes sent.
     pub probes: u64,
+    /// Connections that nodes opened to executors.
     pub handshakes: u64,
     /// One-shots of which more than one execution began, by their clients' asking again.
     pub ran_again: u64,
-    /// By second: connections made to executors, and calls for the list.
+    /// By second: connections that nodes opened to executors.
     pub handshakes_by_second: Vec<u64>,
+    /// By second: calls for the whole list.
     pub lists_by_second: Vec<u64>,
-    /// Worth asked for, and the part of it that was answered in time (late, as far as that pays).
+    /// What all submissions were worth.
     pub worth: f64,
+    /// The part of it that was answered in time (late, as far as that pays).
     pub goodput: f64,
-    /// The same by second of the first try, and by product and tenant.
+    /// What was asked for, by second of the first try.
     pub asked_by_second: Vec<f64>,
+    /// What was answered, by second of the first try.
     pub won_by_second: Vec<f64>,
+    /// What was answered, by product.
     pub by_product: Vec<f64>,
+    /// What was answered, by tenant.
     pub by_tenant: Vec<f64>,
     /// Seconds from the first try to the answer, of what was satisfied, in the order of answers.
     #[serde(skip)]
     pub answer_times: Vec<f32>,
+    /// The median of these times.
     pub p50_s: f64,
+    /// Their 99th percentile.
     pub p99_s: f64,
-    /// Seconds of work done by each executor, and the part of all work that answered nothing.
+    /// Seconds of work done by each executor.
     pub work_by_executor: Vec<f64>,
+    /// The part of all work that answered nothing.
     pub waste: f64,
+    /// How the world came back after each trouble.
     pub recoveries: Vec<Recovery>,
+    /// How often a rule was broken.
     pub broken: u64,
+    /// The first of these, with what was broken.
     pub breaches: Vec<Breach>,
     /// Things that happened, for the cost of a world.
     pub events: u64,
--- a/crates/world/src/standin.rs
+++ b/crates/world/src/standin.rs
@@ -15,6 +15,7 @@
 /// A job's number, given out by the caller and never again.
 pub type Ticket = u64;
 
+/// What becomes of a job that is offered to an executor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Offer {
     /// It will be among those that [`StandIn::turn`] returns.
@@ -82,21 +83,25 @@
         sum > bears && self.pushes.len() > 1
     }
 
+    /// Its name in discovery.
     #[must_use]
     pub fn name(&self) -> &str {
         &self.e.name
     }
 
+    /// The kind that discovery lists it as.
     #[must_use]
     pub fn kind(&self) -> &str {
         &self.s.executors[self.e.spec].kind
     }
 
+    /// Its zone.
     #[must_use]
     pub fn zone(&self) -> u16 {
         self.e.zone
     }
 
+    /// The group of executors that share the memory of idempotency keys.
     #[must_use]
     pub fn group(&self) -> u16 {
         self.e.group
@@ -168,6 +173,7 @@
         (done.into_iter().map(|j| j.connection.link).collect(), self.e.next(now))
     }
 
+    /// The load report of an answer that is sent now, if executors report at all.
     pub fn report(&mut self, now: Nanos) -> Option<Report> {
         let r = &self.s.reports;
         let (period, delay) = (millis(r.period_ms), millis(r.delay_ms));
