What a cold executor bears is modelled once, and the judge's keys have types

Why: the sliding window of work sent to a cold executor was written twice, and the judge knew processes, listings and load reports as bare tuples.

Change: cold.rs with `ColdTerms` and `RecentWork`; `NodeProcess`, `Listed`, `Heard` and `TimedReport`; documentation of the model of an executor.

--- a/crates/world/src/executor.rs
+++ b/crates/world/src/executor.rs
@@ -8,7 +8,14 @@
 
 use crate::scenario::Executors;
 
-/// Who handed in a job: the node, which of its lives, and the connection.
+/// One run of a node's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct NodeProcess {
+    pub(crate) node: usize,
+    pub(crate) incarnation: u32,
+}
+
+/// A connection, by the node that opened it, the incarnation of its process, and the node's own number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct ConnectionId {
     pub(crate) node: usize,
@@ -16,6 +23,7 @@
     pub(crate) link: Link,
 }
 
+/// A job that waits or runs.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
     pub(crate) connection: ConnectionId,
@@ -23,63 +31,92 @@
     /// Seconds of work left, at speed 1.
     pub(crate) left: f64,
     pub(crate) slots: f64,
+    /// When it began to run; 0 while it waits.
     pub(crate) started: Nanos,
 }
 
-/// What is wrong with it now.
+/// What is wrong with an executor now. Rates are parts of all jobs, 0 to 1.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ActiveFaults {
+    /// It takes jobs and does nothing.
     pub(crate) hangs: bool,
     pub(crate) paused: bool,
+    /// Its machine has vanished.
     pub(crate) unreachable: bool,
+    /// It runs at this part of its speed.
     pub(crate) slowed_to: Option<f64>,
+    /// The part of its cores that another program takes while it is active.
     pub(crate) neighbour_share: f64,
     pub(crate) neighbour_active: bool,
     pub(crate) error_rate: f64,
+    /// Jobs of the first product fail.
     pub(crate) product_fails: bool,
     pub(crate) loss_rate: f64,
     pub(crate) refusal_rate: f64,
+    /// Answers that make no sense.
     pub(crate) garbage_rate: f64,
+    /// Its load reports show all slots free.
     pub(crate) reports_idle: bool,
     pub(crate) report_delay: Nanos,
-    /// Messages from nodes, and to nodes, are lost.
+    /// Messages from nodes are lost.
     pub(crate) inbound_cut: bool,
+    /// Messages to nodes are lost.
     pub(crate) outbound_cut: bool,
 }
 
+/// An executor, over all incarnations of its process.
 #[derive(Clone, Debug)]
 pub(crate) struct Executor {
     pub(crate) name: String,
+    /// Its kind, by its place in the scenario.
     pub(crate) spec: usize,
     pub(crate) zone: u16,
+    /// The group that shares the memory of idempotency keys.
     pub(crate) group: u16,
+    /// Seconds of work that a core does in a second.
     pub(crate) speed: f64,
     pub(crate) cores: f64,
     pub(crate) slots: f64,
+    /// Jobs that may wait.
     pub(crate) queue: usize,
+    /// The part of its capacity that it has right after a start.
     pub(crate) cold_from: f64,
+    /// The time until its capacity is whole.
     pub(crate) cold_for: Nanos,
+    /// Its process runs.
     pub(crate) alive: bool,
     pub(crate) draining: bool,
     /// Sent too much while it was cold; it stays down.
     pub(crate) collapsed: bool,
+    /// Counts the ends of its process.
     pub(crate) incarnation: u32,
+    /// When its process started; 0 for one that was there from the beginning, which is warm.
     pub(crate) started: Nanos,
     pub(crate) faults: ActiveFaults,
     pub(crate) connections: usize,
     pub(crate) running: Vec<Job>,
     pub(crate) waiting: VecDeque<Job>,
+    /// Slots of running jobs.
     pub(crate) in_use: f64,
     /// Seconds of work that handshakes and probes still want.
     overhead: f64,
+    /// Work has been done up to this time.
     updated: Nanos,
-    /// Wakes set before the last change are not meant any more.
+    /// The number of the last wake-up; earlier ones are void.
     pub(crate) wake: u64,
     /// Load reports as they stood, the newest last.
-    reports: VecDeque<(Nanos, Report)>,
+    reports: VecDeque<TimedReport>,
+    /// Seconds of work done in all.
     pub(crate) worked: f64,
 }
 
+/// A load report, and when it was made.
+#[derive(Clone, Copy, Debug)]
+struct TimedReport {
+    at: Nanos,
+    report: Report,
+}
+
 impl Executor {
     pub(crate) fn new(
         name: String,
@@ -119,18 +156,22 @@
         }
     }
 
+    /// Whether its process runs on a machine that is there.
     pub(crate) fn is_reachable(&self) -> bool {
         self.alive && !self.faults.unreachable
     }
 
+    /// Whether no work is done.
     pub(crate) fn is_stalled(&self) -> bool {
         !self.alive || self.faults.unreachable || self.faults.hangs || self.faults.paused
     }
 
+    /// Whether its capacity is not whole yet.
     pub(crate) fn is_cold(&self, now: Nanos) -> bool {
         self.started > 0 && now < self.started + self.cold_for
     }
 
+    /// The part of its capacity that it has now.
     pub(crate) fn warmth(&self, now: Nanos) -> f64 {
         if !self.is_cold(now) {
             return 1.0;
@@ -175,6 +216,7 @@
         }
     }
 
+    /// Adds work that is not a job's, and is done before that of jobs.
     pub(crate) fn add_overhead(&mut self, now: Nanos, work: f64) {
         self.advance(now);
         self.overhead += work;
@@ -230,6 +272,7 @@
         done
     }
 
+    /// Counts the slots of running jobs anew.
     pub(crate) fn count(&mut self) {
         self.in_use = self.running.iter().map(|j| j.slots).sum();
     }
@@ -274,6 +317,7 @@
         }
     }
 
+    /// Slots that neither running nor waiting jobs want.
     pub(crate) fn free(&self) -> f64 {
         let waiting: f64 = self.waiting.iter().map(|j| j.slots).sum();
         (self.slots - self.in_use - waiting).max(0.0)
@@ -301,12 +345,12 @@
         if period == 0 && delay == 0 {
             return present;
         }
-        if self.reports.back().is_none_or(|(at, _)| now >= at + period) {
-            self.reports.push_back((now, present));
+        if self.reports.back().is_none_or(|last| now >= last.at + period) {
+            self.reports.push_back(TimedReport { at: now, report: present });
         }
-        while self.reports.len() > 1 && self.reports[1].0 + delay <= now {
+        while self.reports.len() > 1 && self.reports[1].at + delay <= now {
             self.reports.pop_front();
         }
-        self.reports[0].1
+        self.reports[0].report
     }
 }
--- a/crates/world/src/judge.rs
+++ b/crates/world/src/judge.rs
@@ -1,12 +1,13 @@
 //! The judge. It sees what crossed the wires and what executors ran, and trusts no node.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 
 use linestack_core::{Answer, Nanos};
 use linestack_dispatch::types::Health;
 use serde::Serialize;
 
-use crate::executor::ConnectionId;
+use crate::cold::{ColdTerms, RecentWork};
+use crate::executor::{ConnectionId, NodeProcess};
 use crate::scenario::Repeats;
 
 /// The rules, by what breaks them.
@@ -37,11 +38,6 @@
     Invariant,
 }
 
-/// Seconds of work in a window that one bears which can do `capacity` seconds of it in a second.
-pub(crate) fn bears(multiple: f64, capacity: f64, window: Nanos) -> f64 {
-    CHANCE * multiple * capacity * window as f64 / 1e9
-}
-
 /// A rule that was broken once.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Breach {
@@ -71,10 +67,10 @@
 /// A submission that a node took.
 #[derive(Clone, Debug)]
 struct Case {
-    incarnation: (usize, u32),
+    process: NodeProcess,
     repeats: Repeats,
     memory: Nanos,
-    cut_off: Nanos,
+    deadline: Nanos,
     answered: Option<Nanos>,
     /// The client left, or the node died: nothing is owed.
     excused: bool,
@@ -83,34 +79,49 @@
     made: bool,
 }
 
-/// Work sent to a cold executor lately.
-type Window = VecDeque<(Nanos, f64)>;
+/// An executor, as one node hears of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Listed {
+    node: usize,
+    executor: usize,
+}
 
+/// What a node last heard of an executor, and when.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Nanos,
+    health: Health,
+}
+
+/// Compares what nodes do with the rules.
 #[derive(Debug, Default)]
 pub struct Judge {
     pub breaches: Vec<Breach>,
     pub broken: u64,
     cases: BTreeMap<usize, Case>,
-    told: HashMap<(usize, usize), (Nanos, Health)>,
-    cold: HashMap<usize, Window>,
+    heard: HashMap<Listed, Heard>,
+    /// By executor that is cold.
+    cold: HashMap<usize, RecentWork>,
     grace: Nanos,
     slack: Nanos,
-    window: Nanos,
-    multiple: f64,
+    cold_terms: ColdTerms,
 }
 
-const MOST_KEPT: usize = 64;
-/// Of what a cold one bears, a little more is let pass for chance.
-const CHANCE: f64 = 1.25;
+/// The most breaches that are described; the rest are counted.
+const MAX_DESCRIBED: usize = 64;
+/// What is over is forgotten so long after its deadline: whatever may still come has come by then.
+const FORGOTTEN_AFTER: Nanos = 20_000_000_000;
 
 impl Judge {
-    pub(crate) fn new(grace: Nanos, slack: Nanos, window: Nanos, multiple: f64) -> Self {
-        Self { grace, slack, window, multiple, ..Self::default() }
+    /// `grace` is the time in which jobs may still be sent to an executor that drains, `slack` what is added
+    /// to every bound.
+    pub(crate) fn new(grace: Nanos, slack: Nanos, cold_terms: ColdTerms) -> Self {
+        Self { grace, slack, cold_terms, ..Self::default() }
     }
 
     pub(crate) fn breach(&mut self, rule: Rule, now: Nanos, what: String) {
         self.broken += 1;
-        if self.breaches.len() < MOST_KEPT {
+        if self.breaches.len() < MAX_DESCRIBED {
             self.breaches.push(Breach { rule, at_s: now as f64 / 1e9, what });
         }
     }
@@ -118,13 +129,13 @@
     pub(crate) fn taken(
         &mut self,
         attempt: usize,
-        incarnation: (usize, u32),
+        process: NodeProcess,
         repeats: Repeats,
         memory: Nanos,
-        cut_off: Nanos,
+        deadline: Nanos,
     ) {
         let (answered, excused, sent, runs, made) = (None, false, Vec::new(), 0, false);
-        let case = Case { incarnation, repeats, memory, cut_off, answered, excused, sent, runs, made };
+        let case = Case { process, repeats, memory, deadline, answered, excused, sent, runs, made };
         self.cases.insert(attempt, case);
     }
 
@@ -133,9 +144,9 @@
     }
 
     /// A node died or ended: what it holds is left to the clients.
-    pub(crate) fn died(&mut self, incarnation: (usize, u32)) {
-        self.cases.values_mut().filter(|c| c.incarnation == incarnation).for_each(|c| c.excused = true);
-        self.told.retain(|(node, _), _| *node != incarnation.0);
+    pub(crate) fn died(&mut self, process: NodeProcess) {
+        self.cases.values_mut().filter(|c| c.process == process).for_each(|c| c.excused = true);
+        self.heard.retain(|listed, _| listed.node != process.node);
     }
 
     pub(crate) fn answered(&mut self, attempt: usize, answer: &Answer, now: Nanos) {
@@ -143,7 +154,7 @@
             return self.breach(Rule::AnsweredTwice, now, format!("{attempt}: not taken, or long over"));
         };
         let second = case.answered.replace(now).is_some();
-        let late = now > case.cut_off + self.slack && !case.excused;
+        let late = now > case.deadline + self.slack && !case.excused;
         let may_have = case.sent.iter().any(|s| s.ran == Ran::MayHave);
         let harmful = case.repeats != Repeats::Harmless && may_have;
         let made = case.made;
@@ -171,11 +182,12 @@
         group: u16,
         now: Nanos,
     ) {
-        if let Some((at, health)) = self.told.get(&(connection.node, executor))
-            && *health != Health::Ready
-            && now > at + self.grace + self.slack
+        if let Some(heard) = self.heard.get(&Listed { node: connection.node, executor })
+            && heard.health != Health::Ready
+            && now > heard.at + self.grace + self.slack
         {
-            let what = format!("{attempt} to {executor}, told {:.2} s before", (now - at) as f64 / 1e9);
+            let ago_s = (now - heard.at) as f64 / 1e9;
+            let what = format!("{attempt} to {executor}, told {ago_s:.2} s before");
             self.breach(Rule::SentToDrained, now, what);
         }
         let Some(case) = self.cases.get_mut(&attempt) else {
@@ -221,27 +233,24 @@
     }
 
     /// Discovery told a node of an executor.
-    pub(crate) fn told(&mut self, node: usize, executor: usize, health: Health, now: Nanos) {
-        let told = self.told.entry((node, executor)).or_insert((now, health));
-        if told.1 == Health::Ready || health == Health::Ready {
-            *told = (now, health);
+    pub(crate) fn heard(&mut self, node: usize, executor: usize, health: Health, at: Nanos) {
+        let heard = self.heard.entry(Listed { node, executor }).or_insert(Heard { at, health });
+        // Of what takes an executor out of service, the first counts.
+        if heard.health == Health::Ready || health == Health::Ready {
+            *heard = Heard { at, health };
         }
     }
 
     /// Work on its way to a cold executor that can do `capacity` seconds of it in a second. True if it
     /// falls over.
     pub(crate) fn cold(&mut self, executor: usize, work: f64, capacity: f64, now: Nanos) -> bool {
-        let window = self.cold.entry(executor).or_default();
-        window.push_back((now, work));
-        while window.front().is_some_and(|(at, _)| at + self.window < now) {
-            window.pop_front();
-        }
-        let sum: f64 = window.iter().map(|(_, work)| work).sum();
-        let bears = bears(self.multiple, capacity, self.window);
-        // A single job is nobody's push.
-        let over = sum > bears && window.len() > 1;
+        let recent = self.cold.entry(executor).or_default();
+        recent.add(now, work, self.cold_terms.window);
+        let bearable = self.cold_terms.bearable(capacity);
+        let over = recent.exceeds(bearable);
         if over {
-            let what = format!("{executor}: {sum:.2} s of work in a window, bears {bears:.2}");
+            let total = recent.total();
+            let what = format!("{executor}: {total:.2} s of work in a window, bears {bearable:.2}");
             self.breach(Rule::ColdPushedOver, now, what);
         }
         over
@@ -253,17 +262,17 @@
 
     /// What is long over is forgotten; what is overdue is found out.
     pub(crate) fn sweep(&mut self, now: Nanos) {
-        let (slack, kept) = (self.slack, 20_000_000_000);
+        let slack = self.slack;
         let late: Vec<usize> = self
             .cases
             .iter()
-            .filter(|(_, c)| c.answered.is_none() && !c.excused && now > c.cut_off + slack)
+            .filter(|(_, c)| c.answered.is_none() && !c.excused && now > c.deadline + slack)
             .map(|(a, _)| *a)
             .collect();
         for attempt in late {
             self.breach(Rule::Lost, now, format!("{attempt}: no answer"));
             self.excuse(attempt);
         }
-        self.cases.retain(|_, c| now < c.cut_off + kept);
+        self.cases.retain(|_, c| now < c.deadline + FORGOTTEN_AFTER);
     }
 }
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 pub mod broken;
+mod cold;
 mod executor;
 mod judge;
 mod outcome;
--- a/crates/world/src/standin.rs
+++ b/crates/world/src/standin.rs
@@ -1,6 +1,6 @@
 //! The executor model for other clocks than the world's: a stand-in on sockets feeds it with real time.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
 use linestack_core::Nanos;
 use linestack_dispatch::types::Report;
@@ -8,8 +8,8 @@
 use rand_distr::{Distribution as _, LogNormal};
 use rand_pcg::Pcg64Mcg;
 
+use crate::cold::{ColdTerms, RecentWork};
 use crate::executor::{ConnectionId, Executor, Job};
-use crate::judge::bears;
 use crate::scenario::{Fault, Scenario, millis};
 
 /// A job's number, given out by the caller and never again.
@@ -30,12 +30,12 @@
 
 /// One executor, in real or any other time that only goes forward, in nanoseconds.
 pub struct StandIn {
-    e: Executor,
-    s: Scenario,
+    executor: Executor,
+    scenario: Scenario,
     rng: Pcg64Mcg,
     products: HashMap<String, usize>,
     /// Work that it was sent while it was cold.
-    pushes: VecDeque<(Nanos, f64)>,
+    recent: RecentWork,
 }
 
 impl StandIn {
@@ -54,66 +54,62 @@
         let group = (index / e.group as usize) as u16;
         let products = s.products.iter().enumerate().map(|(i, p)| (p.name.clone(), i)).collect();
         Self {
-            e: Executor::new(format!("e{index}"), spec, e, zone, group, speed, 0),
-            s: s.clone(),
+            executor: Executor::new(format!("e{index}"), spec, e, zone, group, speed, 0),
+            scenario: s.clone(),
             rng,
             products,
-            pushes: VecDeque::new(),
+            recent: RecentWork::default(),
         }
     }
 
     /// Its process began at this time: it is cold.
     pub fn begun(&mut self, now: Nanos) {
-        self.e.started = now.max(1);
+        self.executor.started = now.max(1);
     }
 
     /// A job of a product is on its way to it. True if that is more than it bears, cold as it is.
     pub fn pushed_over(&mut self, now: Nanos, product: &str) -> bool {
-        if !self.e.is_cold(now) {
+        if !self.executor.is_cold(now) {
             return false;
         }
         let place = self.products.get(product).copied().unwrap_or(0);
-        let window = millis(self.s.rules.fall_window_ms);
-        self.pushes.push_back((now, self.s.products[place].work_ms / 1e3));
-        while self.pushes.front().is_some_and(|(at, _)| at + window < now) {
-            self.pushes.pop_front();
-        }
-        let sum: f64 = self.pushes.iter().map(|(_, work)| work).sum();
-        let bears = bears(self.s.rules.fall_multiple, self.e.capacity(now), window);
-        sum > bears && self.pushes.len() > 1
+        let (rules, work) = (&self.scenario.rules, self.scenario.products[place].work_ms / 1e3);
+        let terms = ColdTerms { multiple: rules.fall_multiple, window: millis(rules.fall_window_ms) };
+        self.recent.add(now, work, terms.window);
+        self.recent.exceeds(terms.bearable(self.executor.capacity(now)))
     }
 
     /// Its name in discovery.
     #[must_use]
     pub fn name(&self) -> &str {
-        &self.e.name
+        &self.executor.name
     }
 
     /// The kind that discovery lists it as.
     #[must_use]
     pub fn kind(&self) -> &str {
-        &self.s.executors[self.e.spec].kind
+        &self.scenario.executors[self.executor.spec].kind
     }
 
     /// Its zone.
     #[must_use]
     pub fn zone(&self) -> u16 {
-        self.e.zone
+        self.executor.zone
     }
 
     /// The group of executors that share the memory of idempotency keys.
     #[must_use]
     pub fn group(&self) -> u16 {
-        self.e.group
+        self.executor.group
     }
 
     /// Offers a job of a product; one that is not known counts as the first.
     pub fn offer(&mut self, now: Nanos, ticket: Ticket, product: &str) -> Offer {
         let place = self.products.get(product).copied().unwrap_or(0);
-        let p = &self.s.products[place];
-        let faults = &self.e.faults;
+        let p = &self.scenario.products[place];
+        let faults = &self.executor.faults;
         if !faults.hangs {
-            if self.e.draining || self.rng.random::<f64>() < faults.refusal_rate {
+            if self.executor.draining || self.rng.random::<f64>() < faults.refusal_rate {
                 return Offer::Full;
             }
             if self.rng.random::<f64>() < faults.error_rate || (faults.product_fails && place == 0) {
@@ -124,9 +120,9 @@
             }
         }
         // Those that wait here may only not have been looked at yet.
-        let ahead: f64 = self.e.waiting.iter().map(|j| j.slots).sum();
-        let full = self.e.in_use + ahead + p.slots > self.e.slots;
-        if p.slots > self.e.slots || (full && self.queued() >= self.e.queue) {
+        let ahead: f64 = self.executor.waiting.iter().map(|j| j.slots).sum();
+        let full = self.executor.in_use + ahead + p.slots > self.executor.slots;
+        if p.slots > self.executor.slots || (full && self.queued() >= self.executor.queue) {
             return Offer::Full;
         }
         let mean = p.work_ms / 1e3;
@@ -137,60 +133,60 @@
         } else {
             mean
         };
-        self.e.advance(now);
+        self.executor.advance(now);
         let connection = ConnectionId { node: 0, incarnation: 0, link: ticket };
-        self.e.waiting.push_back(Job { connection, attempt: 0, left, slots: p.slots, started: 0 });
+        self.executor.waiting.push_back(Job { connection, attempt: 0, left, slots: p.slots, started: 0 });
         Offer::Taken
     }
 
     /// How many wait beyond the slots.
     fn queued(&self) -> usize {
-        let mut free = self.e.slots - self.e.in_use;
+        let mut free = self.executor.slots - self.executor.in_use;
         let waits = |j: &&Job| {
             free -= j.slots;
             free < 0.0
         };
-        self.e.waiting.iter().filter(waits).count()
+        self.executor.waiting.iter().filter(waits).count()
     }
 
     /// Its client has gone away. Whether it had not begun.
     pub fn withdraw(&mut self, now: Nanos, ticket: Ticket) -> bool {
-        self.e.advance(now);
-        let waited = self.e.waiting.len();
-        self.e.waiting.retain(|j| j.connection.link != ticket);
-        if self.s.executors[self.e.spec].cancels {
-            self.e.running.retain(|j| j.connection.link != ticket);
-            self.e.count();
+        self.executor.advance(now);
+        let waited = self.executor.waiting.len();
+        self.executor.waiting.retain(|j| j.connection.link != ticket);
+        if self.scenario.executors[self.executor.spec].cancels {
+            self.executor.running.retain(|j| j.connection.link != ticket);
+            self.executor.count();
         }
-        self.e.waiting.len() < waited
+        self.executor.waiting.len() < waited
     }
 
     /// What is done by now, and when to look again.
     pub fn turn(&mut self, now: Nanos) -> (Vec<Ticket>, Option<Nanos>) {
-        self.e.advance(now);
-        let done = if self.e.is_stalled() { Vec::new() } else { self.e.done() };
-        self.e.start(now);
-        (done.into_iter().map(|j| j.connection.link).collect(), self.e.next(now))
+        self.executor.advance(now);
+        let done = if self.executor.is_stalled() { Vec::new() } else { self.executor.done() };
+        self.executor.start(now);
+        (done.into_iter().map(|j| j.connection.link).collect(), self.executor.next(now))
     }
 
     /// The load report of an answer that is sent now, if executors report at all.
     pub fn report(&mut self, now: Nanos) -> Option<Report> {
-        let r = &self.s.reports;
+        let r = &self.scenario.reports;
         let (period, delay) = (millis(r.period_ms), millis(r.delay_ms));
-        r.told.then(|| self.e.report(now, period, delay, r.noise, &mut self.rng))
+        r.told.then(|| self.executor.report(now, period, delay, r.noise, &mut self.rng))
     }
 
     /// Whether it answers anything, probes too.
     #[must_use]
     pub fn answers(&self) -> bool {
-        !self.e.is_stalled()
+        !self.executor.is_stalled()
     }
 
     /// A trouble begins or ends. False for one that is not an executor's own.
     pub fn ail(&mut self, now: Nanos, kind: Fault, size: f64, begins: bool) -> bool {
-        self.e.advance(now);
+        self.executor.advance(now);
         let part = if begins { size } else { 0.0 };
-        let faults = &mut self.e.faults;
+        let faults = &mut self.executor.faults;
         match kind {
             Fault::Hang => faults.hangs = begins,
             Fault::Pauses => faults.paused = begins,
--- a/crates/world/src/world/clients.rs
+++ b/crates/world/src/world/clients.rs
@@ -9,6 +9,7 @@
 use super::event::{ClientOutcome, Event, GiveUp};
 use super::nodes::NodeState;
 use super::{MILLISECOND, SECOND, World};
+use crate::executor::NodeProcess;
 use crate::judge::Rule;
 use crate::scenario::{Backoff, Repeats, millis, seconds};
 
@@ -162,7 +163,8 @@
         // The node counts the deadline from when it reads the submission, for nothing tells it more.
         let deadline = self.now + intake.patience;
         let memory = seconds(product.memory_s);
-        self.judge.taken(attempt, (node, incarnation), product.repeats, memory, deadline);
+        let process = NodeProcess { node, incarnation };
+        self.judge.taken(attempt, process, product.repeats, memory, deadline);
         let client = attempt as Client;
         self.give_input(node, incarnation, Input::ClientUp { client });
         self.give_input(node, incarnation, Input::Submitted { client, intake });
--- a/crates/world/src/world/mod.rs
+++ b/crates/world/src/world/mod.rs
@@ -39,6 +39,7 @@
 use self::idempotency::{IdempotencyKey, IdempotencyRecord};
 use self::network::Connection;
 use self::nodes::NodeState;
+use crate::cold::ColdTerms;
 use crate::executor::{ConnectionId, Executor};
 use crate::judge::Judge;
 use crate::outcome::Outcome;
@@ -209,12 +210,8 @@
 }
 
 fn judge_of(rules: &Rules) -> Judge {
-    Judge::new(
-        millis(rules.drain_grace_ms),
-        millis(rules.slack_ms),
-        millis(rules.fall_window_ms),
-        rules.fall_multiple,
-    )
+    let cold_terms = ColdTerms { multiple: rules.fall_multiple, window: millis(rules.fall_window_ms) };
+    Judge::new(millis(rules.drain_grace_ms), millis(rules.slack_ms), cold_terms)
 }
 
 fn empty_outcome(scenario: &Scenario) -> Outcome {
--- a/crates/world/src/world/nodes.rs
+++ b/crates/world/src/world/nodes.rs
@@ -12,7 +12,7 @@
 use super::event::{ClientOutcome, Event};
 use super::fleet::executor_at;
 use super::{MILLISECOND, SECOND, World, lock};
-use crate::executor::ConnectionId;
+use crate::executor::{ConnectionId, NodeProcess};
 use crate::scenario::seconds;
 use crate::{Machine, Seat};
 
@@ -292,7 +292,7 @@
     pub(super) fn node_ends(&mut self, node: usize) {
         let incarnation = self.nodes[node].incarnation;
         self.nodes[node].machine = None;
-        self.judge.died((node, incarnation));
+        self.judge.died(NodeProcess { node, incarnation });
         self.close_connections_of(node, incarnation);
         self.fail_attempts_at(node, incarnation);
         let notice_after = seconds(self.scenario.clients.notice_s);
