Nodes that break rules on purpose, and an outcome's figures, are short functions

Change: one function for each job, named constants, `ready`, `drained`, `may_have_run` for `all` and `lost`.

Crates/world/tests/judge.rs finds each broken rule as before.

--- a/crates/world/src/broken.rs
+++ b/crates/world/src/broken.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use linestack_core::{Answer, Broken, Client, Effect, Input, Link, Nanos, Shipment, Stats};
+use linestack_core::{Answer, Broken, Client, Effect, Endpoint, Input, Link, Nanos, Shipment, Stats};
 use linestack_dispatch::types::{Health, Worker};
 
 use crate::Machine;
@@ -34,135 +34,181 @@
     SendsAfterAnswer,
 }
 
-/// Links of the tampering hand, out of the way of the node's own.
-const OWN: Link = 1 << 40;
+/// Links that the tampering opens are numbered from here on, out of the way of the node's own.
+const FIRST_OWN_LINK: Link = 1 << 40;
+
+/// How long the tampering waits for a connection, and for an answer, in nanoseconds.
+const CONNECT_LIMIT: Nanos = 250_000_000;
+const ANSWER_LIMIT: Nanos = 5_000_000_000;
 
 /// A node of which some effects are tampered with.
 pub struct Tampered {
     node: Box<dyn Machine>,
     way: Way,
-    /// What the node has on its links, and which submission's client is owed.
-    out: HashMap<Link, Arc<Shipment>>,
-    lost: HashSet<Client>,
+    /// What the node has on its links.
+    in_flight: HashMap<Link, Arc<Shipment>>,
+    /// Clients whose submissions may have run, on links that broke.
+    may_have_run: HashSet<Client>,
+    ready: Vec<SocketAddr>,
     drained: Vec<SocketAddr>,
+    /// The executor that started last.
     cold: Option<SocketAddr>,
-    all: Vec<SocketAddr>,
-    own: HashMap<Link, (Arc<Shipment>, Nanos)>,
-    next: Link,
+    /// What is to be sent on links that the tampering has opened.
+    own: HashMap<Link, Arc<Shipment>>,
+    next_link: Link,
 }
 
 impl Tampered {
     /// Tampers with a sound node.
     #[must_use]
     pub fn new(node: Box<dyn Machine>, way: Way) -> Self {
-        let (out, lost, own) = (HashMap::new(), HashSet::new(), HashMap::new());
-        Self { node, way, out, lost, drained: Vec::new(), cold: None, all: Vec::new(), own, next: OWN }
+        Self {
+            node,
+            way,
+            in_flight: HashMap::new(),
+            may_have_run: HashSet::new(),
+            ready: Vec::new(),
+            drained: Vec::new(),
+            cold: None,
+            own: HashMap::new(),
+            next_link: FIRST_OWN_LINK,
+        }
     }
 
     /// Opens a connection of its own and sends this over it once it is up.
-    fn slip(&mut self, address: SocketAddr, shipment: Arc<Shipment>, effects: &mut Vec<Effect>) {
-        let (link, limit) = (self.next, 250_000_000);
-        self.next += 1;
-        self.own.insert(link, (shipment, 5_000_000_000));
-        effects.push(Effect::Open { link, address, limit });
+    fn send_beside(&mut self, address: SocketAddr, shipment: Arc<Shipment>, effects: &mut Vec<Effect>) {
+        let link = self.next_link;
+        self.next_link += 1;
+        self.own.insert(link, shipment);
+        effects.push(Effect::Open { link, address, limit: CONNECT_LIMIT });
     }
 
-    fn client(shipment: &Shipment) -> Client {
-        std::str::from_utf8(&shipment.id).ok().and_then(|id| id.parse().ok()).unwrap_or(0)
+    /// Whether an input is for a link that the tampering has opened. The node does not see it.
+    fn takes_for_itself(&mut self, input: &Input, effects: &mut Vec<Effect>) -> bool {
+        let (Input::LinkUp { link }
+        | Input::Ended { link, .. }
+        | Input::LinkDown { link, .. }
+        | Input::Noted { link }
+        | Input::Freed { link, .. }) = input
+        else {
+            return false;
+        };
+        if *link < FIRST_OWN_LINK {
+            return false;
+        }
+        if let Input::LinkUp { link } = input
+            && let Some(shipment) = self.own.remove(link)
+        {
+            effects.push(Effect::Send { link: *link, shipment, wait: ANSWER_LIMIT, version: 0 });
+        }
+        true
     }
-}
 
-impl Machine for Tampered {
-    fn take(&mut self, now: Nanos, input: Input, effects: &mut Vec<Effect>) {
-        match &input {
-            Input::LinkUp { link } if *link >= OWN => {
-                if let Some((shipment, wait)) = self.own.remove(link) {
-                    effects.push(Effect::Send { link: *link, shipment, wait, version: 0 });
-                }
-                return;
+    /// Keeps account of which executors are ready, drained and cold.
+    fn note_listed(&mut self, endpoints: &[Endpoint]) {
+        for endpoint in endpoints {
+            let address = endpoint.address;
+            self.drained.retain(|a| *a != address);
+            self.ready.retain(|a| *a != address);
+            if endpoint.health != Health::Ready {
+                self.drained.push(address);
+                continue;
             }
-            Input::LinkUp { link } => drop(self.out.remove(link)),
-            Input::Ended { link, .. }
-            | Input::LinkDown { link, .. }
-            | Input::Noted { link }
-            | Input::Freed { link, .. }
-                if *link >= OWN =>
-            {
-                return;
+            self.ready.push(address);
+            if endpoint.started > 0 {
+                self.cold = Some(address);
             }
-            Input::Listed { endpoints, .. } => {
-                for e in endpoints {
-                    self.drained.retain(|a| *a != e.address);
-                    self.all.retain(|a| *a != e.address);
-                    match e.health {
-                        Health::Ready => self.all.push(e.address),
-                        _ => self.drained.push(e.address),
-                    }
-                    if e.started > 0 && e.health == Health::Ready {
-                        self.cold = Some(e.address);
-                    }
+        }
+    }
+
+    /// What was on a link that broke after its last byte, which may have run.
+    fn note_broken(&mut self, input: &Input) -> Option<Arc<Shipment>> {
+        let Input::LinkDown { link, broken: Broken { written: true, .. } } = input else { return None };
+        let shipment = self.in_flight.remove(link)?;
+        self.may_have_run.insert(client_of(&shipment));
+        Some(shipment)
+    }
+
+    /// Passes on what the node sends, and sends it elsewhere too.
+    fn tamper_with_send(&mut self, link: Link, shipment: &Arc<Shipment>, effects: &mut Vec<Effect>) {
+        self.in_flight.insert(link, Arc::clone(shipment));
+        let elsewhere = match self.way {
+            Way::SendsToDrained => self.drained.first().copied(),
+            Way::FloodsCold => self.cold,
+            _ => None,
+        };
+        if let Some(address) = elsewhere {
+            self.send_beside(address, Arc::clone(shipment), effects);
+        }
+    }
+
+    /// The answers that the client gets for one of the node's.
+    fn tamper_with_answer(&self, client: Client, answer: Answer) -> Vec<Answer> {
+        match (self.way, answer) {
+            (Way::AnswersNothing, _) => Vec::new(),
+            (Way::AnswersTwice, answer) => vec![answer.clone(), answer],
+            (Way::MakesUp, _) => vec![Answer::Satisfied("".into())],
+            (Way::DismissesWhatRan, Answer::Aborted) if self.may_have_run.contains(&client) => {
+                vec![Answer::Dismissed(None)]
+            }
+            (_, answer) => vec![answer],
+        }
+    }
+
+    /// Sends something for a client that has its answer.
+    fn send_after_answer(&mut self, client: Client, effects: &mut Vec<Effect>) {
+        let id = format!("{client}").into();
+        let shipment = Arc::new(Shipment { id, ..Shipment::default() });
+        if let Some(address) = self.ready.first().copied() {
+            self.send_beside(address, shipment, effects);
+        }
+    }
+
+    fn tamper(&mut self, effect: Effect, effects: &mut Vec<Effect>) {
+        match effect {
+            Effect::Send { link, shipment, wait, version } => {
+                self.tamper_with_send(link, &shipment, effects);
+                effects.push(Effect::Send { link, shipment, wait, version });
+            }
+            Effect::Answer { client, answer, last, version } => {
+                for answer in self.tamper_with_answer(client, answer) {
+                    effects.push(Effect::Answer { client, answer, last, version });
+                }
+                if self.way == Way::SendsAfterAnswer {
+                    self.send_after_answer(client, effects);
                 }
             }
-            _ => {}
+            effect => effects.push(effect),
         }
-        let mut resend = None;
-        if let Input::LinkDown { link, broken: Broken { written: true, .. } } = &input
-            && let Some(shipment) = self.out.remove(link)
-        {
-            self.lost.insert(Self::client(&shipment));
-            resend = Some(shipment);
+    }
+}
+
+/// The client of a shipment, which its identifier names.
+fn client_of(shipment: &Shipment) -> Client {
+    std::str::from_utf8(&shipment.id).ok().and_then(|id| id.parse().ok()).unwrap_or(0)
+}
+
+impl Machine for Tampered {
+    fn take(&mut self, now: Nanos, input: Input, effects: &mut Vec<Effect>) {
+        if self.takes_for_itself(&input, effects) {
+            return;
+        }
+        if let Input::LinkUp { link } = &input {
+            self.in_flight.remove(link);
+        }
+        if let Input::Listed { endpoints, .. } = &input {
+            self.note_listed(endpoints);
         }
+        let broken = self.note_broken(&input);
         let mut asked = Vec::new();
         self.node.take(now, input, &mut asked);
-        if let (Way::ResendsOneShots | Way::ForgetsGroups, Some(shipment)) = (self.way, resend) {
-            for address in self.all.clone() {
-                self.slip(address, Arc::clone(&shipment), effects);
+        if let (Way::ResendsOneShots | Way::ForgetsGroups, Some(shipment)) = (self.way, broken) {
+            for address in self.ready.clone() {
+                self.send_beside(address, Arc::clone(&shipment), effects);
             }
         }
         for effect in asked {
-            match (self.way, effect) {
-                (_, Effect::Send { link, shipment, wait, version }) => {
-                    self.out.insert(link, Arc::clone(&shipment));
-                    match (self.way, self.drained.first(), self.cold) {
-                        (Way::SendsToDrained, Some(address), _) => {
-                            self.slip(*address, Arc::clone(&shipment), effects);
-                        }
-                        (Way::FloodsCold, _, Some(address)) => {
-                            self.slip(address, Arc::clone(&shipment), effects);
-                        }
-                        _ => {}
-                    }
-                    effects.push(Effect::Send { link, shipment, wait, version });
-                }
-                (Way::AnswersNothing, Effect::Answer { .. }) => {}
-                (Way::AnswersTwice, Effect::Answer { client, answer, last, version }) => {
-                    effects.push(Effect::Answer { client, answer: answer.clone(), last, version });
-                    effects.push(Effect::Answer { client, answer, last, version });
-                }
-                (Way::MakesUp, Effect::Answer { client, last, version, .. }) => {
-                    effects.push(Effect::Answer {
-                        client,
-                        answer: Answer::Satisfied("".into()),
-                        last,
-                        version,
-                    });
-                }
-                (
-                    Way::DismissesWhatRan,
-                    Effect::Answer { client, answer: Answer::Aborted, last, version },
-                ) if self.lost.contains(&client) => {
-                    effects.push(Effect::Answer { client, answer: Answer::Dismissed(None), last, version });
-                }
-                (Way::SendsAfterAnswer, Effect::Answer { client, answer, last, version }) => {
-                    effects.push(Effect::Answer { client, answer, last, version });
-                    let id = format!("{client}").into();
-                    let shipment = Arc::new(Shipment { id, ..Shipment::default() });
-                    if let Some(address) = self.all.first().copied() {
-                        self.slip(address, shipment, effects);
-                    }
-                }
-                (_, effect) => effects.push(effect),
-            }
+            self.tamper(effect, effects);
         }
     }
 
--- a/crates/world/src/outcome.rs
+++ b/crates/world/src/outcome.rs
@@ -3,7 +3,15 @@
 use serde::Serialize;
 
 use crate::judge::{Breach, Rule};
-use crate::scenario::{Fault, Scenario};
+use crate::scenario::{Fault, Scenario, Trouble};
+
+/// What waste costs in the score, as a part of the worth.
+const WASTE_PRICE: f64 = 0.02;
+
+/// A world has come back when this part of what usually is answered in time is so again,
+const RECOVERED_PART: f64 = 0.9;
+/// for so many seconds on end.
+const RECOVERED_SECONDS: usize = 3;
 
 /// How long after a trouble the worth answered in time was what it had been.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -95,7 +103,7 @@
         let each = 1.0 / (self.asked.max(1)) as f64;
         let crossings = self.crossings as f64 * each * s.limits.crossing_price;
         let probes = self.probes as f64 * each * s.limits.probe_price;
-        self.goodput - crossings - probes - 0.02 * self.waste
+        self.goodput - crossings - probes - WASTE_PRICE * self.waste
     }
 
     /// The rules that were broken, each once, in their order.
@@ -107,29 +115,48 @@
         rules
     }
 
+    /// Works out what follows from the counts, once the world has ended.
     pub(crate) fn finish(&mut self, s: &Scenario) {
         let won: f64 = self.won_by_second.iter().sum();
         self.goodput = if self.worth > 0.0 { won / self.worth } else { 0.0 };
         let mut times = self.answer_times.clone();
         times.sort_unstable_by(f32::total_cmp);
-        let at = |part: f64| {
-            let place = ((times.len() as f64 * part) as usize).min(times.len().saturating_sub(1));
-            times.get(place).map_or(0.0, |t| f64::from(*t))
-        };
-        (self.p50_s, self.p99_s) = (at(0.5), at(0.99));
-        let part = |second: usize| {
-            let asked = self.asked_by_second.get(second).copied().unwrap_or(0.0);
-            (asked > 0.0).then(|| self.won_by_second[second] / asked)
-        };
-        let first = s.troubles.iter().map(|t| t.at_s).fold(s.span_s, f64::min) as usize;
-        let before: Vec<f64> = (0..first).filter_map(part).collect();
+        self.p50_s = quantile(&times, 0.5);
+        self.p99_s = quantile(&times, 0.99);
+        self.recoveries = self.find_recoveries(s);
+    }
+
+    /// How the world came back after each trouble.
+    fn find_recoveries(&self, s: &Scenario) -> Vec<Recovery> {
+        let first_trouble = s.troubles.iter().map(|t| t.at_s).fold(s.span_s, f64::min) as usize;
+        let before: Vec<f64> = (0..first_trouble).filter_map(|second| self.won_part(second)).collect();
         let usual = before.iter().sum::<f64>() / before.len().max(1) as f64;
-        for t in &s.troubles {
-            let ended = (t.at_s + t.for_s).ceil() as usize;
-            let good = |second: usize| part(second).is_none_or(|p| p >= 0.9 * usual);
-            let back = (ended..self.asked_by_second.len()).find(|s| (*s..s + 3).all(good));
-            let after_s = back.filter(|_| !before.is_empty()).map(|b| (b - ended) as f64);
-            self.recoveries.push(Recovery { trouble: t.kind, ended_s: t.at_s + t.for_s, after_s });
-        }
+        let recovery = |t: &Trouble| {
+            let ended_s = t.at_s + t.for_s;
+            let after_s = if before.is_empty() { None } else { self.back_after(ended_s, usual) };
+            Recovery { trouble: t.kind, ended_s, after_s }
+        };
+        s.troubles.iter().map(recovery).collect()
+    }
+
+    /// Seconds from the end of a trouble to the first of some seconds on end that are nearly as good as usual.
+    fn back_after(&self, ended_s: f64, usual: f64) -> Option<f64> {
+        let ended = ended_s.ceil() as usize;
+        let is_good = |second: usize| self.won_part(second).is_none_or(|part| part >= RECOVERED_PART * usual);
+        let stays_good = |from: &usize| (*from..*from + RECOVERED_SECONDS).all(is_good);
+        let back = (ended..self.asked_by_second.len()).find(stays_good)?;
+        Some((back - ended) as f64)
     }
+
+    /// The part of what was asked for in a second that was answered; none if nothing was.
+    fn won_part(&self, second: usize) -> Option<f64> {
+        let asked = self.asked_by_second.get(second).copied().unwrap_or(0.0);
+        (asked > 0.0).then(|| self.won_by_second[second] / asked)
+    }
+}
+
+/// The value under which a part of all sorted values lie; 0 where there is none.
+fn quantile(sorted: &[f32], part: f64) -> f64 {
+    let place = ((sorted.len() as f64 * part) as usize).min(sorted.len().saturating_sub(1));
+    sorted.get(place).map_or(0.0, |value| f64::from(*value))
 }
