Every public item of the rig has its documentation, and the compiler asks for it

Why: keys of a plan such as `terms`, `request` or `all` can't be used without knowing what they mean to which deed.

Change: doc comments, and `#![warn(missing_docs)]` for the crate. Links are called links in them; the keys of plans stay.

--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -48,11 +48,16 @@
     PushedOver,
 }
 
+/// A promise that was not kept once.
 #[derive(Clone, Debug)]
 pub struct Finding {
+    /// Which one.
     pub broken: Broken,
+    /// When, in nanoseconds on the monotonic clock.
     pub at: u64,
+    /// Whose line of the history shows it.
     pub by: String,
+    /// What shows it.
     pub why: String,
 }
 
--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -19,10 +19,12 @@
 /// A client that was told to come back does, after this at most.
 const COME_BACK: Duration = Duration::from_millis(300);
 
-/// The products that clients ask for.
+/// The product whose jobs must not be executed twice.
 pub const ONE_SHOT: &str = "once";
+/// The product whose jobs may be executed any number of times.
 pub const HARMLESS: &str = "look";
 
+/// Told of everything that a client does and sees.
 pub type Observer = Arc<dyn Fn(What) + Send + Sync>;
 
 enum Told {
--- a/crates/rig/src/http.rs
+++ b/crates/rig/src/http.rs
@@ -4,8 +4,9 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-/// No stand-in reads more of a head or a body, nor waits longer for a peer.
+/// The most bytes of a head or a body that a stand-in reads.
 pub const LARGEST: usize = 80 * 1024;
+/// The longest that a stand-in waits for a peer.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 
 /// A message's head, and what its body holds. None at the end of the connection.
@@ -51,6 +52,8 @@
     Ok(Some((head, body)))
 }
 
+/// The value of a header field in a message's head; its name counts in any case.
+#[must_use]
 pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     head.lines().skip(1).find_map(|line| {
         let (key, value) = line.split_once(':')?;
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,5 +1,7 @@
 //! The rig: many processes of the real program on loopback, among stand-in executors, discovery and clients,
-//! with a proxy on every way between them that can be told to fail.
+//! with a proxy on every link between them that can be told to fail.
+
+#![warn(missing_docs)]
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -21,7 +21,9 @@
 pub struct Plan {
     /// Each asks again once it is answered; or, with a rate, they take turns at a fixed pace.
     pub clients: usize,
+    /// Requests a second of all clients together; none: closed loop.
     pub rate: Option<f64>,
+    /// How long the load lasts after the ramp.
     pub span: Duration,
     /// Clients begin one after the other over this time, and what is answered in it does not count.
     pub ramp: Duration,
@@ -30,11 +32,15 @@
 /// What came of a load.
 #[derive(Debug)]
 pub struct Loaded {
+    /// Answers with a result.
     pub satisfied: u64,
+    /// Answers that turned a request away.
     pub dismissed: u64,
+    /// All other answers.
     pub failed: u64,
     /// Connections that broke, or answers that made no sense.
     pub broken: u64,
+    /// For how long it was counted.
     pub seconds: f64,
     /// Microseconds of what was satisfied. At a fixed pace they count from when a request was due, so that
     /// waiting for a slow answer before it hides nothing.
@@ -42,6 +48,7 @@
 }
 
 impl Loaded {
+    /// Satisfied requests a second.
     #[must_use]
     pub fn rate(&self) -> f64 {
         self.satisfied as f64 / self.seconds
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -22,28 +22,39 @@
 }
 
 table! {
+    /// What is started, under which load, and what is done to it.
     Plan {
+        /// What reports call it.
         name: String = "plan".into(),
+        /// Chance of clients and stand-ins comes from this.
         seed: u64 = 1,
+        /// How many nodes are started.
         nodes: usize = 3,
-        /// None: the nodes are told their terms by their files alone.
+        /// How many coordinators are started. None: the nodes are told their terms by their files alone.
         coordinators: usize = 0,
         /// Whether a node that can't prove its terms current stops taking submissions.
         strict: bool = true,
+        /// The lease under which nodes take submissions.
         lease_ms: u64 = 1500,
         /// Whether nodes keep a store, by the key that clients keep.
         store: bool = false,
+        /// How many stand-in executors are started.
         executors: u32 = 4,
+        /// How many jobs each runs at a time.
         slots: u32 = 8,
+        /// The mean work of a job.
         work_ms: f64 = 20.0,
         /// Whether nodes that start ask running ones.
         peers: bool = false,
         /// What a node keeps to while it starts.
         starts: Starts = Starts::default(),
-        /// Of executors that have just started: the part of their capacity, and the time until it is whole.
+        /// The part of its capacity that an executor has right after a start.
         cold_from: f64 = 0.3,
+        /// The time until it is whole.
         cold_ms: f64 = 4000.0,
+        /// What clients do.
         load: Load = Load::default(),
+        /// What is done to the fleet, in this order.
         steps: Vec<Step> = Vec::new(),
         /// The load goes on for so long after the last step.
         tail_ms: u64 = 1000,
@@ -53,25 +64,33 @@
 table! {
     /// A start in stages, if it is on; rates are the fleet's a second, 0 for no bound.
     Starts {
+        /// Whether nodes start in stages.
         on: bool = false,
+        /// Connections to executors.
         connects_per_s: f64 = 0.0,
+        /// Calls for the whole list.
         lists_per_s: f64 = 0.0,
+        /// Connections to coordinators.
         sessions_per_s: f64 = 0.0,
     }
 }
 
 table! {
+    /// What clients do.
     Load {
         /// Submissions a second of all clients together.
         rate: f64 = 200.0,
+        /// How many clients there are.
         clients: usize = 16,
-        /// How long a client waits for an answer, and how often it asks again.
+        /// The deadline: how long a client waits for an answer.
         cut_off_ms: u64 = 2000,
+        /// How often a client asks at most.
         tries: u32 = 3,
         /// Ask again also when the first try may have run. Off: only when it can't have.
         ask_when_unknown: bool = false,
         /// Ask the same node again, which alone knows what it sent.
         same_node: bool = false,
+        /// The part of all submissions that must not be executed twice.
         one_shot_share: f64 = 0.5,
     }
 }
@@ -79,50 +98,66 @@
 table! {
     /// What is waited for, and then done. With nothing to wait for it is done at once.
     Step {
-        /// A line of a history, by its kind.
+        /// Waits for a line of a history, by its kind.
         line: Option<String> = None,
-        /// A line of a log that holds these words.
+        /// Waits for a line of a log that holds these words.
         log: Option<String> = None,
-        /// Whose.
+        /// The process whose history or log it is; any, if none is named.
         by: Option<String> = None,
-        /// A frame of this kind has passed on a way such as `c0>c1`.
+        /// Waits for a frame of this kind.
         frame: Option<String> = None,
+        /// The link on which it passes, such as `c0>c1`; any, if none is named.
         way: Option<String> = None,
+        /// The direction in which it passes; and that of the frame that the deed is done to.
         side: Side = Side::Forth,
         /// So many of them since the step before.
         count: u64 = 1,
         /// Pace only: so long after the step before, or after what was waited for.
         after_ms: u64 = 0,
+        /// What is then done.
         r#do: Deed = Deed::Nothing,
-        /// Processes (`n3`), or ways (`n3>c0`, `*>c0`), by the deed.
+        /// To what: processes (`n3`), or links (`n3>c0`, `*>c0`), by the deed.
         to: Vec<String> = Vec::new(),
+        /// In which directions of a link.
         sides: Vec<Side> = vec![Side::Forth, Side::Back],
+        /// Milliseconds, of a delay or of each call for the list.
         ms: u64 = 0,
+        /// Bytes a second of a throttled link, or the byte at which a frame is cut.
         bytes: u64 = 0,
-        /// The operator's request, the version that it builds on, and which terms it carries.
+        /// The name of the operator's request; or the kind of frame that the deed is done to.
         request: String = String::new(),
+        /// The version that a proposal builds on.
         base: u64 = 0,
+        /// The number of the policy that a proposal or a file carries.
         terms: u64 = 0,
+        /// Whether a proposal waits for every member that is known, also those that are away.
         all: bool = false,
+        /// A proposal is dropped when it is not decided by then; 0: never.
         give_up_ms: u64 = 0,
         /// A fault that the process is started with; it exists in test builds only. Or what ails an executor.
         fault: String = String::new(),
+        /// How strong that is, as the kind of trouble says.
         size: f64 = 0.5,
         /// The start is to fail.
         refused: bool = false,
     }
 }
 
+/// What a step does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Deed {
+    /// Waits alone.
     Nothing,
+    /// Kill processes outright.
     Kill,
+    /// Start processes that do not run.
     Start,
     /// Start with nothing stored.
     StartEmpty,
-    /// Keep a copy of what is stored; and start with that copy later.
+    /// Keep a copy of what is stored.
     Copy,
+    /// Start with that copy.
     StartOlder,
     /// The same in the files that are there, as a disk does that goes back.
     StartRolledBack,
@@ -132,28 +167,43 @@
     Refound,
     /// Wait until it has ended by itself, and not with 0.
     Gone,
+    /// Have processes stand still.
     Pause,
+    /// Have them go on.
     Resume,
     /// Tell it to stop, and wait until it has.
     Stop,
+    /// Nothing passes on links; see [`Link::cut`](crate::link::Link::cut).
     Cut,
+    /// All faults of links end.
     Heal,
+    /// What passes on links is delayed.
     Delay,
+    /// Links pass so many bytes a second.
     Throttle,
+    /// The connections of links are reset.
     Reset,
+    /// The next frame of a kind is cut at a byte, and its connection broken.
     CutAt,
+    /// The next frame of a kind passes twice.
     Repeat,
+    /// The next frame of a kind is held.
     Hold,
+    /// Held frames go out.
     Release,
     /// Other terms in the node's own file, and SIGHUP.
     Terms,
+    /// An operator proposes a change of the policy.
     Propose,
+    /// An operator aborts a change.
     Abort,
     /// What two nodes have stored changes places.
     Swap,
-    /// Executors (`e3`): something is wrong with them from now on, or no more; they are others, cold.
+    /// Something is wrong with executors (`e3`) from now on.
     Ail,
+    /// It is wrong no more.
     Well,
+    /// Executors are others from now on, cold.
     Renew,
     /// Each call for the list takes so long, one after the other.
     Overbook,
@@ -166,7 +216,7 @@
         matches!(self, Self::Ail | Self::Well | Self::Renew)
     }
 
-    /// Whether it is done to ways.
+    /// Whether it is done to links.
     #[must_use]
     pub fn on_ways(self) -> bool {
         use Deed::{Cut, CutAt, Delay, Heal, Hold, Release, Repeat, Reset, Throttle};
@@ -174,11 +224,13 @@
     }
 }
 
+/// Why a plan is refused.
 #[derive(Debug, Error)]
 pub enum Fault {
+    /// It is not TOML, or has an unknown key.
     #[error("{0}")]
     Malformed(String),
-    /// One line for each fault.
+    /// Its figures make no sense; a line for each.
     #[error("{0}")]
     Impossible(String),
 }
@@ -188,7 +240,7 @@
 /// All processes that do not run.
 pub const DOWN: &str = "down";
 
-/// Whether a way or a process is meant by a pattern, in which `*` stands for any name's rest.
+/// Whether a link or a process is meant by a pattern, in which `*` stands for any name's rest.
 #[must_use]
 pub fn meant(pattern: &str, name: &str) -> bool {
     match (pattern.split_once('>'), name.split_once('>')) {
@@ -220,7 +272,7 @@
         nodes.chain((0..self.coordinators).map(|i| format!("c{i}"))).collect()
     }
 
-    /// The names of the ways between them: from clients (`k`) to nodes, from nodes to executors (`e0`) and
+    /// The names of the links between them: from clients (`k`) to nodes, from nodes to executors (`e0`) and
     /// discovery (`d`), between nodes (`n1>p0`), and from nodes, coordinators and the operator (`o`) to coordinators.
     #[must_use]
     pub fn ways(&self) -> Vec<String> {
@@ -240,6 +292,8 @@
         ways
     }
 
+    /// Checks it as a whole.
+    ///
     /// # Errors
     ///
     /// All that is wrong with it, each by its key.
@@ -310,7 +364,7 @@
         serde_json::from_value(serde_json::Value::String(self.fault.clone())).ok()
     }
 
-    /// The kind of frame that a trick is played on; it stands in `request`.
+    /// The kind of frame that the deed is done to; it stands in `request`.
     #[must_use]
     pub fn frame_for(&self) -> Option<u8> {
         kind(&self.request)
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -12,15 +12,20 @@
 /// No start and no end takes longer; a run that waits longer fails.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// A process that can be started again and again. It is killed when this is dropped.
 pub struct Process {
+    /// What plans and histories call it.
     pub name: String,
+    /// Holds its configuration, its log, its history and what it stores.
     pub folder: PathBuf,
     program: PathBuf,
     words: Vec<String>,
+    /// Environment variables for every start.
     pub variables: Vec<(String, String)>,
     /// Words for its next start alone.
     pub once: Vec<String>,
     child: Option<Child>,
+    /// It was sent SIGSTOP, and not SIGCONT since.
     pub paused: bool,
 }
 
@@ -31,6 +36,7 @@
 }
 
 impl Process {
+    /// A process of the program with these arguments, which does not run yet.
     #[must_use]
     pub fn new(name: &str, folder: PathBuf, program: &Path, words: &[&str]) -> Self {
         let words = words.iter().map(|w| (*w).to_owned()).collect();
@@ -59,6 +65,7 @@
         self.folder.join("log")
     }
 
+    /// Whether it was started and has not been seen to end.
     #[must_use]
     pub fn running(&self) -> bool {
         self.child.is_some()
@@ -123,6 +130,8 @@
         text.lines().find_map(|l| l.split_once(word)?.1.split(' ').next().map(str::to_owned))
     }
 
+    /// Sends it a signal.
+    ///
     /// # Errors
     ///
     /// It does not run.
@@ -145,6 +154,8 @@
         Ok(())
     }
 
+    /// Has it stand still, or go on.
+    ///
     /// # Errors
     ///
     /// It does not run.
--- a/crates/rig/src/stand.rs
+++ b/crates/rig/src/stand.rs
@@ -174,7 +174,9 @@
 
 /// Stand-in executors and discovery of a scenario, on loopback, until they are dropped.
 pub struct Fleet {
+    /// Where discovery listens.
     pub discovery: SocketAddr,
+    /// Where each executor listens.
     pub executors: Vec<SocketAddr>,
     stands: Vec<Arc<Stand>>,
     scenario: Scenario,
--- a/crates/rig/src/started.rs
+++ b/crates/rig/src/started.rs
@@ -11,6 +11,7 @@
 /// A real node, ended when it is dropped.
 pub struct Started {
     process: Child,
+    /// Where it listens for clients.
     pub address: SocketAddr,
     file: PathBuf,
 }
