--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -11,18 +11,20 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::http::{header, message};
+use crate::link::Link;
 use crate::plan::Load;
-use crate::way::Way;
 
 /// Beyond the cut-off, before a client gives up on its connection.
 const SLACK: Duration = Duration::from_millis(1500);
 /// A client that was told to come back does, after this at most.
 const COME_BACK: Duration = Duration::from_millis(300);
 
-/// The products that clients ask for.
+/// The product whose jobs must not be executed twice.
 pub const ONE_SHOT: &str = "once";
+/// The product whose jobs may be executed any number of times.
 pub const HARMLESS: &str = "look";
 
+/// Told of everything that a client does and sees.
 pub type Observer = Arc<dyn Fn(What) + Send + Sync>;
 
 enum Told {
@@ -32,7 +34,7 @@
 }
 
 /// One client, until it is told to stop. It asks nodes by chance, one submission at a time, at its pace.
-pub fn ask(number: usize, load: &Load, seed: u64, nodes: &[&Way], stop: &AtomicBool, seen: &Observer) {
+pub fn ask(number: usize, load: &Load, seed: u64, nodes: &[&Link], stop: &AtomicBool, seen: &Observer) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ (number as u64) << 24);
     let gap = Duration::from_secs_f64(load.clients as f64 / load.rate);
     let mut due = Instant::now() + gap.mul_f64(rng.random());
@@ -93,7 +95,7 @@
 
 fn once(
     socket: &mut Option<BufReader<TcpStream>>,
-    way: &Way,
+    link: &Link,
     load: &Load,
     id: &str,
     key: &str,
@@ -105,7 +107,7 @@
         *socket = None;
     }
     if socket.is_none() {
-        *socket = connect(way.address, wait).ok();
+        *socket = connect(link.address, wait).ok();
     }
     let Some(open) = socket else { return Told::Unsent };
     let (product, retry) =
@@ -131,7 +133,7 @@
         }
         _ => match open.get_ref().local_addr() {
             // Nobody was there to take it.
-            Ok(near) if !way.led(near) => Told::Unsent,
+            Ok(near) if !link.reached_target(near) => Told::Unsent,
             _ => Told::Unknown,
         },
     }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,5 +1,7 @@
 //! The rig: many processes of the real program on loopback, among stand-in executors, discovery and clients,
-//! with a proxy on every way between them that can be told to fail.
+//! with a proxy on every link between them that can be told to fail.
+
+#![warn(missing_docs)]
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -7,13 +9,13 @@
 pub mod clients;
 pub mod draw;
 pub mod http;
+pub mod link;
 pub mod load;
 pub mod plan;
 pub mod process;
 pub mod run;
 pub mod stand;
 pub mod started;
-pub mod way;
 
 /// Locks a mutex whose holders keep it consistent between statements.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- /dev/null
+++ b/crates/world/src/world/execution.rs
@@ -0,0 +1,121 @@
+//! Executions: jobs wait in executors, run and are done.
+
+use super::World;
+use super::event::Event;
+use crate::executor::{ConnectionId, Job};
+use crate::scenario::{Repeats, seconds};
+use linestack_core::Outcome as ExecutionOutcome;
+
+impl World<'_> {
+    /// An executor takes a job, acknowledges it and puts it into its queue.
+    pub(super) fn enqueue(&mut self, index: usize, connection: ConnectionId, attempt: usize) {
+        if let Some(state) = self.connections.get_mut(&connection) {
+            state.acknowledged = true;
+        }
+        self.hold_key(index, attempt);
+        let request = &self.requests[self.attempts[attempt].request];
+        let slots = self.scenario.products[request.product].slots;
+        let executor = &mut self.executors[index];
+        executor.advance(self.now);
+        executor.waiting.push_back(Job { connection, attempt, left: request.work, slots, started: 0 });
+        self.run_executor(index);
+    }
+
+    /// Lets an executor go on: what is done is answered, what fits is started, and it is woken when more may
+    /// be done. To be called after every change of its state.
+    pub(super) fn run_executor(&mut self, index: usize) {
+        let now = self.now;
+        let executor = &mut self.executors[index];
+        executor.advance(now);
+        let done = if executor.is_stalled() { Vec::new() } else { executor.done() };
+        for job in executor.start(now) {
+            self.job_begins(index, &job);
+        }
+        for job in done {
+            self.release_job(index, &job);
+            self.send_reply(index, job.connection, job.attempt, ExecutionOutcome::Satisfied);
+        }
+        self.schedule_wake(index);
+        if !self.executors[index].is_cold(now) {
+            self.judge.warm(index);
+        }
+        self.update_truth(index);
+    }
+
+    /// Wakes an executor when its next job may be done. Earlier wake-ups are void.
+    fn schedule_wake(&mut self, index: usize) {
+        let executor = &mut self.executors[index];
+        executor.wake += 1;
+        let wake = executor.wake;
+        if let Some(at) = executor.next(self.now) {
+            self.schedule_at(at, Event::ExecutorWakes { executor: index, wake });
+        }
+    }
+
+    pub(super) fn executor_wakes(&mut self, index: usize, wake: u64) {
+        if self.executors[index].wake == wake {
+            self.run_executor(index);
+        }
+    }
+
+    /// A job begins to run, unless its group has executed a copy of it while this one waited.
+    fn job_begins(&mut self, index: usize, job: &Job) {
+        let (connection, attempt) = (job.connection, job.attempt);
+        let request = self.attempts[attempt].request;
+        let repeats = self.scenario.products[self.requests[request].product].repeats;
+        if repeats == Repeats::Stamped {
+            if self.is_duplicate(index, attempt) {
+                return self.executors[index].skip(connection);
+            }
+            self.mark_executed(index, attempt);
+        }
+        self.judge.ran(attempt, self.now);
+        if repeats == Repeats::OneShot {
+            let request = &mut self.requests[request];
+            request.executions_begun += 1;
+            self.outcome.ran_again += u64::from(request.executions_begun == 2);
+        }
+        if self.scenario.tells_start {
+            self.pass_to_node(connection, Event::ProgressAtNode { connection, attempt });
+        }
+        if self.scenario.progress_s > 0.0 {
+            let incarnation = self.executors[index].incarnation;
+            self.schedule_progress(index, incarnation, connection, attempt);
+        }
+    }
+
+    fn schedule_progress(
+        &mut self,
+        executor: usize,
+        incarnation: u32,
+        connection: ConnectionId,
+        attempt: usize,
+    ) {
+        let period = seconds(self.scenario.progress_s);
+        self.schedule_after(period, Event::ProgressDue { executor, incarnation, connection, attempt });
+    }
+
+    /// An executor that can tells of a job's progress, and does so again while the job runs.
+    pub(super) fn progress_due(
+        &mut self,
+        index: usize,
+        incarnation: u32,
+        connection: ConnectionId,
+        attempt: usize,
+    ) {
+        let executor = &self.executors[index];
+        if executor.incarnation != incarnation || !executor.is_running(connection, attempt) {
+            return;
+        }
+        if !executor.is_stalled() {
+            self.pass_to_node(connection, Event::ProgressAtNode { connection, attempt });
+        }
+        self.schedule_progress(index, incarnation, connection, attempt);
+    }
+
+    /// An executor loses all jobs that it holds.
+    pub(super) fn drop_all_jobs(&mut self, index: usize) {
+        let dropped = self.executors[index].clear();
+        dropped.iter().for_each(|job| self.release_job(index, job));
+    }
+}
--- /dev/null
+++ b/crates/world/src/world/mod.rs
@@ -0,0 +1,239 @@
+//! The simulation: nodes' effects are carried out on a model of their surroundings, and what happens there
+//! comes back to the nodes as inputs.
+//!
+//! | module | what it models |
+//! | --- | --- |
+//! | `event`, `dispatch` | the event queue, and which part handles an event |
+//! | `load`, `clients` | when submissions are made, and how clients retry |
+//! | `nodes`, `effects` | the nodes' processes, and what they ask for |
+//! | `network` | connections between nodes and executors |
+//! | `delivery`, `execution`, `idempotency` | jobs on their way to executors, in them, and remembered by them |
+//! | `fleet` | executors that join, start, drain and end |
+//! | `discovery` | the list of executors, and who is told of changes |
+//! | `faults` | the faults of a scenario, by their names |
+
+mod clients;
+mod delivery;
+mod discovery;
+mod dispatch;
+mod effects;
+mod event;
+mod execution;
+mod faults;
+mod fleet;
+mod idempotency;
+mod load;
+mod network;
+mod nodes;
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use linestack_core::{Client, Effect, Nanos};
+use rand::{Rng as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+use self::clients::{Attempt, ClientRequest};
+use self::discovery::Discovery;
+use self::event::{Event, EventQueue, FaultPhase};
+use self::idempotency::{IdempotencyKey, IdempotencyRecord};
+use self::network::Connection;
+use self::nodes::NodeState;
+use crate::cold::ColdTerms;
+use crate::executor::{ConnectionId, Executor};
+use crate::judge::Judge;
+use crate::outcome::Outcome;
+use crate::scenario::{Rules, Scenario, millis, seconds};
+use crate::{Machine, Seat, Truth};
+
+const MILLISECOND: Nanos = 1_000_000;
+const SECOND: Nanos = 1_000 * MILLISECOND;
+
+/// Silent clients of floods are numbered from here on, out of the way of attempts.
+const FIRST_FLOOD_CLIENT: Client = 1 << 60;
+
+/// The world runs at most this long after the last client came, for what is still open.
+const GRACE_AFTER_SPAN: Nanos = 60 * SECOND;
+
+/// Nodes start within this time, each at its own moment, and so do closed-loop clients.
+const START_SPREAD: Nanos = 100 * MILLISECOND;
+
+/// The first client comes after this time, which leaves room for lists and probes.
+const LOAD_BEGINS: Nanos = 200 * MILLISECOND;
+
+/// The whole state of a world.
+struct World<'a> {
+    scenario: &'a Scenario,
+    /// The only source of chance.
+    rng: Pcg64Mcg,
+    now: Nanos,
+    queue: EventQueue,
+    nodes: Vec<NodeState>,
+    executors: Vec<Executor>,
+    connections: BTreeMap<ConnectionId, Connection>,
+    requests: Vec<ClientRequest>,
+    attempts: Vec<Attempt>,
+    /// What groups of executors remember of stamped work.
+    idempotency: HashMap<IdempotencyKey, IdempotencyRecord>,
+    discovery: Discovery,
+    /// The part of all sends whose connection is reset.
+    reset_rate: f64,
+    /// By fault of the scenario: the nodes or executors that it took when it began.
+    fault_targets: Vec<Vec<usize>>,
+    judge: Judge,
+    outcome: Outcome,
+    truth: Arc<Mutex<Truth>>,
+    make_node: &'a dyn Fn(Seat) -> Box<dyn Machine>,
+    /// An empty buffer for a node's effects, kept for its memory.
+    effects: Vec<Effect>,
+    next_flood_client: Client,
+    /// Seconds of work of the submissions that were satisfied.
+    useful_work: f64,
+    /// Submissions that are neither satisfied nor given up by their clients.
+    open_requests: usize,
+}
+
+/// Plays a scenario that [`Scenario::check`] finds no fault with. `maker` makes the nodes.
+///
+/// The same scenario and the same kind of nodes give the same outcome, to the byte.
+pub fn run(s: &Scenario, maker: &dyn Fn(Seat) -> Box<dyn Machine>) -> Outcome {
+    let mut world = World::new(s, maker);
+    world.set_up();
+    let end = seconds(s.span_s);
+    while let Some((at, event)) = world.queue.pop() {
+        let all_over = at > end && world.open_requests == 0;
+        if all_over || at > end + GRACE_AFTER_SPAN {
+            break;
+        }
+        world.now = at;
+        world.outcome.events += 1;
+        world.handle(event);
+    }
+    world.finish()
+}
+
+impl<'a> World<'a> {
+    fn new(scenario: &'a Scenario, make_node: &'a dyn Fn(Seat) -> Box<dyn Machine>) -> Self {
+        Self {
+            scenario,
+            rng: Pcg64Mcg::seed_from_u64(scenario.seed),
+            now: 0,
+            queue: EventQueue::default(),
+            nodes: Vec::new(),
+            executors: Vec::new(),
+            connections: BTreeMap::new(),
+            requests: Vec::new(),
+            attempts: Vec::new(),
+            idempotency: HashMap::new(),
+            discovery: Discovery::default(),
+            reset_rate: 0.0,
+            fault_targets: vec![Vec::new(); scenario.troubles.len()],
+            judge: judge_of(&scenario.rules),
+            outcome: empty_outcome(scenario),
+            truth: Arc::default(),
+            make_node,
+            effects: Vec::new(),
+            next_flood_client: FIRST_FLOOD_CLIENT,
+            useful_work: 0.0,
+            open_requests: 0,
+        }
+    }
+
+    /// Schedules an event; one for a time that has passed happens now.
+    fn schedule_at(&mut self, at: Nanos, event: Event) {
+        self.queue.push(at.max(self.now), event);
+    }
+
+    fn schedule_after(&mut self, span: Nanos, event: Event) {
+        self.schedule_at(self.now + span, event);
+    }
+
+    /// Makes executors and nodes, and schedules the first events.
+    fn set_up(&mut self) {
+        self.set_up_executors();
+        self.set_up_nodes();
+        self.set_up_load();
+        self.set_up_faults();
+        self.schedule_at(SECOND, Event::Sweep);
+    }
+
+    fn set_up_nodes(&mut self) {
+        for node in 0..self.scenario.nodes.count as usize {
+            let zone = (node % usize::from(self.scenario.zones)) as u16;
+            self.nodes.push(NodeState::new(zone, self.scenario.nodes.cpu_us));
+            lock(&self.truth).places.push(Vec::new());
+            let spread = self.rng.random_range(0..START_SPREAD);
+            self.schedule_after(spread, Event::NodeStarts { node });
+        }
+    }
+
+    fn set_up_load(&mut self) {
+        if self.scenario.load.closed == 0 {
+            return self.schedule_at(LOAD_BEGINS, Event::ClientArrives);
+        }
+        for client in 0..self.scenario.load.closed as usize {
+            let spread = self.rng.random_range(0..START_SPREAD);
+            self.schedule_at(LOAD_BEGINS + spread, Event::ClientAsks { client });
+        }
+    }
+
+    fn set_up_faults(&mut self) {
+        for (fault, trouble) in self.scenario.troubles.iter().enumerate() {
+            let (begin, end) = (seconds(trouble.at_s), seconds(trouble.at_s + trouble.for_s));
+            self.schedule_at(begin, Event::FaultChanges { fault, phase: FaultPhase::Begins });
+            self.schedule_at(end, Event::FaultChanges { fault, phase: FaultPhase::Ends });
+        }
+    }
+
+    /// Drops what is long over, has the judge find what is overdue, and does so again a second later.
+    fn sweep(&mut self) {
+        self.judge.sweep(self.now);
+        self.forget_expired_keys();
+        self.schedule_after(SECOND, Event::Sweep);
+    }
+
+    fn finish(mut self) -> Outcome {
+        self.judge.sweep(self.now + GRACE_AFTER_SPAN);
+        self.outcome.breaches = std::mem::take(&mut self.judge.breaches);
+        self.outcome.broken = self.judge.broken;
+        self.outcome.work_by_executor = self.executors.iter().map(|e| e.worked).collect();
+        self.outcome.waste = self.wasted_part();
+        self.outcome.finish(self.scenario);
+        self.outcome
+    }
+
+    /// The part of all work done that satisfied nobody.
+    fn wasted_part(&self) -> f64 {
+        let worked: f64 = self.outcome.work_by_executor.iter().sum();
+        if worked > 0.0 { (1.0 - self.useful_work / worked).max(0.0) } else { 0.0 }
+    }
+}
+
+fn judge_of(rules: &Rules) -> Judge {
+    let cold_terms = ColdTerms { multiple: rules.fall_multiple, window: millis(rules.fall_window_ms) };
+    Judge::new(millis(rules.drain_grace_ms), millis(rules.slack_ms), cold_terms)
+}
+
+fn empty_outcome(scenario: &Scenario) -> Outcome {
+    Outcome {
+        scenario: scenario.name.clone(),
+        seed: scenario.seed,
+        by_product: vec![0.0; scenario.products.len()],
+        by_tenant: vec![0.0; scenario.tenants.len()],
+        ..Outcome::default()
+    }
+}
+
+/// Counts something in the second in which it happened.
+fn count_in_second(counts: &mut Vec<u64>, at: Nanos) {
+    let second = (at / SECOND) as usize;
+    if counts.len() <= second {
+        counts.resize(second + 1, 0);
+    }
+    counts[second] += 1;
+}
+
+/// Locks a mutex whose holders keep it consistent between statements.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/world/src/world/network.rs
@@ -0,0 +1,169 @@
+//! The network: connections between nodes and executors, on which messages pass in order and with delay.
+
+use linestack_core::{Broken, Input, Nanos};
+use rand::Rng as _;
+
+use super::World;
+use super::event::Event;
+use crate::executor::{ConnectionId, Job};
+use crate::scenario::millis;
+
+/// A connection from a node to an executor.
+pub(super) struct Connection {
+    pub(super) executor: usize,
+    /// The incarnation of the executor that accepted it; none until one has.
+    pub(super) executor_incarnation: Option<u32>,
+    /// What the node has sent on it and not heard the end of.
+    pub(super) in_flight: Option<InFlight>,
+    /// The executor has acknowledged that it took the job in flight.
+    pub(super) acknowledged: bool,
+    /// The node has closed it.
+    pub(super) closed: bool,
+    /// When the last message on it arrives at the node.
+    last_to_node: Nanos,
+    /// When the last message on it arrives at the executor.
+    last_to_executor: Nanos,
+    pub(super) idle_since: Nanos,
+}
+
+/// What a connection is in use for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum InFlight {
+    Probe,
+    Job { attempt: usize },
+}
+
+impl Connection {
+    /// A connection that a node begins to open now.
+    pub(super) fn new(executor: usize, now: Nanos) -> Self {
+        Self {
+            executor,
+            executor_incarnation: None,
+            in_flight: None,
+            acknowledged: false,
+            closed: false,
+            last_to_node: 0,
+            last_to_executor: 0,
+            idle_since: now,
+        }
+    }
+}
+
+impl World<'_> {
+    /// Sends a message to the executor's end of a connection, behind all that was sent before.
+    pub(super) fn pass_to_executor(&mut self, connection: ConnectionId, message: Event) {
+        let Some(state) = self.connections.get(&connection) else { return };
+        let arrives = self.now + self.draw_delay(connection, state.executor);
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        state.last_to_executor = arrives.max(state.last_to_executor + 1);
+        let at = state.last_to_executor;
+        self.schedule_at(at, message);
+    }
+
+    /// Sends a message to the node's end of a connection, behind all that was sent before. It is lost if
+    /// nothing leaves the executor.
+    pub(super) fn pass_to_node(&mut self, connection: ConnectionId, message: Event) {
+        let Some(state) = self.connections.get(&connection) else { return };
+        let executor = state.executor;
+        let faults = &self.executors[executor].faults;
+        if faults.outbound_cut || faults.unreachable {
+            return;
+        }
+        let arrives = self.now + self.draw_delay(connection, executor);
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        state.last_to_node = arrives.max(state.last_to_node + 1);
+        let at = state.last_to_node;
+        self.schedule_at(at, message);
+    }
+
+    /// The time that a message takes, by zones and with jitter.
+    fn draw_delay(&mut self, connection: ConnectionId, executor: usize) -> Nanos {
+        let network = &self.scenario.network;
+        let same_zone = self.nodes[connection.node].zone == self.executors[executor].zone;
+        let ms = if same_zone { network.same_ms } else { network.cross_ms };
+        millis(ms * (1.0 + network.jitter * self.rng.random::<f64>())).max(1)
+    }
+
+    /// A connection attempt reaches the executor, which accepts it while it is up and under its cap.
+    pub(super) fn connect_at_executor(&mut self, connection: ConnectionId) {
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        let index = state.executor;
+        let executor = &mut self.executors[index];
+        if executor.faults.inbound_cut || executor.faults.unreachable {
+            return;
+        }
+        let spec = &self.scenario.executors[executor.spec];
+        if !executor.alive || executor.connections >= spec.connections as usize {
+            return self.disconnect_node(connection);
+        }
+        executor.connections += 1;
+        state.executor_incarnation = Some(executor.incarnation);
+        executor.add_overhead(self.now, spec.handshake_ms / 1e3);
+        self.run_executor(index);
+        self.pass_to_node(connection, Event::ConnectedAtNode { connection });
+    }
+
+    /// The node hears that a connection is established, unless it has closed it meanwhile.
+    pub(super) fn connected_at_node(&mut self, connection: ConnectionId) {
+        if self.connections.get(&connection).is_some_and(|state| !state.closed) {
+            let input = Input::LinkUp { link: connection.link };
+            self.give_input(connection.node, connection.incarnation, input);
+        }
+    }
+
+    /// The executor's end of a connection is reset.
+    pub(super) fn disconnect_node(&mut self, connection: ConnectionId) {
+        self.pass_to_node(connection, Event::DisconnectedAtNode { connection, broken: None });
+    }
+
+    /// The node hears that a connection is down. `broken` tells how far a send got, where that is known.
+    pub(super) fn disconnected_at_node(&mut self, connection: ConnectionId, broken: Option<Broken>) {
+        let Some(state) = self.connections.remove(&connection) else { return };
+        if state.closed {
+            return;
+        }
+        // What was in flight had been written: the last byte leaves a node when it is sent.
+        let sent = state.in_flight.is_some();
+        let broken = broken.unwrap_or(Broken {
+            begun: sent,
+            written: sent,
+            answered: sent && state.acknowledged,
+            here: false,
+            spoilt: false,
+        });
+        if let (Some(InFlight::Job { attempt }), false) = (state.in_flight, broken.written) {
+            self.judge.never_ran(attempt, connection);
+        }
+        let input = Input::LinkDown { link: connection.link, broken };
+        self.give_input(connection.node, connection.incarnation, input);
+    }
+
+    /// The executor hears that the node has closed a connection, and drops what it held for it.
+    pub(super) fn closed_at_executor(&mut self, connection: ConnectionId) {
+        let Some(state) = self.connections.remove(&connection) else { return };
+        let now = self.now;
+        let executor = &mut self.executors[state.executor];
+        let same_process = state.executor_incarnation == Some(executor.incarnation);
+        if !same_process || executor.faults.inbound_cut || executor.faults.unreachable {
+            return;
+        }
+        executor.advance(now);
+        executor.connections = executor.connections.saturating_sub(1);
+        let cancels = self.scenario.executors[executor.spec].cancels;
+        let dropped: Vec<Job> = executor.drop_jobs_of(connection, cancels);
+        dropped.iter().for_each(|job| self.release_job(state.executor, job));
+        self.run_executor(state.executor);
+    }
+
+    /// A reply reaches the node. False if the node no longer waits for one on this connection.
+    pub(super) fn reply_is_awaited(&mut self, connection: ConnectionId) -> bool {
+        let now = self.now;
+        let Some(state) = self.connections.get_mut(&connection) else { return false };
+        if state.closed || state.in_flight.is_none() {
+            return false;
+        }
+        state.in_flight = None;
+        state.idle_since = now;
+        true
+    }
+}
