accord: the configuration and the step interface get modules of their own

coordinator.rs mixed what a caller configures, what it passes in and gets out, and the protocol itself.

config.rs has Terms, Check and Broken with the quorum arithmetic; step.rs has Input, Out, Note, Keep and Step, which alone enforces that a record is persisted before anything is sent.

--- a/crates/accord/src/coordinator.rs
+++ b/crates/accord/src/coordinator/mod.rs
@@ -2,140 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::config::{Broken, Terms};
 use crate::message::{Ask, Grant, Guest, Letter, Peer, Renew, Reply, Request, Standing, Status};
 use crate::state::{
     Ballot, End, Ended, Id, Incarnation, LARGEST_TEXT, LONGEST_NAME, MOST_MEMBERS, Nanos, Pending, Policy,
     Record, State,
 };
-
-/// What a change of policy is checked by: the present text and the newer one; one line for each fault.
-pub type Check = fn(&str, &str) -> Result<(), Vec<String>>;
-
-/// What a coordinator is told at its start.
-#[derive(Clone, Copy, Debug)]
-pub struct Terms {
-    pub me: Id,
-    pub count: u8,
-    /// For how long nobody else is heard after a beat.
-    pub hold: Nanos,
-    /// For how long a member may serve after it asked.
-    pub lease: Nanos,
-    /// By how much the rates of two clocks may differ, in thousandths.
-    pub drift: u64,
-    pub check: Check,
-    /// Known mistakes, for the tests that must find them.
-    pub broken: Option<Broken>,
-}
-
-/// Known mistakes. Each is found by the search over these state machines, or by the rig.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Broken {
-    /// A promise is answered before it is kept.
-    Forgets,
-    /// A change is decided when most members have taken it, whoever may still serve.
-    Majority,
-    /// Leave is given also when others may speak by now.
-    OldSpeaker,
-    /// A new speaker counts those it has not heard of as away.
-    NotBlind,
-}
-
-#[derive(Clone, Debug)]
-pub enum Input {
-    Letter {
-        from: Id,
-        letter: Letter,
-    },
-    /// From a guest with a session here.
-    Guest {
-        guest: Guest,
-        request: Request,
-    },
-    Tick,
-}
-
-/// What is to be done, once what had to be kept is kept.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Out {
-    Letter {
-        to: Id,
-        letter: Letter,
-    },
-    Guest {
-        guest: Guest,
-        reply: Reply,
-    },
-    Note(Note),
-    /// What is stored here is older than what others have seen of it: its promises are forgotten, and its vote
-    /// would be worth less than none.
-    Halt,
-}
-
-/// What a history tells.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Note {
-    Established {
-        round: u32,
-    },
-    Granted {
-        member: String,
-        round: u32,
-        version: u64,
-    },
-    Pending {
-        request: String,
-        version: u64,
-    },
-    Decided {
-        request: String,
-        version: u64,
-        digest: u32,
-    },
-    Dropped {
-        request: String,
-        version: u64,
-        end: End,
-    },
-    /// Somebody was not let in, and why.
-    Refused {
-        member: String,
-        why: &'static str,
-    },
-}
-
-/// Where a record is kept.
-pub trait Keep {
-    type Fault;
-
-    /// Returns when it is durable.
-    ///
-    /// # Errors
-    ///
-    /// It may or may not be. The coordinator must not go on.
-    fn keep(&mut self, record: &Record) -> Result<(), Self::Fault>;
-}
-
-/// What follows from an input. What is to be sent can't be had before what must last is kept.
-#[must_use]
-#[derive(Clone, Debug, Default)]
-pub struct Step {
-    record: Option<Record>,
-    outs: Vec<Out>,
-}
-
-impl Step {
-    /// Keeps what must be kept, and then tells what is to be done, in order.
-    ///
-    /// # Errors
-    ///
-    /// Nothing may be sent, and the coordinator is to end.
-    pub fn finish<K: Keep>(self, keep: &mut K) -> Result<Vec<Out>, K::Fault> {
-        if let Some(record) = &self.record {
-            keep.keep(record)?;
-        }
-        Ok(self.outs)
-    }
-}
+use crate::step::{Input, Note, Out, Step};
 
 #[derive(Clone, Debug, Hash)]
 struct Session {
@@ -276,15 +149,15 @@
             Role::Speaking(s) => {
                 let pending = s.chosen.as_ref().and_then(|c| c.pending.as_ref());
                 let given_up = pending.and_then(|p| p.give_up).map(|g| s.pending_since.1.saturating_add(g));
-                s.beat_at.min(given_up.filter(|at| *at > s.beat_at - self.beat_every()).unwrap_or(Nanos::MAX))
+                s.beat_at.min(
+                    given_up
+                        .filter(|at| *at > s.beat_at - self.terms.heartbeat_interval())
+                        .unwrap_or(Nanos::MAX),
+                )
             }
         }
     }
 
-    fn beat_every(&self) -> Nanos {
-        (self.terms.hold / 4).max(1)
-    }
-
     /// Takes an input.
     pub fn take(&mut self, now: Nanos, input: Input) -> Step {
         if !self.halted {
@@ -307,21 +180,12 @@
                 letter.of = seat;
             }
         }
-        if self.terms.broken == Some(Broken::Forgets) {
+        if self.terms.injects(Broken::Forgets) {
             let promises = |o: &Out| matches!(o, Out::Letter { letter, .. } if matches!(letter.peer, Peer::Promise { .. }));
             let promised = outs.iter().any(promises);
-            return Step { record: record.filter(|_| !promised), outs };
+            return Step::new(record.filter(|_| !promised), outs);
         }
-        Step { record, outs }
-    }
-
-    fn majority(&self) -> usize {
-        usize::from(self.terms.count) / 2 + 1
-    }
-
-    fn others(&self) -> impl Iterator<Item = Id> + use<> {
-        let me = self.terms.me;
-        (0..self.terms.count).filter(move |id| *id != me)
+        Step::new(record, outs)
     }
 
     fn send(&mut self, to: Id, peer: Peer) {
@@ -342,7 +206,7 @@
 
     /// Until when others have said that they hear nobody else.
     fn valid_until(&self, s: &Speaking) -> Nanos {
-        let wanted = self.majority() - 1;
+        let wanted = self.terms.majority() - 1;
         if wanted == 0 {
             return Nanos::MAX;
         }
@@ -358,7 +222,7 @@
             Role::Asking { again, .. } if now >= *again => self.ask(now),
             Role::Speaking(s) => {
                 let over = self.valid_until(s);
-                let stays = self.terms.broken == Some(Broken::OldSpeaker);
+                let stays = self.terms.injects(Broken::OldSpeaker);
                 if now >= over && now >= s.since + self.terms.hold && !stays {
                     self.step_down(now);
                 } else if now >= s.beat_at {
@@ -401,7 +265,7 @@
             self.role = Role::Asking { ballot, promises: BTreeMap::from([(me, mine)]), again };
             ballot
         });
-        for to in self.others() {
+        for to in self.terms.peers() {
             self.send(to, Peer::Prepare { ballot });
         }
         self.promised(now);
@@ -414,10 +278,10 @@
         let (ballot, state) = (*ballot, newest.map(|(_, s, _)| s.clone()).unwrap_or_default());
         // One that was replaced since has no vote: what it promised was forgotten with its store.
         let votes = promises.iter().filter(|(id, (.., seat))| state.seat(**id) == *seat).count();
-        if votes < self.majority() {
+        if votes < self.terms.majority() {
             return;
         }
-        let blind = if self.terms.broken == Some(Broken::NotBlind) { 0 } else { self.terms.lease };
+        let blind = if self.terms.injects(Broken::NotBlind) { 0 } else { self.terms.lease };
         self.role = Role::Speaking(Box::new(Speaking {
             ballot,
             chosen: None,
@@ -452,7 +316,7 @@
 
     /// Tells the others that it speaks, and what is on its way to be written.
     fn beat(&mut self, now: Nanos) {
-        let (every, count) = (self.beat_every(), self.terms.count);
+        let (every, count) = (self.terms.heartbeat_interval(), self.terms.count);
         let Role::Speaking(s) = &mut self.role else { return };
         s.beat_at = now + every;
         let (ballot, at) = (s.ballot, now);
@@ -460,7 +324,7 @@
         let behind = |rev: u64| (0..count).filter(|id| s.has.get(id).is_none_or(|has| *has < rev)).collect();
         let behind: BTreeSet<Id> = s.chosen.as_ref().map_or_else(BTreeSet::new, |c| behind(c.rev));
         let chosen = s.chosen.clone();
-        for to in self.others() {
+        for to in self.terms.peers() {
             let peer = match &flight {
                 Some((state, accepted)) if !accepted.contains(&to) => {
                     Peer::Accept { ballot, state: state.clone(), at, agreed: false }
@@ -477,7 +341,7 @@
 
     /// Whether most have accepted what is on its way.
     fn accepted(&mut self, now: Nanos) {
-        let majority = self.majority();
+        let majority = self.terms.majority();
         let Role::Speaking(s) = &mut self.role else { return };
         if s.flight.as_ref().is_none_or(|f| f.accepted.len() < majority) {
             return;
@@ -563,7 +427,7 @@
         }
         // What was seen of one that this took the place of says nothing of this.
         let older = letter.of == self.record.seat && letter.seen > self.record.mark;
-        if older && self.terms.broken != Some(Broken::Forgets) {
+        if older && !self.terms.injects(Broken::Forgets) {
             self.halted = true;
             self.outs.push(Out::Halt);
             return;
@@ -699,8 +563,7 @@
     }
 
     fn guest(&mut self, now: Nanos, via: Option<Id>, guest: Guest, request: Request) {
-        let speaks =
-            self.speaks(now) || self.terms.broken == Some(Broken::OldSpeaker) && self.chosen().is_some();
+        let speaks = self.speaks(now) || self.terms.injects(Broken::OldSpeaker) && self.chosen().is_some();
         if !speaks {
             return match self.held {
                 // It is passed on once: the one that it is passed to speaks, or knows no better.
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -6,13 +6,17 @@
 //! register without a log is Rystsov's CASPaxos, 2018). Leaves are leases (Gray and Cheriton, 1989): counted by
 //! the member from when it asked, by the speaker from when it answered.
 
+mod config;
 mod coordinator;
 mod message;
 mod state;
+mod step;
 
-pub use coordinator::{Broken, Check, Coordinator, Input, Keep, Note, Out, Step, Terms};
+pub use config::{Broken, Check, Terms};
+pub use coordinator::Coordinator;
 pub use message::{Ask, Grant, Guest, Letter, Peer, Renew, Reply, Request, Standing, Status};
 pub use state::{
     Ballot, End, Ended, Id, Incarnation, LARGEST_TEXT, LONGEST_NAME, MOST_MEMBERS, Nanos, Pending, Policy,
     REMEMBERED, Record, State,
 };
+pub use step::{Input, Keep, Note, Out, Step};
