accord: the coordinator splits into election, replication, leases, membership and changes

Each part of the protocol is a module of the coordinator: election, replication, apply (what follows from a committed write), lease, membership, change (policy changes) and operator; role and leadership hold the state. A function does one step. Names are the field's: follower, candidate, leader, heartbeat, quorum, commit, lease, session. Tuples became types: LeaderLease, Promise, Replica, ReplyTo, Declined, ClockPair, PendingSince, ProposedChange, Removal, Replacement. Public names and the wire format are as they were.

--- /dev/null
+++ b/crates/accord/src/coordinator/change.rs
@@ -0,0 +1,189 @@
+//! Changes of the policy: a change is proposed, put before the members, staged by them, and decided or dropped.
+
+use crate::config::{Broken, Terms};
+use crate::message::Reply;
+use crate::state::{End, Incarnation, LARGEST_TEXT, LONGEST_NAME, Nanos, Pending, Policy, State};
+
+use super::Coordinator;
+use super::apply::{Commit, Response};
+use super::leadership::Leadership;
+use super::role::{ReplyTo, Role};
+
+/// What an operator proposes.
+pub(super) struct Proposal {
+    pub(super) request: String,
+    /// The version that the change builds on.
+    pub(super) base: u64,
+    pub(super) text: String,
+    /// Members whose leases are over have to stage it, too.
+    pub(super) all: bool,
+    pub(super) give_up: Option<Nanos>,
+}
+
+/// A change that was checked, and is to be put before the members.
+#[derive(Clone, Debug, Hash)]
+pub(super) struct ProposedChange {
+    operator: ReplyTo,
+    change: Pending,
+}
+
+/// When the leader first knew a change to be pending.
+#[derive(Clone, Copy, Debug, Hash)]
+pub(super) struct PendingSince {
+    pub(super) version: u64,
+    pub(super) at: Nanos,
+}
+
+impl Coordinator {
+    pub(super) fn propose(&mut self, now: Nanos, operator: ReplyTo, proposal: Proposal) {
+        let terms = self.terms;
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let Some(committed) = &leadership.committed else { return };
+        if let Some(known) = leadership.outcome(&proposal.request) {
+            return self.reply(operator, known);
+        }
+        let faults = leadership.proposal_faults(committed, &proposal, &terms);
+        if !faults.is_empty() {
+            return self.reply(operator, Reply::TurnedDown(faults));
+        }
+        let Proposal { request, text, all, give_up, .. } = proposal;
+        let policy = Policy { version: committed.last + 1, text };
+        let change = Pending { request, policy, all, give_up };
+        leadership.proposed = Some(ProposedChange { operator, change });
+        self.write_next(now);
+    }
+
+    pub(super) fn abort(&mut self, now: Nanos, operator: ReplyTo, request: String) {
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let outcome = leadership.outcome(&request).unwrap_or(Reply::Unheard);
+        let is_pending = matches!(outcome, Reply::Taken { .. });
+        if is_pending {
+            leadership.abort = Some(request);
+        }
+        self.reply(operator, outcome);
+        if is_pending {
+            self.write_next(now);
+        }
+    }
+}
+
+impl Leadership {
+    /// What is known of a change: how it ended, or that it is pending.
+    pub(super) fn outcome(&self, request: &str) -> Option<Reply> {
+        let committed = self.committed.as_ref()?;
+        if let Some(ended) = committed.ended.iter().find(|ended| ended.request == request) {
+            return Some(Reply::Ended(ended.clone()));
+        }
+        let pending = committed.pending.as_ref().filter(|pending| pending.request == request)?;
+        Some(Reply::Taken { version: pending.policy.version })
+    }
+
+    /// The name of the change that is proposed, being written or pending.
+    fn change_under_way(&self) -> Option<&String> {
+        let proposed = self.proposed.as_ref().map(|proposed| &proposed.change);
+        let written = self.in_flight.as_ref().and_then(|write| write.state.pending.as_ref());
+        let pending = self.committed.as_ref().and_then(|state| state.pending.as_ref());
+        proposed.or(written).or(pending).map(|change| &change.request)
+    }
+
+    /// Why a proposal can't be put before the members; empty if it can.
+    fn proposal_faults(&self, committed: &State, proposal: &Proposal, terms: &Terms) -> Vec<String> {
+        let mut faults = Vec::new();
+        if let Some(other) = self.change_under_way() {
+            faults.push(format!("another change is under way: {other}"));
+        }
+        let (base, version) = (proposal.base, committed.policy.version);
+        if base != version {
+            faults.push(format!("base: {base}, and the fleet goes by {version}"));
+        }
+        if proposal.request.is_empty() || proposal.request.len() > LONGEST_NAME {
+            faults.push(format!("request: from 1 to {LONGEST_NAME} characters"));
+        }
+        let size = proposal.text.len();
+        if size > LARGEST_TEXT {
+            faults.push(format!("the policy has {size} bytes, {LARGEST_TEXT} at most"));
+        } else if let Err(more) = (terms.check)(&committed.policy.text, &proposal.text) {
+            faults.extend(more);
+        }
+        faults
+    }
+
+    /// Writes the end of the pending change, or the proposed change, into the next state.
+    pub(super) fn write_change(&mut self, now: Nanos, terms: &Terms, state: &mut State) {
+        if let Some(pending) = &state.pending {
+            if let Some(end) = self.end_of(now, terms, pending, state) {
+                state.end(end);
+            }
+        } else if let Some(proposed) = &self.proposed {
+            // Its base was checked when it came, and nothing has been decided since.
+            state.last = proposed.change.policy.version;
+            state.pending = Some(proposed.change.clone());
+        }
+    }
+
+    /// How the pending change ends now, if it does.
+    fn end_of(&mut self, now: Nanos, terms: &Terms, pending: &Pending, state: &State) -> Option<End> {
+        if self.abort.take_if(|request| *request == pending.request).is_some() {
+            return Some(End::Aborted);
+        }
+        if let Some(declined) = self.declined_by_member(pending.policy.version) {
+            return Some(declined);
+        }
+        if self.is_ready(now, terms, pending, state) {
+            return Some(End::Decided);
+        }
+        let give_up_at = pending.give_up.map(|span| self.pending_since.at.saturating_add(span));
+        give_up_at.is_some_and(|at| now >= at).then_some(End::GivenUp)
+    }
+
+    fn declined_by_member(&self, version: u64) -> Option<End> {
+        self.sessions.iter().find_map(|(member, session)| {
+            let declined = session.declined.as_ref().filter(|declined| declined.version == version)?;
+            Some(End::Declined { member: member.clone(), key: declined.key.clone() })
+        })
+    }
+
+    /// Whether every member has staged the change, or can't serve under the policy before it.
+    fn is_ready(&self, now: Nanos, terms: &Terms, pending: &Pending, state: &State) -> bool {
+        let version = pending.policy.version;
+        let mut members = state.members.iter();
+        if terms.injects(Broken::Majority) {
+            let staged = members.filter(|(name, run)| self.has_staged(name, run, version)).count();
+            return staged * 2 > state.members.len();
+        }
+        members.all(|(name, run)| {
+            self.has_staged(name, run, version) || (!pending.all && self.is_away(now, name))
+        })
+    }
+
+    fn has_staged(&self, member: &str, run: &Incarnation, version: u64) -> bool {
+        let session = self.sessions.get(member).filter(|session| session.incarnation == *run);
+        session.is_some_and(|session| session.staged == version)
+    }
+
+    /// Whether a member holds no lease, be it this leader's or an earlier one's.
+    fn is_away(&self, now: Nanos, member: &str) -> bool {
+        !self.in_grace_period(now) && !self.holds_lease(now, member)
+    }
+
+    /// When the pending change is given up.
+    pub(super) fn give_up_at(&self) -> Option<Nanos> {
+        let pending = self.committed.as_ref()?.pending.as_ref()?;
+        Some(self.pending_since.at.saturating_add(pending.give_up?))
+    }
+
+    pub(super) fn track_pending(&mut self, now: Nanos, commit: &Commit) {
+        if let Some(version) = commit.pending_version()
+            && version != self.pending_since.version
+        {
+            self.pending_since = PendingSince { version, at: now };
+        }
+    }
+
+    pub(super) fn settle_proposal(&mut self, commit: &Commit) -> Option<Response> {
+        let pending = commit.pending_version();
+        let taken = self.proposed.take_if(|proposed| pending == Some(proposed.change.policy.version))?;
+        let version = taken.change.policy.version;
+        Some(Response { to: taken.operator, reply: Reply::Taken { version } })
+    }
+}
--- /dev/null
+++ b/crates/accord/src/coordinator/election.rs
@@ -0,0 +1,144 @@
+//! Leader election: Paxos phase 1, and how a leader steps down.
+
+use std::collections::BTreeMap;
+
+use crate::config::Broken;
+use crate::message::Peer;
+use crate::state::{Ballot, Id, Nanos};
+
+use super::Coordinator;
+use super::leadership::Leadership;
+use super::role::{Candidacy, LeaderLease, Promise, Role};
+
+impl Coordinator {
+    /// When this coordinator stands for election unless it hears a leader. Coordinators do so one after the other, lest
+    /// they outbid each other for ever.
+    pub(super) fn election_due(&self) -> Nanos {
+        self.leader_lease.until + self.terms.hold / 4 * Nanos::from(self.terms.me)
+    }
+
+    /// Stands for election, or asks again for promises that are missing.
+    pub(super) fn campaign(&mut self, now: Nanos) {
+        let retry_at = now + self.terms.hold / 2 + self.terms.hold / 8 * Nanos::from(self.terms.me);
+        let ballot = match self.continue_candidacy(retry_at) {
+            Some(ballot) => ballot,
+            None => self.begin_candidacy(retry_at),
+        };
+        for peer in self.terms.peers() {
+            self.send(peer, Peer::Prepare { ballot });
+        }
+        self.lead_if_elected(now);
+    }
+
+    /// Keeps the present ballot for as long as no higher one is known.
+    fn continue_candidacy(&mut self, retry_at: Nanos) -> Option<Ballot> {
+        let Role::Candidate(candidacy) = &mut self.role else { return None };
+        let ballot = candidacy.ballot;
+        if ballot.round < self.highest_round || ballot != self.record.promised {
+            return None;
+        }
+        candidacy.retry_at = retry_at;
+        Some(ballot)
+    }
+
+    /// Promises itself a ballot that is higher than all known ones.
+    fn begin_candidacy(&mut self, retry_at: Nanos) -> Ballot {
+        let me = self.terms.me;
+        let round = self.highest_round.max(self.record.promised.round) + 1;
+        let ballot = Ballot { round, by: me };
+        self.highest_round = round;
+        self.record.promised = ballot;
+        self.record_changed = true;
+        let own = Promise {
+            accepted: self.record.accepted,
+            state: self.record.state.clone(),
+            seat: self.record.seat,
+        };
+        self.role = Role::Candidate(Candidacy { ballot, promises: BTreeMap::from([(me, own)]), retry_at });
+        ballot
+    }
+
+    /// Leads once a quorum has promised.
+    fn lead_if_elected(&mut self, now: Nanos) {
+        let Role::Candidate(candidacy) = &self.role else { return };
+        let ballot = candidacy.ballot;
+        let state = candidacy.newest_state();
+        if candidacy.votes(&state) < self.terms.majority() {
+            return;
+        }
+        let grace = if self.terms.injects(Broken::NotBlind) { 0 } else { self.terms.lease };
+        let sessions = std::mem::take(&mut self.former_sessions);
+        let leadership = Leadership::new(ballot, now, now + grace, sessions);
+        self.role = Role::Leader(Box::new(leadership));
+        // The state may be committed already: it is written again before anything follows from it.
+        self.replicate(now, state);
+    }
+
+    pub(super) fn on_prepare(&mut self, now: Nanos, from: Id, ballot: Ballot) {
+        self.observe_round(ballot);
+        if self.record.learning || self.supports_another_leader(now, from) {
+            return;
+        }
+        if ballot < self.record.promised {
+            return self.send(from, Peer::Behind { promised: self.record.promised });
+        }
+        if ballot > self.record.promised {
+            self.promise(now, from, ballot);
+        }
+        let accepted = self.record.accepted;
+        let state = self.record.state.clone();
+        self.send(from, Peer::Promise { ballot, accepted, state });
+    }
+
+    /// Whether a leader counts on this coordinator's vote, be it this one or another.
+    fn supports_another_leader(&self, now: Nanos, candidate: Id) -> bool {
+        let leased = now < self.leader_lease.until && self.leader_lease.holder != Some(candidate);
+        self.speaks(now) || leased
+    }
+
+    fn promise(&mut self, now: Nanos, candidate: Id, ballot: Ballot) {
+        self.record.promised = ballot;
+        self.record_changed = true;
+        if !matches!(self.role, Role::Follower) {
+            self.step_down(now);
+        }
+        // Leaves the candidate the time to be heard.
+        self.leader_lease = LeaderLease { holder: Some(candidate), until: now + self.terms.hold / 2 };
+    }
+
+    pub(super) fn on_promise(&mut self, now: Nanos, from: Id, ballot: Ballot, promise: Promise) {
+        if let Role::Candidate(candidacy) = &mut self.role
+            && candidacy.ballot == ballot
+        {
+            candidacy.promises.insert(from, promise);
+            self.lead_if_elected(now);
+        }
+    }
+
+    /// Another coordinator has promised a higher ballot.
+    pub(super) fn on_outdated(&mut self, now: Nanos, promised: Ballot) {
+        self.observe_round(promised);
+        let Role::Leader(leadership) = &self.role else { return };
+        if promised <= leadership.ballot {
+            return;
+        }
+        let still_valid = self.speaks(now);
+        self.step_down(now);
+        if still_valid {
+            self.campaign(now);
+        }
+    }
+
+    pub(super) fn observe_round(&mut self, ballot: Ballot) {
+        self.highest_round = self.highest_round.max(ballot.round);
+    }
+
+    /// Becomes a follower that waits a while before it stands for election.
+    pub(super) fn step_down(&mut self, now: Nanos) {
+        if let Role::Leader(leadership) = std::mem::replace(&mut self.role, Role::Follower) {
+            self.former_sessions = leadership.sessions;
+        }
+        let until = self.leader_lease.until.max(now + self.terms.hold / 2);
+        self.leader_lease = LeaderLease { holder: None, until };
+    }
+}
--- /dev/null
+++ b/crates/accord/src/coordinator/leadership.rs
@@ -0,0 +1,170 @@
+//! What a leader knows: the write in progress, its followers, its members' sessions, and what is to be written next.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::config::Terms;
+use crate::message::Peer;
+use crate::state::{Ballot, Id, Incarnation, Nanos, State};
+
+use super::change::{PendingSince, ProposedChange};
+use super::lease::Session;
+use super::membership::{Removal, Replacement};
+use super::role::Replica;
+
+/// The state of a leader.
+#[derive(Clone, Debug, Hash)]
+pub(super) struct Leadership {
+    pub(super) ballot: Ballot,
+    /// The newest state that a quorum has accepted under this ballot; none at first.
+    pub(super) committed: Option<State>,
+    /// The write in progress.
+    pub(super) in_flight: Option<InFlight>,
+    /// For each follower, the newest of this coordinator's clock readings that it has acknowledged.
+    pub(super) acknowledged_at: BTreeMap<Id, Nanos>,
+    pub(super) elected_at: Nanos,
+    /// Until then members may hold leases that an earlier leader has granted.
+    pub(super) earlier_leases_until: Nanos,
+    pub(super) next_heartbeat: Nanos,
+    pub(super) sessions: BTreeMap<String, Session>,
+    /// Members to be registered.
+    pub(super) joining: BTreeMap<String, Incarnation>,
+    /// Members to be removed.
+    pub(super) removals: Vec<Removal>,
+    /// The coordinator to be replaced.
+    pub(super) replacement: Option<Replacement>,
+    /// For each follower, the newest write that it has accepted under this ballot.
+    pub(super) accepted_rev: BTreeMap<Id, u64>,
+    /// The policy change to be put before the members.
+    pub(super) proposed: Option<ProposedChange>,
+    /// The name of the change to be aborted.
+    pub(super) abort: Option<String>,
+    pub(super) pending_since: PendingSince,
+}
+
+/// A write that is being replicated.
+#[derive(Clone, Debug, Hash)]
+pub(super) struct InFlight {
+    pub(super) state: State,
+    pub(super) accepted_by: BTreeSet<Id>,
+}
+
+impl Leadership {
+    /// A leader that has just been elected, with the sessions that it knows from an earlier term.
+    pub(super) fn new(
+        ballot: Ballot,
+        now: Nanos,
+        earlier_leases_until: Nanos,
+        sessions: BTreeMap<String, Session>,
+    ) -> Self {
+        Self {
+            ballot,
+            committed: None,
+            in_flight: None,
+            acknowledged_at: BTreeMap::new(),
+            elected_at: now,
+            earlier_leases_until,
+            next_heartbeat: now,
+            sessions,
+            joining: BTreeMap::new(),
+            removals: Vec::new(),
+            replacement: None,
+            accepted_rev: BTreeMap::new(),
+            proposed: None,
+            abort: None,
+            pending_since: PendingSince { version: 0, at: now },
+        }
+    }
+
+    /// Until when a quorum elects nobody else, by this coordinator's clock.
+    pub(super) fn valid_until(&self, terms: &Terms) -> Nanos {
+        let followers_needed = terms.majority() - 1;
+        if followers_needed == 0 {
+            return Nanos::MAX;
+        }
+        let mut acknowledged: Vec<Nanos> = self.acknowledged_at.values().copied().collect();
+        acknowledged.sort_unstable_by(|a, b| b.cmp(a));
+        let hold = terms.hold - terms.hold * terms.drift / 1000;
+        acknowledged.get(followers_needed - 1).map_or(0, |at| at + hold)
+    }
+
+    /// When the next tick is due: for a heartbeat, or to give a change up.
+    pub(super) fn next_due(&self, terms: &Terms) -> Nanos {
+        let last_heartbeat = self.next_heartbeat - terms.heartbeat_interval();
+        let give_up = self.give_up_at().filter(|at| *at > last_heartbeat);
+        self.next_heartbeat.min(give_up.unwrap_or(Nanos::MAX))
+    }
+
+    /// What a follower is sent at each heartbeat.
+    pub(super) fn heartbeat_for(&self, follower: Id, now: Nanos) -> Peer {
+        let ballot = self.ballot;
+        let heartbeat = Peer::Beat { ballot, at: now };
+        if let Some(write) = &self.in_flight {
+            if write.accepted_by.contains(&follower) {
+                return heartbeat;
+            }
+            return Peer::Accept { ballot, state: write.state.clone(), at: now, agreed: false };
+        }
+        match &self.committed {
+            // It has missed a write, or is another's replacement.
+            Some(state) if self.lags_behind(follower, state.rev) => {
+                Peer::Accept { ballot, state: state.clone(), at: now, agreed: true }
+            }
+            _ => heartbeat,
+        }
+    }
+
+    fn lags_behind(&self, follower: Id, rev: u64) -> bool {
+        self.accepted_rev.get(&follower).is_none_or(|accepted| *accepted < rev)
+    }
+
+    pub(super) fn acknowledge(&mut self, follower: Id, at: Nanos) {
+        let acknowledged = self.acknowledged_at.entry(follower).or_default();
+        *acknowledged = (*acknowledged).max(at);
+    }
+
+    /// Counts a follower's acceptance of a write. Returns whether it is of the write in progress.
+    pub(super) fn accept(&mut self, follower: Id, rev: u64) -> bool {
+        let accepted = self.accepted_rev.entry(follower).or_default();
+        *accepted = (*accepted).max(rev);
+        match self.in_flight.as_mut().filter(|write| write.state.rev == rev) {
+            Some(write) => {
+                write.accepted_by.insert(follower);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Whether this replica has the vote of its id. While a replacement is being written, it has none yet.
+    pub(super) fn has_vote(&self, replica: Replica) -> bool {
+        let written = self.in_flight.as_ref().map(|write| &write.state);
+        let state = self.committed.as_ref().or(written);
+        state.is_some_and(|state| state.seat(replica.id) == replica.seat)
+    }
+
+    /// Whether the leases of an earlier leader may still be held.
+    pub(super) fn in_grace_period(&self, now: Nanos) -> bool {
+        now < self.earlier_leases_until
+    }
+
+    /// The run under which a member is registered, by the committed state.
+    pub(super) fn registered(&self, member: &str) -> Option<Incarnation> {
+        self.committed.as_ref()?.members.get(member).copied()
+    }
+
+    /// What is to be written next, if anything is and no write is in progress.
+    pub(super) fn next_state(&mut self, now: Nanos, terms: &Terms) -> Option<State> {
+        if self.in_flight.is_some() {
+            return None;
+        }
+        let committed = self.committed.clone()?;
+        let mut state = committed.clone();
+        self.write_memberships(now, &mut state);
+        self.write_change(now, terms, &mut state);
+        if state == committed {
+            return None;
+        }
+        state.rev += 1;
+        Some(state)
+    }
+}
--- /dev/null
+++ b/crates/accord/src/coordinator/operator.rs
@@ -0,0 +1,69 @@
+//! Requests of operators.
+
+use crate::message::{Ask, Reply, Standing, Status};
+use crate::state::{Id, Incarnation, Nanos};
+
+use super::Coordinator;
+use super::change::Proposal;
+use super::leadership::Leadership;
+use super::role::{ReplyTo, Role};
+
+impl Coordinator {
+    /// Handles an operator's request as the leader.
+    pub(super) fn handle_ask(&mut self, now: Nanos, operator: ReplyTo, ask: Ask) {
+        match ask {
+            Ask::Propose { request, base, text, all, give_up } => {
+                self.propose(now, operator, Proposal { request, base, text, all, give_up });
+            }
+            Ask::Outcome { request } => self.tell_outcome(operator, &request),
+            Ask::Abort { request } => self.abort(now, operator, request),
+            Ask::Forget { member } => self.forget_member(now, operator, member),
+            Ask::Replace { seat } => self.replace_coordinator(now, operator, seat),
+            Ask::Status => self.tell_status(now, operator),
+        }
+    }
+
+    fn tell_outcome(&mut self, operator: ReplyTo, request: &str) {
+        let Role::Leader(leadership) = &self.role else { return };
+        let outcome = leadership.outcome(request).unwrap_or(Reply::Unheard);
+        self.reply(operator, outcome);
+    }
+
+    fn tell_status(&mut self, now: Nanos, operator: ReplyTo) {
+        let Role::Leader(leadership) = &self.role else { return };
+        let Some(status) = leadership.status(now, self.terms.me) else { return };
+        self.reply(operator, Reply::Status(Box::new(status)));
+    }
+}
+
+impl Leadership {
+    fn status(&self, now: Nanos, me: Id) -> Option<Status> {
+        let committed = self.committed.as_ref()?;
+        let pending = committed.pending.as_ref();
+        let members = committed.members.iter();
+        Some(Status {
+            speaker: me,
+            round: self.ballot.round,
+            rev: committed.rev,
+            version: committed.policy.version,
+            digest: committed.policy.digest(),
+            pending: pending.map(|change| (change.request.clone(), change.policy.version)),
+            members: members.map(|(name, run)| self.standing(now, name, run)).collect(),
+            ended: committed.ended.clone(),
+        })
+    }
+
+    fn standing(&self, now: Nanos, name: &str, run: &Incarnation) -> Standing {
+        let session = self.sessions.get(name).filter(|session| session.incarnation == *run);
+        let declined = session.and_then(|session| session.declined.clone());
+        Standing {
+            name: name.to_owned(),
+            incarnation: *run,
+            live: session.is_some_and(|session| session.is_live(now)),
+            active: session.map(|session| session.active),
+            staged: session.map_or(0, |session| session.staged),
+            declined: declined.map(|declined| (declined.version, declined.key)),
+            stage: session.map_or(String::new(), |session| session.stage.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/accord/src/coordinator/replication.rs
@@ -0,0 +1,144 @@
+//! Replication: Paxos phase 2 by the leader, and the heartbeats that keep it elected.
+
+use std::collections::BTreeSet;
+
+use crate::config::Broken;
+use crate::message::Peer;
+use crate::state::{Ballot, Id, Nanos, State};
+
+use super::Coordinator;
+use super::leadership::InFlight;
+use super::role::{LeaderLease, Replica, Role};
+
+impl Coordinator {
+    pub(super) fn tick_as_leader(&mut self, now: Nanos) {
+        let Role::Leader(leadership) = &self.role else { return };
+        let lost_quorum = now >= leadership.valid_until(&self.terms);
+        let had_time_to_begin = now >= leadership.elected_at + self.terms.hold;
+        if lost_quorum && had_time_to_begin && !self.terms.injects(Broken::OldSpeaker) {
+            return self.step_down(now);
+        }
+        if now >= leadership.next_heartbeat {
+            self.send_heartbeats(now);
+        }
+        self.write_next(now);
+    }
+
+    /// Writes what is to be written next, if this coordinator leads and no write is in progress.
+    pub(super) fn write_next(&mut self, now: Nanos) {
+        if !self.speaks(now) {
+            return;
+        }
+        let Role::Leader(leadership) = &mut self.role else { return };
+        if let Some(state) = leadership.next_state(now, &self.terms) {
+            self.replicate(now, state);
+        }
+    }
+
+    /// Accepts a state under its own ballot, and asks the followers to accept it.
+    pub(super) fn replicate(&mut self, now: Nanos, state: State) {
+        let Role::Leader(leadership) = &mut self.role else { return };
+        self.record.accepted = leadership.ballot;
+        self.record.state = state.clone();
+        self.record_changed = true;
+        leadership.in_flight = Some(InFlight { state, accepted_by: BTreeSet::from([self.terms.me]) });
+        self.send_heartbeats(now);
+        self.commit_if_accepted(now);
+    }
+
+    /// Sends each follower a heartbeat, or the write that it has not accepted yet.
+    fn send_heartbeats(&mut self, now: Nanos) {
+        let Role::Leader(leadership) = &mut self.role else { return };
+        leadership.next_heartbeat = now + self.terms.heartbeat_interval();
+        let messages: Vec<(Id, Peer)> =
+            self.terms.peers().map(|follower| (follower, leadership.heartbeat_for(follower, now))).collect();
+        for (follower, message) in messages {
+            self.send(follower, message);
+        }
+    }
+
+    pub(super) fn on_accept(
+        &mut self,
+        now: Nanos,
+        from: Id,
+        ballot: Ballot,
+        state: State,
+        at: Nanos,
+        committed: bool,
+    ) {
+        let seat = state.seat(self.terms.me);
+        if committed && seat > self.record.seat {
+            // Another coordinator has taken this one's place.
+            return self.halt();
+        }
+        if !self.follow(now, from, ballot) {
+            return;
+        }
+        if self.record.learning {
+            // Only the committed state gives a replacement its vote.
+            if !committed || seat != self.record.seat {
+                return;
+            }
+            self.record.learning = false;
+            self.record_changed = true;
+        }
+        self.accept(from, ballot, state, at);
+    }
+
+    /// Accepts a state unless a later one was accepted before.
+    fn accept(&mut self, from: Id, ballot: Ballot, state: State, at: Nanos) {
+        let rev = state.rev;
+        let present = (self.record.accepted, self.record.state.rev);
+        if (ballot, rev) > present {
+            self.record.promised = ballot;
+            self.record.accepted = ballot;
+            self.record.state = state;
+            self.record_changed = true;
+        }
+        if (ballot, rev) >= present {
+            self.send(from, Peer::Accepted { ballot, rev, at });
+        }
+    }
+
+    pub(super) fn on_accepted(&mut self, now: Nanos, from: Replica, ballot: Ballot, rev: u64, at: Nanos) {
+        let Role::Leader(leadership) = &mut self.role else { return };
+        if leadership.ballot != ballot || !leadership.has_vote(from) {
+            return;
+        }
+        leadership.acknowledge(from.id, at);
+        if leadership.accept(from.id, rev) {
+            self.commit_if_accepted(now);
+        }
+    }
+
+    pub(super) fn on_heartbeat(&mut self, now: Nanos, from: Id, ballot: Ballot, at: Nanos) {
+        if self.follow(now, from, ballot) && !self.record.learning {
+            self.send(from, Peer::Beaten { ballot, at });
+        }
+    }
+
+    pub(super) fn on_heartbeat_ack(&mut self, from: Replica, ballot: Ballot, at: Nanos) {
+        let Role::Leader(leadership) = &mut self.role else { return };
+        if leadership.ballot != ballot {
+            return;
+        }
+        let Some(committed) = &leadership.committed else { return };
+        if committed.seat(from.id) == from.seat {
+            leadership.acknowledge(from.id, at);
+        }
+    }
+
+    /// Follows this leader for a whole `hold`, unless a higher ballot was promised. Returns whether it does.
+    fn follow(&mut self, now: Nanos, leader: Id, ballot: Ballot) -> bool {
+        self.observe_round(ballot);
+        if ballot < self.record.promised {
+            self.send(leader, Peer::Behind { promised: self.record.promised });
+            return false;
+        }
+        if !matches!(self.role, Role::Follower) {
+            self.step_down(now);
+        }
+        self.leader_lease = LeaderLease { holder: Some(leader), until: now + self.terms.hold };
+        true
+    }
+}
