store: the store splits into append, recovery, checkpoint, compaction, read and repair

Each of these is a module of the store; segment.rs reads whole segments, format.rs (was form.rs) has the file format, error.rs the errors, types.rs what callers pass and get. Tuples and flags became types: Key, Location, SegmentEntry, CheckpointEntry, Extent, Located, Salvage. The file format, the public names and every message are as they were.

Shown unchanged: the tests of the store (cuts, failures, flipped bits, repair) pass as they are.

--- /dev/null
+++ b/crates/store/src/format.rs
@@ -0,0 +1,294 @@
+//! The file format, as `docs/store.md` describes it. All integers are little-endian.
+
+use crate::error::{Fault, damaged};
+
+/// The version of the format. Files of another version are refused.
+pub const FORM: u16 = 1;
+/// The largest key and value together, in bytes.
+pub const LARGEST: usize = 256 * 1024;
+/// Records begin at multiples of this, so that no record header lies across the end of a sector.
+pub(crate) const ALIGN: usize = 16;
+/// The unit that a disk is assumed to write as a whole or not at all.
+const SECTOR: usize = 512;
+/// The size of a segment's header.
+pub(crate) const SEGMENT_HEADER: usize = 32;
+/// The size of a record's header: the body's length and checksum, the salt and the header's checksum.
+const RECORD_HEADER: usize = 16;
+/// The size of a record's body without key and value: kind, tombstone flag, length of the key, time.
+const BODY_HEADER: usize = 12;
+/// The last byte of a record. Space that was never written holds zeros.
+const TERMINATOR: u8 = 0xff;
+const SEGMENT_MAGIC: &[u8; 4] = b"LSTO";
+const MANIFEST_MAGIC: &[u8; 4] = b"LSTM";
+/// The size of a manifest without its list of segments and its checksum.
+const MANIFEST_HEADER: usize = 40;
+/// The size of a segment's entry in a manifest.
+const MANIFEST_ENTRY: usize = 16;
+
+/// A record as a segment holds it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Record {
+    pub(crate) kind: u8,
+    /// The key was removed.
+    pub(crate) tombstone: bool,
+    pub(crate) time: u64,
+    pub(crate) key: Vec<u8>,
+    pub(crate) value: Vec<u8>,
+}
+
+/// What lies at an offset of a segment.
+pub(crate) enum Found {
+    Record {
+        record: Record,
+        size: usize,
+    },
+    /// Nothing was written from here on, or a write was cut off.
+    End,
+    Damage(&'static str),
+}
+
+/// The list of the files that belong to a store. It is replaced as a whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Manifest {
+    /// Counts the replacements.
+    pub(crate) number: u64,
+    pub(crate) segment_size: u64,
+    /// In the order in which they were written. All but the last are sealed.
+    pub(crate) segments: Vec<SegmentEntry>,
+    pub(crate) checkpoint: Option<CheckpointEntry>,
+}
+
+/// A segment in a manifest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SegmentEntry {
+    pub(crate) number: u64,
+    /// The offset at which the records end, once the segment is sealed.
+    pub(crate) used: u64,
+}
+
+/// The checkpoint in a manifest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CheckpointEntry {
+    pub(crate) number: u64,
+    /// The last segment that it covers.
+    pub(crate) covers: u64,
+}
+
+impl Record {
+    /// The bytes that the record takes in a segment.
+    pub(crate) fn size(&self) -> usize {
+        record_size(BODY_HEADER + self.key.len() + self.value.len())
+    }
+
+    /// The bytes of the record at this offset of a segment.
+    pub(crate) fn encode(&self, salt: u64, offset: u64) -> Vec<u8> {
+        let mut body = self.encode_body();
+        let mut bytes = Vec::with_capacity(self.size());
+        bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
+        bytes.extend_from_slice(&body_checksum(offset, &body).to_le_bytes());
+        bytes.extend_from_slice(&(salt as u32).to_le_bytes());
+        let header_checksum = crc32fast::hash(&bytes);
+        bytes.extend_from_slice(&header_checksum.to_le_bytes());
+        whiten(&mut body, salt, offset);
+        bytes.extend_from_slice(&body);
+        bytes.resize(self.size(), TERMINATOR);
+        bytes
+    }
+
+    fn encode_body(&self) -> Vec<u8> {
+        let mut body = Vec::with_capacity(BODY_HEADER + self.key.len() + self.value.len());
+        body.push(self.kind);
+        body.push(u8::from(self.tombstone));
+        body.extend_from_slice(&(self.key.len() as u16).to_le_bytes());
+        body.extend_from_slice(&self.time.to_le_bytes());
+        body.extend_from_slice(&self.key);
+        body.extend_from_slice(&self.value);
+        body
+    }
+
+    /// Reads a body whose checksum was verified; none if its key does not fit into it.
+    fn decode_body(mut body: Vec<u8>) -> Option<Self> {
+        let key_length = usize::from(u16::from_le_bytes([body[2], body[3]]));
+        if BODY_HEADER + key_length > body.len() {
+            return None;
+        }
+        let value = body.split_off(BODY_HEADER + key_length);
+        let key = body.split_off(BODY_HEADER);
+        Some(Self { kind: body[0], tombstone: body[1] != 0, time: read_u64(&body, 4), key, value })
+    }
+}
+
+/// The bytes that a record with a body of this length takes.
+fn record_size(body: usize) -> usize {
+    (RECORD_HEADER + body + 1).next_multiple_of(ALIGN)
+}
+
+/// The checksum of a body. It includes the offset, so that a record that lies elsewhere is not taken for one.
+fn body_checksum(offset: u64, body: &[u8]) -> u32 {
+    let mut checksum = crc32fast::Hasher::new();
+    checksum.update(&offset.to_le_bytes());
+    checksum.update(body);
+    checksum.finalize()
+}
+
+/// Reads what lies at an offset of a segment, of which all bytes are given.
+pub(crate) fn decode(segment: &[u8], offset: usize, salt: u64) -> Found {
+    let rest = segment.get(offset..).unwrap_or_default();
+    let Some(header) = rest.get(..RECORD_HEADER) else { return Found::End };
+    if is_zero(header) {
+        return Found::End;
+    }
+    if !is_record_header(header, salt) {
+        return if ends_complete(segment) { Found::Damage("a record's head") } else { Found::End };
+    }
+    let body_length = read_u32(header, 0) as usize;
+    if !(BODY_HEADER..=LARGEST + BODY_HEADER).contains(&body_length) {
+        return Found::Damage("a record's length");
+    }
+    let size = record_size(body_length);
+    let Some(bytes) = rest.get(..size) else { return Found::Damage("a record beyond the end") };
+    match decode_record(bytes, offset, salt) {
+        Some(record) => Found::Record { record, size },
+        None if has_unwritten_sector(segment, offset, size) || !ends_complete(segment) => Found::End,
+        None => Found::Damage("a record"),
+    }
+}
+
+fn is_record_header(header: &[u8], salt: u64) -> bool {
+    crc32fast::hash(&header[..12]) == read_u32(header, 12) && read_u32(header, 8) == salt as u32
+}
+
+/// Reads a record from all of its bytes; none if they are not as they were written.
+fn decode_record(bytes: &[u8], offset: usize, salt: u64) -> Option<Record> {
+    let (header, rest) = bytes.split_at(RECORD_HEADER);
+    let (body, padding) = rest.split_at(read_u32(header, 0) as usize);
+    let mut body = body.to_vec();
+    whiten(&mut body, salt, offset as u64);
+    let is_padded = padding.iter().all(|byte| *byte == TERMINATOR);
+    if body_checksum(offset as u64, &body) != read_u32(header, 4) || !is_padded {
+        return None;
+    }
+    Record::decode_body(body)
+}
+
+/// Whether a sector of the record was never written, which tells that it was never committed.
+fn has_unwritten_sector(segment: &[u8], offset: usize, size: usize) -> bool {
+    let first = offset / SECTOR * SECTOR;
+    (first..offset + size).step_by(SECTOR).any(|sector| {
+        let from = sector.max(offset + RECORD_HEADER);
+        let to = (sector + SECTOR).min(offset + size);
+        to > from && is_zero(&segment[from..to])
+    })
+}
+
+/// Whether the last write to a segment was completed: the last byte of a record is hardly anything else, though one bit
+/// of it may have flipped.
+fn ends_complete(segment: &[u8]) -> bool {
+    let last = segment.iter().rposition(|byte| *byte != 0);
+    last.is_some_and(|at| at % ALIGN == ALIGN - 1 && segment[at].count_ones() >= 7)
+}
+
+/// Combines bytes with a pseudorandom sequence, or undoes it. Without it a run of zeros in a record would look like a
+/// sector that was never written.
+fn whiten(bytes: &mut [u8], salt: u64, offset: u64) {
+    let mut state = salt ^ offset.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    for chunk in bytes.chunks_mut(8) {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        for (byte, mask) in chunk.iter_mut().zip(state.to_le_bytes()) {
+            *byte ^= mask;
+        }
+    }
+}
+
+/// The header of a segment.
+pub(crate) fn encode_segment_header(number: u64, salt: u64) -> [u8; SEGMENT_HEADER] {
+    let mut header = [0; SEGMENT_HEADER];
+    header[..4].copy_from_slice(SEGMENT_MAGIC);
+    header[4..6].copy_from_slice(&FORM.to_le_bytes());
+    header[8..16].copy_from_slice(&number.to_le_bytes());
+    header[16..24].copy_from_slice(&salt.to_le_bytes());
+    let checksum = crc32fast::hash(&header[..28]);
+    header[28..].copy_from_slice(&checksum.to_le_bytes());
+    header
+}
+
+/// Verifies the header of a segment, and returns its salt.
+pub(crate) fn decode_segment_header(file: &str, header: &[u8], number: u64) -> Result<u64, Fault> {
+    if header.len() < SEGMENT_HEADER || &header[..4] != SEGMENT_MAGIC {
+        return Err(damaged(file, 0, "no segment"));
+    }
+    check_form(file, header)?;
+    if crc32fast::hash(&header[..28]) != read_u32(header, 28) {
+        return Err(damaged(file, 0, "its head"));
+    }
+    if read_u64(header, 8) != number {
+        return Err(damaged(file, 8, "another segment"));
+    }
+    Ok(read_u64(header, 16))
+}
+
+/// Refuses another version of the format. This comes before the checksum, which another version may have elsewhere.
+fn check_form(file: &str, bytes: &[u8]) -> Result<(), Fault> {
+    let found = u16::from_le_bytes([bytes[4], bytes[5]]);
+    if found == FORM { Ok(()) } else { Err(Fault::Form { file: file.to_owned(), found }) }
+}
+
+/// The bytes of a manifest.
+pub(crate) fn encode_manifest(manifest: &Manifest) -> Vec<u8> {
+    let mut bytes = MANIFEST_MAGIC.to_vec();
+    bytes.extend_from_slice(&FORM.to_le_bytes());
+    bytes.extend_from_slice(&(manifest.segments.len() as u16).to_le_bytes());
+    bytes.extend_from_slice(&manifest.number.to_le_bytes());
+    bytes.extend_from_slice(&manifest.segment_size.to_le_bytes());
+    // Checkpoints are numbered from 1; 0 stands for none.
+    let checkpoint = manifest.checkpoint.unwrap_or(CheckpointEntry { number: 0, covers: 0 });
+    bytes.extend_from_slice(&checkpoint.number.to_le_bytes());
+    bytes.extend_from_slice(&checkpoint.covers.to_le_bytes());
+    for segment in &manifest.segments {
+        bytes.extend_from_slice(&segment.number.to_le_bytes());
+        bytes.extend_from_slice(&segment.used.to_le_bytes());
+    }
+    let checksum = crc32fast::hash(&bytes);
+    bytes.extend_from_slice(&checksum.to_le_bytes());
+    bytes
+}
+
+/// Verifies and reads a manifest.
+pub(crate) fn decode_manifest(file: &str, bytes: &[u8]) -> Result<Manifest, Fault> {
+    let no_manifest = || damaged(file, 0, "no manifest");
+    let (body, checksum) = bytes.split_last_chunk::<4>().ok_or_else(no_manifest)?;
+    if body.len() < MANIFEST_HEADER || &body[..4] != MANIFEST_MAGIC {
+        return Err(no_manifest());
+    }
+    check_form(file, body)?;
+    if crc32fast::hash(body) != u32::from_le_bytes(*checksum) {
+        return Err(damaged(file, 0, "its checksum"));
+    }
+    let count = usize::from(u16::from_le_bytes([body[6], body[7]]));
+    if body.len() != MANIFEST_HEADER + MANIFEST_ENTRY * count || count == 0 {
+        return Err(damaged(file, 6, "its length"));
+    }
+    let entries = body[MANIFEST_HEADER..].chunks_exact(MANIFEST_ENTRY);
+    let segment = |entry: &[u8]| SegmentEntry { number: read_u64(entry, 0), used: read_u64(entry, 8) };
+    let checkpoint = CheckpointEntry { number: read_u64(body, 24), covers: read_u64(body, 32) };
+    Ok(Manifest {
+        number: read_u64(body, 8),
+        segment_size: read_u64(body, 16),
+        segments: entries.map(segment).collect(),
+        checkpoint: Some(checkpoint).filter(|checkpoint| checkpoint.number > 0),
+    })
+}
+
+fn is_zero(bytes: &[u8]) -> bool {
+    bytes.iter().all(|byte| *byte == 0)
+}
+
+fn read_u32(bytes: &[u8], at: usize) -> u32 {
+    bytes.get(at..at + 4).and_then(|b| b.try_into().ok()).map_or(0, u32::from_le_bytes)
+}
+
+fn read_u64(bytes: &[u8], at: usize) -> u64 {
+    bytes.get(at..at + 8).and_then(|b| b.try_into().ok()).map_or(0, u64::from_le_bytes)
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,13 +1,20 @@
-//! A small embedded store: append-only segments of checksummed records, an index in memory, checkpoints of it,
-//! compaction, and a stated moment from which a record lasts. It knows nothing of what it keeps.
+//! A small embedded store of records: append-only segments with checksums, an index in memory, checkpoints of it, and
+//! compaction.
 //!
-//! What a store promises: after [`Store::commit`] has returned, its records are there whatever is cut; and what
-//! can't be told apart from damage is refused, never passed over. The form is in `docs/store.md`.
+//! Once [`Store::commit`] has returned, its records last, wherever the process is killed or the power is cut. Whatever
+//! can't be told apart from damage is reported, never skipped. The file format is in `docs/store.md`.
+//!
+//! The store reads and writes through [`Disk`]; [`Folder`] is the one of the file system.
 
 mod disk;
-mod form;
+mod error;
+mod format;
+mod segment;
 mod store;
+mod types;
 
 pub use disk::{Disk, Folder};
-pub use form::{FORM, Fault, LARGEST};
-pub use store::{Damage, Entry, Limits, Op, Stats, Store, repair};
+pub use error::Fault;
+pub use format::{FORM, LARGEST};
+pub use store::{Store, repair};
+pub use types::{Damage, Entry, Limits, Op, Stats};
--- /dev/null
+++ b/crates/store/src/store/recovery.rs
@@ -0,0 +1,136 @@
+//! Creating a store, and opening one that was closed, killed or cut off.
+
+use crate::disk::Disk;
+use crate::error::{Fault, damaged};
+use crate::format::{Manifest, SEGMENT_HEADER, SegmentEntry, decode_manifest, decode_segment_header};
+use crate::segment::{Extent, MANIFEST, MANIFEST_NEW, Segment, checkpoint_name, is_store_file, segment_name};
+use crate::types::Limits;
+
+use super::{Location, Store};
+
+/// The smallest and the largest segment, in bytes.
+const SEGMENT_SIZES: (u64, u64) = (4096, 1 << 30);
+/// Segments are multiples of a page.
+const PAGE: u64 = 4096;
+
+impl<D: Disk> Store<D> {
+    /// Opens the store on this disk, or with `new` creates one where there is none. `seed` is any number that other
+    /// stores are unlikely to have.
+    ///
+    /// # Errors
+    ///
+    /// There is no store, or one that is damaged. Nothing has been changed then. With `new`, there is one already.
+    pub fn open(disk: D, limits: Limits, new: bool, seed: u64) -> Result<Self, Fault> {
+        let names = disk.list()?;
+        if !names.iter().any(|name| name == MANIFEST) {
+            check_never_created(&disk, &names)?;
+            return if new { Self::create(disk, limits, seed) } else { Err(Fault::Missing) };
+        }
+        if new {
+            return Err(Fault::There);
+        }
+        let bytes = disk.read(MANIFEST, 0, usize::MAX)?;
+        let manifest = decode_manifest(MANIFEST, &bytes)?;
+        let mut store = Self::with_manifest(disk, limits, manifest);
+        store.load()?;
+        store.remove_unlisted(&names)?;
+        Ok(store)
+    }
+
+    pub(super) fn create(disk: D, limits: Limits, seed: u64) -> Result<Self, Fault> {
+        let (smallest, largest) = SEGMENT_SIZES;
+        let segment_size = limits.segment.clamp(smallest, largest).next_multiple_of(PAGE);
+        let manifest = Manifest { number: seed, segment_size, ..Manifest::default() };
+        let mut store = Self::with_manifest(disk, limits, manifest);
+        store.begin_segment()?;
+        Ok(store)
+    }
+
+    /// Fills the index: from the checkpoint, and from the segments that it does not cover.
+    fn load(&mut self) -> Result<(), Fault> {
+        let covered = self.load_checkpoint();
+        let last = self.last_segment();
+        for SegmentEntry { number, used } in self.manifest.segments.clone() {
+            if number == last {
+                self.load_last_segment(number)?;
+            } else if number <= covered {
+                self.load_salt(number)?;
+            } else {
+                self.load_segment(number, Extent::Known(used))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Loads the checkpoint, and returns the last segment that it covers. All that it holds is in the segments, too, so
+    /// one that can't be read is ignored.
+    fn load_checkpoint(&mut self) -> u64 {
+        let Some(checkpoint) = self.manifest.checkpoint else { return 0 };
+        if self.read_checkpoint(&checkpoint_name(checkpoint.number)).is_some() {
+            return checkpoint.covers;
+        }
+        self.index.clear();
+        0
+    }
+
+    /// Reads the header alone of a segment that the checkpoint covers.
+    fn load_salt(&mut self, number: u64) -> Result<(), Fault> {
+        let name = segment_name(number);
+        self.check_segment_length(&name)?;
+        let header = self.disk.read(&name, 0, SEGMENT_HEADER)?;
+        let salt = decode_segment_header(&name, &header, number)?;
+        self.salts.insert(number, salt);
+        Ok(())
+    }
+
+    /// Indexes all records of a segment. Returns the segment, and the offset at which its records end.
+    fn load_segment(&mut self, number: u64, extent: Extent) -> Result<(Segment, usize), Fault> {
+        let segment = self.read_segment(number)?;
+        self.salts.insert(number, segment.salt);
+        let end = segment.scan(extent, |found| {
+            let location = Location::new(number, found.offset, found.size, found.record.time);
+            self.index_record(&found.record, location);
+        })?;
+        Ok((segment, end))
+    }
+
+    /// Loads the segment that is written to, and erases a write that was cut off: it must not be taken for a record once
+    /// others lie before it.
+    fn load_last_segment(&mut self, number: u64) -> Result<(), Fault> {
+        let (segment, end) = self.load_segment(number, Extent::Unknown)?;
+        self.end = end as u64;
+        if segment.bytes[end..].iter().any(|byte| *byte != 0) {
+            let zeros = vec![0; segment.bytes.len() - end];
+            self.disk.write(&segment.name, self.end, &zeros)?;
+            self.disk.sync(&segment.name)?;
+        }
+        Ok(())
+    }
+
+    /// Removes files that the manifest does not list: they were never in use, or are no longer.
+    fn remove_unlisted(&mut self, names: &[String]) -> Result<(), Fault> {
+        let segments = self.manifest.segments.iter().map(|segment| segment_name(segment.number));
+        let checkpoint = self.manifest.checkpoint.map(|checkpoint| checkpoint_name(checkpoint.number));
+        let mut listed: Vec<String> = segments.chain(checkpoint).collect();
+        listed.push(MANIFEST.to_owned());
+        for name in names {
+            if is_store_file(name) && !listed.contains(name) {
+                self.disk.remove(name)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Fails if files without a manifest are more than the beginnings of a store that was never created: a manifest that was
+/// not put in its place, and a first segment without a header.
+fn check_never_created<D: Disk>(disk: &D, names: &[String]) -> Result<(), Fault> {
+    let first_segment = segment_name(1);
+    let mut files = names.iter().filter(|name| is_store_file(name));
+    let mut is_beginning = files.all(|name| name == MANIFEST_NEW || *name == first_segment);
+    if is_beginning && names.contains(&first_segment) {
+        let header = disk.read(&first_segment, SEGMENT_HEADER as u64, usize::MAX)?;
+        is_beginning = header.iter().all(|byte| *byte == 0);
+    }
+    if is_beginning { Ok(()) } else { Err(damaged(MANIFEST, 0, "missing, though there are segments")) }
+}
--- /dev/null
+++ b/crates/store/src/store/repair.rs
@@ -0,0 +1,116 @@
+//! Repair: a new store from what can be read of a damaged one.
+
+use crate::disk::Disk;
+use crate::error::Fault;
+use crate::format::{ALIGN, Found, Record, SEGMENT_HEADER, decode, decode_segment_header};
+use crate::segment::{Segment, segment_number};
+use crate::types::{Damage, Limits};
+
+use super::Store;
+
+/// The prefix of the damaged store's files.
+const LOST_PREFIX: &str = "lost-";
+
+/// The file of a segment.
+struct SegmentFile {
+    number: u64,
+    name: String,
+}
+
+/// What was read of a damaged store.
+#[derive(Default)]
+struct Salvage {
+    records: Vec<Record>,
+    lost: Vec<Damage>,
+    /// A segment of another format version.
+    unsupported: Option<Fault>,
+}
+
+/// Makes a new store of what can be read of a damaged one. Every record in it was committed once; the damaged files stay,
+/// under names that begin with `lost-`. Returns the store, and what was lost as far as it can be told.
+///
+/// # Errors
+///
+/// There is no store; it has another format version; the disk's.
+pub fn repair<D: Disk>(mut disk: D, limits: Limits, seed: u64) -> Result<(Store<D>, Vec<Damage>), Fault> {
+    let names = disk.list()?;
+    let segments = segment_files(&names);
+    if segments.is_empty() {
+        return Err(Fault::Missing);
+    }
+    let salvage = Salvage::read(&disk, &segments)?;
+    // One header may have a bit flipped; if all have another version, so has the store.
+    if let Some(why) = salvage.unsupported.filter(|_| salvage.lost.len() == segments.len()) {
+        return Err(why);
+    }
+    for name in names.iter().filter(|name| !name.starts_with(LOST_PREFIX)) {
+        disk.rename(name, &format!("{LOST_PREFIX}{name}"))?;
+    }
+    disk.sync_folder()?;
+    let mut store = Store::create(disk, limits, seed)?;
+    store.append(&salvage.records)?;
+    Ok((store, salvage.lost))
+}
+
+/// The segments among these files, in order.
+fn segment_files(names: &[String]) -> Vec<SegmentFile> {
+    let file = |name: &String| Some(SegmentFile { number: segment_number(name)?, name: name.clone() });
+    let mut files: Vec<SegmentFile> = names.iter().filter_map(file).collect();
+    files.sort_by(|a, b| (a.number, &a.name).cmp(&(b.number, &b.name)));
+    files
+}
+
+impl Salvage {
+    fn read<D: Disk>(disk: &D, files: &[SegmentFile]) -> Result<Self, Fault> {
+        let mut salvage = Self::default();
+        for file in files {
+            let name = file.name.clone();
+            let bytes = disk.read(&name, 0, usize::MAX)?;
+            match decode_segment_header(&name, &bytes, file.number) {
+                Ok(salt) => salvage.read_segment(&Segment { name, bytes, salt }),
+                Err(why) => salvage.lose_segment(name, why),
+            }
+        }
+        Ok(salvage)
+    }
+
+    fn lose_segment(&mut self, file: String, why: Fault) {
+        if matches!(why, Fault::Form { .. }) {
+            self.unsupported = Some(why);
+        }
+        self.lost.push(Damage { file, at: 0, why: "the whole segment: its head".into() });
+    }
+
+    /// Reads all records of a segment, also those behind damage.
+    fn read_segment(&mut self, segment: &Segment) {
+        let mut offset = SEGMENT_HEADER;
+        while offset < segment.bytes.len() {
+            match decode(&segment.bytes, offset, segment.salt) {
+                Found::Record { record, size } => {
+                    self.records.push(record);
+                    offset += size;
+                }
+                Found::End | Found::Damage(_) => {
+                    let next = next_record(segment, offset);
+                    self.lose_bytes(segment, offset, next);
+                    offset = next;
+                }
+            }
+        }
+    }
+
+    /// Notes that a range holds no record, unless it was never written.
+    fn lose_bytes(&mut self, segment: &Segment, from: usize, to: usize) {
+        if segment.bytes[from..to].iter().any(|byte| *byte != 0) {
+            let why = format!("{} bytes that are no record", to - from);
+            self.lost.push(Damage { file: segment.name.clone(), at: from as u64, why });
+        }
+    }
+}
+
+/// The offset of the next record after this one, or the end of the segment.
+fn next_record(segment: &Segment, offset: usize) -> usize {
+    let is_record = |at: &usize| matches!(decode(&segment.bytes, *at, segment.salt), Found::Record { .. });
+    let mut offsets = (offset + ALIGN..segment.bytes.len()).step_by(ALIGN);
+    offsets.find(is_record).unwrap_or(segment.bytes.len())
+}
