--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -1,4 +1,4 @@
-//! All that a store asks of a disk, so that a faulty one can stand in.
+//! What a store needs of a disk, as a trait, so that tests can put a faulty one in its place.
 
 use std::collections::HashMap;
 use std::fs::{self, File, OpenOptions, TryLockError};
@@ -6,26 +6,36 @@
 use std::os::unix::fs::FileExt as _;
 use std::path::{Path, PathBuf};
 
-/// A folder of files. What is written lasts when its file was synced; that a file is there, or is gone, lasts when the
-/// folder was.
+/// A folder of files. The bytes of a file last once the file is synced; that a file exists under its name, or no longer
+/// does, lasts once the folder is synced.
+///
+/// Every method fails with the file system's error.
 pub trait Disk {
+    /// The names of all files.
+    ///
     /// # Errors
     ///
-    /// The system's, here and below.
+    /// The file system's, here and in the other methods.
     fn list(&self) -> io::Result<Vec<String>>;
+    /// The length of a file.
     fn length(&self, name: &str) -> io::Result<u64>;
-    /// The bytes from `at` on, `length` of them or as many as there are.
+    /// Reads `length` bytes from the offset `at` on, or as many as there are.
     fn read(&self, name: &str, at: u64, length: usize) -> io::Result<Vec<u8>>;
-    /// A file of so many zeros, in place of any that has the name.
+    /// Creates a file of `length` zeros, in place of any that has the name.
     fn create(&mut self, name: &str, length: u64) -> io::Result<()>;
+    /// Writes bytes to the offset `at` of a file.
     fn write(&mut self, name: &str, at: u64, bytes: &[u8]) -> io::Result<()>;
+    /// Makes the bytes of a file last.
     fn sync(&mut self, name: &str) -> io::Result<()>;
+    /// Renames a file, in place of any that has the new name.
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+    /// Removes a file.
     fn remove(&mut self, name: &str) -> io::Result<()>;
+    /// Makes the names of all files last.
     fn sync_folder(&mut self) -> io::Result<()>;
 }
 
-/// A folder of the system's, held by one process at a time.
+/// A folder of the file system, locked by one process at a time.
 #[derive(Debug)]
 pub struct Folder {
     path: PathBuf,
@@ -34,9 +44,11 @@
 }
 
 impl Folder {
+    /// Locks a folder, which is created if it is missing.
+    ///
     /// # Errors
     ///
-    /// `WouldBlock` if another process holds it; the system's.
+    /// `WouldBlock` if another process has locked it; the file system's.
     pub fn open(path: &Path) -> io::Result<Self> {
         fs::create_dir_all(path)?;
         let lock = OpenOptions::new().create(true).truncate(false).write(true).open(path.join("lock"))?;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,6 +6,8 @@
 //!
 //! The store reads and writes through [`Disk`]; [`Folder`] is the one of the file system.
 
+#![warn(missing_docs)]
+
 mod disk;
 mod error;
 mod format;
