--- /dev/null
+++ b/crates/accord/src/coordinator/mod.rs
@@ -0,0 +1,285 @@
+//! One coordinator: a replica of the register that votes in elections, and leads the others when it is elected.
+//!
+//! [`Coordinator`] holds the state and dispatches inputs. What an input causes is in the submodules, each of which is
+//! one part of the protocol:
+//!
+//! - `election`: Paxos phase 1, and how a leader steps down;
+//! - `replication`: Paxos phase 2, and heartbeats;
+//! - `apply`: what follows once a write is committed;
+//! - `lease`: leases of members;
+//! - `membership`: members and coordinators that join and leave;
+//! - `change`: changes of the policy, from the proposal to the end;
+//! - `operator`: requests of operators;
+//! - `role`: the state of each role, and `leadership` what a leader knows.
+
+mod apply;
+mod change;
+mod election;
+mod leadership;
+mod lease;
+mod membership;
+mod operator;
+mod replication;
+mod role;
+
+use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
+
+use crate::config::{Broken, Terms};
+use crate::message::{Guest, Letter, Peer, Reply, Request};
+use crate::state::{Id, Nanos, Record, State};
+use crate::step::{Input, Out, Step};
+
+use self::lease::Session;
+use self::role::{LeaderLease, Promise, Replica, ReplyTo, Role};
+
+/// A coordinator. Of its state only the [`Record`] outlives the process.
+#[derive(Clone, Debug)]
+pub struct Coordinator {
+    terms: Terms,
+    record: Record,
+    /// The record differs from the one that was persisted last.
+    record_changed: bool,
+    role: Role,
+    /// Until when no other coordinator may be elected with this one's vote.
+    leader_lease: LeaderLease,
+    /// The highest round that any message has carried.
+    highest_round: u32,
+    /// The sessions of a leader that has stepped down, for when it is elected again.
+    former_sessions: BTreeMap<String, Session>,
+    /// The highest count of writes that each replica has reported.
+    observed_writes: BTreeMap<Replica, u64>,
+    halted: bool,
+    outputs: Vec<Out>,
+}
+
+impl Hash for Coordinator {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.record.hash(hasher);
+        self.role.hash(hasher);
+        self.leader_lease.hash(hasher);
+        self.highest_round.hash(hasher);
+        self.former_sessions.hash(hasher);
+        self.halted.hash(hasher);
+    }
+}
+
+impl Coordinator {
+    /// Starts a coordinator from the record that it persisted last. For a whole `hold` it elects nobody, since it may
+    /// have promised so before it stopped.
+    #[must_use]
+    pub fn new(terms: Terms, record: Record, now: Nanos) -> Self {
+        let highest_round = record.promised.round;
+        Self {
+            terms,
+            record,
+            record_changed: false,
+            role: Role::Follower,
+            leader_lease: LeaderLease { holder: None, until: now + terms.hold },
+            highest_round,
+            former_sessions: BTreeMap::new(),
+            observed_writes: BTreeMap::new(),
+            halted: false,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// The record as it is after the last input.
+    #[must_use]
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// The state that is known to be committed, if this coordinator leads.
+    #[must_use]
+    pub fn chosen(&self) -> Option<&State> {
+        match &self.role {
+            Role::Leader(leadership) => leadership.committed.as_ref(),
+            Role::Follower | Role::Candidate(_) => None,
+        }
+    }
+
+    /// Whether this coordinator leads, and no other can have been elected by now.
+    #[must_use]
+    pub fn speaks(&self, now: Nanos) -> bool {
+        match &self.role {
+            Role::Leader(leadership) => {
+                leadership.committed.is_some() && now < leadership.valid_until(&self.terms)
+            }
+            Role::Follower | Role::Candidate(_) => false,
+        }
+    }
+
+    /// When the next [`Input::Tick`] is due.
+    #[must_use]
+    pub fn next_due(&self) -> Nanos {
+        if self.halted {
+            return Nanos::MAX;
+        }
+        match &self.role {
+            Role::Follower if self.record.learning => Nanos::MAX,
+            Role::Follower => self.election_due(),
+            Role::Candidate(candidacy) => candidacy.retry_at,
+            Role::Leader(leadership) => leadership.next_due(&self.terms),
+        }
+    }
+
+    /// Processes one input.
+    pub fn take(&mut self, now: Nanos, input: Input) -> Step {
+        if !self.halted {
+            self.dispatch(now, input);
+        }
+        let record = self.changed_record();
+        let mut outputs = std::mem::take(&mut self.outputs);
+        self.stamp(&mut outputs);
+        if self.terms.injects(Broken::Forgets) && outputs.iter().any(is_promise) {
+            return Step::new(None, outputs);
+        }
+        Step::new(record, outputs)
+    }
+
+    fn dispatch(&mut self, now: Nanos, input: Input) {
+        match input {
+            Input::Letter { from, letter } => self.receive(now, from, letter),
+            Input::Guest { guest, request } => {
+                let client = ReplyTo { via: None, client: guest };
+                self.handle_request(now, client, request);
+            }
+            Input::Tick => self.tick(now),
+        }
+    }
+
+    /// The record with its write counted, if it is to be persisted.
+    fn changed_record(&mut self) -> Option<Record> {
+        if !std::mem::take(&mut self.record_changed) {
+            return None;
+        }
+        self.record.mark += 1;
+        Some(self.record.clone())
+    }
+
+    /// Adds the counts of writes to messages, by which a record that was rolled back is detected.
+    fn stamp(&self, outputs: &mut [Out]) {
+        for output in outputs {
+            if let Out::Letter { to, letter } = output {
+                let receiver = Replica { id: *to, seat: self.record.state.seat(*to) };
+                letter.mark = self.record.mark;
+                letter.seat = self.record.seat;
+                letter.seen = self.observed_writes.get(&receiver).copied().unwrap_or(0);
+                letter.of = receiver.seat;
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Nanos) {
+        match &self.role {
+            Role::Follower => {
+                if now >= self.election_due() && !self.record.learning {
+                    self.campaign(now);
+                }
+            }
+            Role::Candidate(candidacy) => {
+                if now >= candidacy.retry_at {
+                    self.campaign(now);
+                }
+            }
+            Role::Leader(_) => self.tick_as_leader(now),
+        }
+    }
+
+    fn receive(&mut self, now: Nanos, from: Id, letter: Letter) {
+        if from >= self.terms.count || from == self.terms.me {
+            return;
+        }
+        if self.is_rolled_back(&letter) {
+            return self.halt();
+        }
+        if letter.seat < self.record.state.seat(from) {
+            // The sender was replaced. It learns so when the committed state is sent to it.
+            return;
+        }
+        let sender = Replica { id: from, seat: letter.seat };
+        self.observe_writes(sender, letter.mark);
+        match letter.peer {
+            Peer::Prepare { ballot } => self.on_prepare(now, from, ballot),
+            Peer::Promise { ballot, accepted, state } => {
+                self.on_promise(now, from, ballot, Promise { accepted, state, seat: sender.seat });
+            }
+            Peer::Accept { ballot, state, at, agreed } => {
+                self.on_accept(now, from, ballot, state, at, agreed);
+            }
+            Peer::Accepted { ballot, rev, at } => self.on_accepted(now, sender, ballot, rev, at),
+            Peer::Beat { ballot, at } => self.on_heartbeat(now, from, ballot, at),
+            Peer::Beaten { ballot, at } => self.on_heartbeat_ack(sender, ballot, at),
+            Peer::Behind { promised } => self.on_outdated(now, promised),
+            Peer::Relay { guest, request } => {
+                let client = ReplyTo { via: Some(from), client: guest };
+                self.handle_request(now, client, request);
+            }
+            Peer::Back { guest, reply } => self.outputs.push(Out::Guest { guest, reply }),
+        }
+    }
+
+    /// Whether the sender has seen a later write of this record than the one that was loaded.
+    fn is_rolled_back(&self, letter: &Letter) -> bool {
+        // What was seen of a predecessor in this seat says nothing of this record.
+        let of_this_replica = letter.of == self.record.seat;
+        of_this_replica && letter.seen > self.record.mark && !self.terms.injects(Broken::Forgets)
+    }
+
+    fn observe_writes(&mut self, sender: Replica, count: u64) {
+        let observed = self.observed_writes.entry(sender).or_default();
+        *observed = (*observed).max(count);
+    }
+
+    fn halt(&mut self) {
+        self.halted = true;
+        self.outputs.push(Out::Halt);
+    }
+
+    fn handle_request(&mut self, now: Nanos, client: ReplyTo, request: Request) {
+        if !self.may_lead(now) {
+            return self.forward(now, client, request);
+        }
+        match (client.client, request) {
+            (Guest::Member(member), Request::Renew(renew)) => {
+                self.renew_lease(now, client.via, member, renew);
+            }
+            (operator @ Guest::Operator(_), Request::Ask(ask)) => {
+                self.handle_ask(now, ReplyTo { via: client.via, client: operator }, ask);
+            }
+            _ => {}
+        }
+    }
+
+    fn may_lead(&self, now: Nanos) -> bool {
+        self.speaks(now) || (self.terms.injects(Broken::OldSpeaker) && self.chosen().is_some())
+    }
+
+    /// Forwards a request to the leader. It is forwarded once: its receiver leads, or knows no better.
+    fn forward(&mut self, now: Nanos, client: ReplyTo, request: Request) {
+        match self.leader_lease.holder {
+            Some(leader) if client.via.is_none() && now < self.leader_lease.until => {
+                self.send(leader, Peer::Relay { guest: client.client, request });
+            }
+            _ => self.reply(client, Reply::Nobody),
+        }
+    }
+
+    fn send(&mut self, to: Id, peer: Peer) {
+        // The counts are filled in by `stamp`.
+        let letter = Letter { mark: 0, seen: 0, of: 0, seat: 0, peer };
+        self.outputs.push(Out::Letter { to, letter });
+    }
+
+    fn reply(&mut self, to: ReplyTo, reply: Reply) {
+        match to.via {
+            None => self.outputs.push(Out::Guest { guest: to.client, reply }),
+            Some(coordinator) => self.send(coordinator, Peer::Back { guest: to.client, reply }),
+        }
+    }
+}
+
+fn is_promise(output: &Out) -> bool {
+    matches!(output, Out::Letter { letter, .. } if matches!(letter.peer, Peer::Promise { .. }))
+}
