Each run of the rig has a fleet name of its own

Cause: all runs were called "rig", and ports are reused, so a node of another run could join ("the name is in use", more sessions than members). Change: the name holds the process and the run.

--- a/crates/rig/src/run/mod.rs
+++ b/crates/rig/src/run/mod.rs
@@ -64,6 +64,7 @@
     plan: &'a Plan,
     program: PathBuf,
     folder: PathBuf,
+    fleet_name: String,
     /// Stand-in executors and discovery.
     fleet: Fleet,
     /// By name, such as `n0>c1`.
--- a/crates/rig/src/run/operator.rs
+++ b/crates/rig/src/run/operator.rs
@@ -9,7 +9,6 @@
 use serde_json::Value;
 
 use super::Rig;
-use super::setup::FLEET_NAME;
 use crate::monotonic;
 use crate::plan::Step;
 use crate::process::PATIENCE;
@@ -22,7 +21,7 @@
     fn fleet_command(&self) -> Command {
         let mut command = Command::new(&self.program);
         let coordinators = self.coordinators_for("o").join(",");
-        command.args(["fleet", "--fleet", FLEET_NAME, "--json", "--coordinators", &coordinators]);
+        command.args(["fleet", "--fleet", &self.fleet_name, "--json", "--coordinators", &coordinators]);
         command
     }
 
--- a/crates/rig/src/run/setup.rs
+++ b/crates/rig/src/run/setup.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::Sender;
 
 use linestack_history::Line;
@@ -21,9 +22,6 @@
 use crate::process::Process;
 use crate::stand::Fleet;
 
-/// The name of the fleet that coordinators and nodes belong to.
-pub(super) const FLEET_NAME: &str = "rig";
-
 /// Nodes remember submissions for so many seconds.
 const REMEMBER_S: u64 = 600;
 
@@ -68,6 +66,13 @@
     scenario
 }
 
+/// A name that no other run on this machine has: ports are reused, and a process of another run that reached a
+/// coordinator of this one must be refused.
+fn unique_fleet_name() -> String {
+    static RUNS: AtomicU32 = AtomicU32::new(0);
+    format!("rig-{}-{}", std::process::id(), RUNS.fetch_add(1, Ordering::Relaxed))
+}
+
 impl<'a> Rig<'a> {
     /// Starts the stand-ins, opens the links and configures all processes. None of them runs yet.
     pub(super) fn set_up(
@@ -81,6 +86,7 @@
             plan,
             program: program.to_owned(),
             folder: folder.to_owned(),
+            fleet_name: unique_fleet_name(),
             first_policy: fleet.configuration("any", 1)["settings"].clone(),
             fleet,
             links: BTreeMap::new(),
@@ -135,7 +141,7 @@
         }
         if plan.peers {
             let ask = self.peer_addresses(number);
-            let terms = json!({"peers": {"fleet": FLEET_NAME, "listen": "127.0.0.1:0", "ask": ask}});
+            let terms = json!({"peers": {"fleet": self.fleet_name, "listen": "127.0.0.1:0", "ask": ask}});
             write_toml(&mut process, "PROXY_PEERS", "peers.toml", &terms)?;
         }
         if plan.starts.on {
@@ -145,7 +151,7 @@
             write_toml(&mut process, "PROXY_START", "start.toml", &terms)?;
         }
         if plan.coordinators > 0 {
-            let terms = json!({"fleet": {"id": FLEET_NAME, "member": name,
+            let terms = json!({"fleet": {"id": self.fleet_name, "member": name,
                 "coordinators": self.coordinators_for(&name), "folder": process.store(),
                 "mode": if plan.strict { "strict" } else { "available" },
                 "history": process.folder.join("history")}});
@@ -190,7 +196,7 @@
         let first_policy = folder.join("policy.json");
         fs::write(&first_policy, self.policy(FIRST_POLICY).to_string())?;
         let lease_ms = self.plan.lease_ms;
-        let terms = json!({"coordinator": {"fleet": FLEET_NAME, "number": number, "listen": "127.0.0.1:0",
+        let terms = json!({"coordinator": {"fleet": self.fleet_name, "number": number, "listen": "127.0.0.1:0",
             "peers": self.coordinators_for(&name), "folder": process.store(), "first-policy": first_policy,
             "lease-ms": lease_ms, "hold-ms": (lease_ms / LEASES_PER_HOLD).max(MIN_HOLD_MS),
             "history": folder.join("history")}});
