--- a/crates/core/src/first_list.rs
+++ b/crates/core/src/first_list.rs
@@ -2,8 +2,8 @@
 //!
 //! A process starts with the list in its configuration, and nobody knows how old that is: the executors in it may have
 //! drained, left or been replaced since. It counts as outdated until discovery has answered, and nothing is executed by it.
-//! Probes could not stand in for discovery's word: an executor that is back at its address answers them while the
-//! list still names it as gone.
+//! Probes are not taken for discovery's word: an executor that is back at its address may answer them while the list
+//! still names it as gone.
 
 use super::*;
 
