What fails on this machine is tried again here, and laid to no executor nor to discovery

Cause: decide.rs answers ConnectFailed by setting the executor aside, and net/executors.rs told only EMFILE and ENFILE apart; EADDRNOTAVAIL, ENOBUFS, ENETUNREACH and EINTR on connect emptied the set of members. net/discovery.rs took any failed call for one that discovery ended, so that first_list.rs let the configured list serve.

Change: net/connect.rs names the cause of a failed connect (resource or route of this machine, or remote), tries again by a jittered backoff within three quarters of the limit, and then says whose it was. A local failure is not told to the reducer as one of the executor's, nor of discovery's. An interrupted read of the watch is read again. counts: local_failures.

--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -7,11 +7,11 @@
 
 use bytes::BytesMut;
 use linestack_dispatch::types::{Health, ListKind, Nanos};
-use may::net::TcpStream;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use thiserror::Error;
 
+use super::connect::{ConnectError, connect};
 use super::list_stream::{self, ListStream, Message};
 use super::{Node, lock, object};
 use crate::http;
@@ -32,7 +32,7 @@
 #[derive(Debug, Error)]
 pub enum Fault {
     #[error("no connection: {0}")]
-    Connect(io::Error),
+    Connect(#[from] ConnectError),
     #[error("the watch broke: {0}")]
     Broke(io::Error),
     #[error("the watch was silent for too long")]
@@ -182,6 +182,12 @@
         if hurry {
             tracing::warn!(%why, "new discovery does not answer yet");
             node.alarm.sleep(AGAIN);
+        } else if matches!(why, Fault::Connect(ConnectError::Local(_))) {
+            // It costs discovery nothing, and says nothing of it: what it has to tell may be waiting.
+            if node.may_log() {
+                tracing::warn!(%why, "discovery can't be asked from here");
+            }
+            node.alarm.sleep(AGAIN);
         } else {
             // One that ended in the open has told all that it had.
             let ended = heard > called && matches!(why, Fault::Ended | Fault::Broke(_));
@@ -202,7 +208,8 @@
 
 fn follow(node: &Arc<Node>, number: u64, heard: &mut Nanos) -> Result<std::convert::Infallible, Fault> {
     let (discovery, after) = wanted(node, number)?;
-    let mut socket = TcpStream::connect_timeout(&discovery, CONNECT).map_err(Fault::Connect)?;
+    let wanted_still = || wanted(node, number).is_ok();
+    let mut socket = connect(node, discovery, CONNECT, number, wanted_still)?;
     let broke = |e: io::Error| match e.kind() {
         io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => Fault::Silent,
         _ => Fault::Broke(e),
@@ -231,7 +238,10 @@
         let left = due.saturating_sub(node.clock.now());
         let left = Duration::from_nanos(left).max(Duration::from_millis(1));
         socket.set_read_timeout(Some(left)).map_err(broke)?;
-        let n = socket.read(&mut piece).map_err(broke)?;
+        let n = match socket.read(&mut piece) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+            read => read.map_err(broke)?,
+        };
         wanted(node, number)?;
         if n == 0 {
             return Err(Fault::Ended);
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use super::connect::{ConnectError, connect};
 use super::{Mailbox, Node, TURN, object};
 use crate::http::{self, Body, Out, Response};
 use linestack_core::{Broken, Input, Link, Shipment};
@@ -23,8 +24,6 @@
 const LINE: usize = 2 * http::BODY;
 /// What may wait to be parsed: a whole answer.
 const UNREAD: usize = http::HEAD + http::BODY;
-/// No descriptor was left in the process, or in the system.
-const NO_DESCRIPTOR: [i32; 2] = [24, 23];
 
 pub(crate) enum Message {
     Send { shipment: Arc<Shipment>, wait: Nanos },
@@ -81,13 +80,13 @@
 ) {
     let worst = Broken { begun: true, written: true, answered: true, here: false, spoilt: false };
     let mut down = Down { node, link, broken: Some(worst) };
-    // may takes a wait of under a millisecond for one without an end.
-    let limit = Duration::from_nanos(limit).max(Duration::from_millis(1));
-    let mut socket = match TcpStream::connect_timeout(&address, limit) {
+    // The reducer forgets a connection that it closes.
+    let wanted = || node.knows_link(link);
+    let mut socket = match connect(node, address, Duration::from_nanos(limit), link, wanted) {
         Ok(socket) => socket,
-        Err(e) => {
-            tracing::debug!(%address, why = %e, "no connection");
-            let here = e.raw_os_error().is_some_and(|code| NO_DESCRIPTOR.contains(&code));
+        Err(why) => {
+            tracing::debug!(link, %address, %why, "no connection");
+            let here = matches!(why, ConnectError::Local(_));
             down.broken = Some(Broken { here, ..Broken::default() });
             return;
         }
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod clients;
 pub mod clock;
+mod connect;
 pub mod discovery;
 pub mod executors;
 pub mod list_stream;
@@ -153,6 +154,8 @@
     /// leave to end.
     awake: AtomicU64,
     logged: Mutex<Nanos>,
+    /// Tries to connect that failed on this machine.
+    pub(crate) local_failures: AtomicU64,
     /// For what clients send and are sent, and for what executors answer.
     pub(crate) client_room: Room,
     pub(crate) link_room: Room,
@@ -209,6 +212,7 @@
             keeper,
             awake: AtomicU64::new(0),
             logged: Mutex::new(0),
+            local_failures: AtomicU64::new(0),
             client_room: Room::new(memory / 4),
             link_room: Room::new(memory / 4),
             exit: Mutex::new(Some(exit)),
@@ -364,6 +368,11 @@
         lock(&self.inner).clients.remove(&client);
     }
 
+    /// Whether the reducer still wants this connection.
+    pub(crate) fn knows_link(&self, link: Link) -> bool {
+        lock(&self.inner).links.contains_key(&link)
+    }
+
     fn forget_link(&self, link: Link) {
         lock(&self.inner).links.remove(&link);
     }
@@ -440,6 +449,7 @@
                     not_sent = stats.not_sent,
                     probes = stats.probes,
                     probes_failed = stats.probes_failed,
+                    local_failures = self.local_failures.load(Ordering::Relaxed),
                     links_opened = stats.links_opened,
                     lists = stats.lists,
                     list_failures = stats.list_failures,
--- a/crates/node/tests/ends/machine.rs
+++ b/crates/node/tests/ends/machine.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::stand::{Node, Place, ask, configuration, done, entry, job, nobody, status, willing};
+use crate::stand::{
+    Node, Place, ask, configuration, done, entry, job, message, nobody, send, status, willing,
+};
 
 /// Answers each request on a connection of its own: every execution needs a new one.
 fn closing(place: Place) -> SocketAddr {
@@ -45,6 +47,24 @@
     assert!(served >= 90, "{served} of {ASKED}");
 }
 
+// What comes while nothing can be connected for a moment is served when it is over, and nobody is set aside for it.
+#[test]
+fn a_moment_without_connections_costs_no_answer() {
+    let executors: Vec<_> = (0..4).map(|_| closing(Place::open())).collect();
+    let begin = Instant::now();
+    let text = configuration(&executors, nobody(), &[]);
+    let node = Node::start_failing(&text, "seed=4; connect=1:ENFILE,EADDRNOTAVAIL,ENOBUFS@1500..1900");
+    node.wait_until_ready();
+    std::thread::sleep(Duration::from_millis(1_550).saturating_sub(begin.elapsed()));
+    let mut clients: Vec<_> = (1..=4).map(|id| (id, node.client())).collect();
+    for (id, client) in &mut clients {
+        send(client, &job(*id, "look", 1_500));
+    }
+    for (id, client) in &mut clients {
+        assert_eq!(status(message(client)), 200, "{id}");
+    }
+}
+
 // A call that could not be made, or was interrupted, says nothing of discovery. Taken for its end, the configured list was
 // gone by, and what had left meanwhile was sent to.
 fn a_first_call_that_fails_here_lets_no_old_list_serve(plan: &str) {
