Three failing tests: orders of before a standstill, and requests that wait their turn

Seen on real sockets, each time: a process that stood still while a drain was told sends a request of before to the draining executor, a second after the word (grace 0.5 s). A request that was sent behind another on its connection is told to its executor with its whole time when its turn comes: 1,992 ms with 999 left; and one whose time ran out meanwhile is sent instead of refused.

A fourth test, of a client that goes while the process stands still, passes: the batch of events is read before what it leads to is written.

--- a/crates/node/tests/ends/main.rs
+++ b/crates/node/tests/ends/main.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod fleet_size;
 mod gone;
+mod held;
 mod links;
 mod machine;
 mod stand;
