One place decides whether an execution may begin, and is asked again at its first byte

Cause: net/executors.rs wrote what the reducer had ordered, whatever it had learned since: a drain read between order and first byte was not seen. net/clients.rs counted a request's time from when it was parsed, though on a connection with another before it the last byte had come long ago.

Change: core/permission.rs answers for an order, a connection that came up, a record made durable, a connection made anew and the first byte; a refusal is typed, counted (refused_* in counts) and logged with the request's id. The deadline told to an executor is formed at the first byte. net/arrivals.rs keeps when bytes came that are read ahead; what was waited is taken off the client's time.

--- a/crates/core/src/executions.rs
+++ b/crates/core/src/executions.rs
@@ -10,18 +10,17 @@
             must!(self, false, "an execution of what is not held");
             return;
         };
-        let place = &self.workers[worker as usize];
-        let at = Listing { kind: place.kind, zone: place.zone, ..Listing::default() };
-        let open = self.products.get(usize::from(taken.product)).is_none_or(|p| p.open_to(&at));
-        must!(self, open, "an execution where its product may not go");
-        let alone = self.may_duplicate || taken.executions.iter().all(|sent| sent.link.is_none());
-        must!(self, alone, "a second execution out where no two may be");
         let execution = taken.executions.len() as Execution;
         let until = self.now + timeout;
         taken.executions.push(Sent { worker, at: self.now, until, link: None });
         self.workers[worker as usize].known += 1;
         self.stats.executions += 1;
         let load = Load::Execution(submission, execution);
+        let permission = self.permit(Occasion::Order, worker, load);
+        must!(self, permission.is_ok(), "an execution was ordered that may not begin");
+        if permission.is_err() {
+            return self.unsent(worker, load);
+        }
         match self.pooled(worker, load) {
             Some(link) => self.hand(link, load),
             None => self.open(worker, load),
--- a/crates/core/src/fates.rs
+++ b/crates/core/src/fates.rs
@@ -148,7 +148,7 @@
         // The connection may have broken meanwhile, or the order been called off.
         let Some(line) = self.links.get_mut(&link).filter(|l| l.load == Some(load)) else { return };
         let worker = line.worker;
-        if lasts && self.stands(worker, load) {
+        if lasts && self.permit(Occasion::Durable, worker, load).is_ok() {
             let until = self.sent(submission, execution).map_or(0, |sent| sent.until);
             let wait = until.saturating_sub(self.now);
             return self.effects.push(Effect::Send { link, shipment, wait, version });
--- a/crates/core/src/guests.rs
+++ b/crates/core/src/guests.rs
@@ -93,6 +93,9 @@
         if let Some(submission) = guest.submission {
             self.stats.left += 1;
             self.release(submission);
+            if let Some(taken) = self.taken.get_mut(submission as usize).and_then(Option::as_mut) {
+                taken.client_left = true;
+            }
             self.pending.push_back(Event::Left { submission });
         }
     }
@@ -155,6 +158,7 @@
         self.taken[submission as usize] = Some(Taken {
             number,
             client,
+            client_left: false,
             version: self.version,
             kept: false,
             product,
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -11,6 +11,7 @@
 use linestack_settings::Settings;
 
 use crate::fates::Ticket;
+use crate::permission::{Occasion, Refusal, Refusals};
 
 /// A client's connection, numbered by the node and never again.
 pub type Client = u64;
@@ -210,6 +211,12 @@
     },
     /// The start has come so far.
     Stage(Stage),
+    /// An execution was not begun; it has been counted.
+    Refused {
+        id: Bytes,
+        refusal: Refusal,
+        occasion: Occasion,
+    },
     /// Something that must hold did not; it has been counted.
     Fault(&'static str),
     Report(Stats),
@@ -234,6 +241,7 @@
     /// Turned away for being more than a start may take yet.
     pub held_back: u64,
     pub executions: u64,
+    pub refused: Refusals,
     pub resets: u64,
     /// Kept connections that were found closed when something was to be sent.
     pub stale: u64,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 mod limits;
 mod links;
 mod list;
+mod permission;
 mod starting;
 
 use std::cmp::Reverse;
@@ -43,6 +44,7 @@
 pub use fates::{Remembered, Ticket};
 pub use io::*;
 pub use linestack_dispatch::types::{Nanos, Outcome};
+pub use permission::{Occasion, Refusal, Refusals};
 
 const SECOND: Nanos = 1_000_000_000;
 const DAY: Nanos = 86_400 * SECOND;
@@ -146,6 +148,8 @@
     /// Told apart from those that had this index before.
     number: u64,
     client: Option<Client>,
+    /// It left before it was answered.
+    client_left: bool,
     /// Of the terms that held when it was taken; it keeps it to its end.
     version: u64,
     /// That it may have run is written down, where it has to be.
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -79,16 +79,10 @@
         }
     }
 
-    /// Whether an order that has waited for a connection may still be sent. A drain may have been heard of
-    /// in between, and what is sent after the grace breaks the rule however long ago it was decided; the
-    /// submission may have been answered by another execution, after which nothing more may go out for it.
-    pub(crate) fn stands(&mut self, worker: Worker, load: Load) -> bool {
+    /// Whether an order that has waited for a connection may still be sent.
+    pub(crate) fn stands(&self, worker: Worker, load: Load) -> bool {
         let Load::Execution(submission, execution) = load else { return true };
-        let ready = self.workers[worker as usize].health == Health::Ready;
-        let owed =
-            self.taken.get(submission as usize).and_then(Option::as_ref).is_some_and(|t| t.client.is_some());
-        let now = self.now;
-        ready && owed && self.sent(submission, execution).is_some_and(|a| a.until > now)
+        self.may_begin(worker, submission, execution).is_ok()
     }
 
     /// Sends the order over a connection that is up and carries nothing.
@@ -99,7 +93,7 @@
         };
         must!(self, line.load.is_none() && line.stage != Stage::Busy, "two orders on one connection");
         let worker = line.worker;
-        if !self.stands(worker, load) {
+        if self.permit(Occasion::Connected, worker, load).is_err() {
             self.rest(link);
             return self.unsent(worker, load);
         }
@@ -195,7 +189,9 @@
                 (Load::Execution(submission, execution), true) => {
                     self.ended(submission, execution, Outcome::Stale, None, None);
                 }
-                _ if self.stands(line.worker, load) => self.open(line.worker, load),
+                _ if self.permit(Occasion::Reconnect, line.worker, load).is_ok() => {
+                    self.open(line.worker, load)
+                }
                 _ => self.unsent(line.worker, load),
             };
         }
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -11,6 +11,7 @@
 use may::net::{TcpListener, TcpStream};
 use socket2::{Domain, Socket, Type};
 
+use super::arrivals::Arrivals;
 use super::{Mailbox, Node, TURN, spawn};
 use crate::http::{self, Body, Fault, Framing, Out, Request};
 use linestack_core::{Answer, Client, Input, Intake, Phase, Shipment};
@@ -158,6 +159,7 @@
     let mut input = BytesMut::new();
     let mut state = State::reading();
     let mut close = false;
+    let mut arrivals = Arrivals::default();
     let mut holding = node.client_room.holding();
     loop {
         let mut over = false;
@@ -187,12 +189,14 @@
             };
             continue;
         }
+        let before = input.len();
         let more = match read(socket, &mut input, state.beyond()) {
             // A client that closes has gone away.
             Ok(Read::Ended) | Err(_) => return,
             Ok(Read::Some) => true,
             Ok(Read::All) => false,
         };
+        arrivals.read(input.len().saturating_sub(before), node.clock.now());
         if over && matches!(state, State::Answering { .. } | State::Lingering) {
             return;
         }
@@ -242,6 +246,9 @@
                             match incoming.asked {
                                 Asked::Execution(mut intake, last) => {
                                     let size = body.len();
+                                    let now = node.clock.now();
+                                    let waited = now.saturating_sub(arrivals.of_consumed(input.len(), now));
+                                    intake.patience = intake.patience.saturating_sub(waited);
                                     if let Some(shipment) = Arc::get_mut(&mut intake.shipment) {
                                         shipment.body = body.split().freeze();
                                     }
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -26,13 +26,15 @@
 const UNREAD: usize = http::HEAD + http::BODY;
 
 pub(crate) enum Message {
-    Send { shipment: Arc<Shipment>, wait: Nanos },
+    Send { shipment: Arc<Shipment> },
     Probe,
     Close,
 }
 
 /// What is on the connection.
 struct Exchange {
+    /// What is to be executed; none for a probe.
+    shipment: Option<Arc<Shipment>>,
     /// The submission's id; none for a probe.
     id: Option<Bytes>,
     /// That of the one before, which may be answered a second time.
@@ -136,14 +138,15 @@
     let mut before: Option<Bytes> = None;
     loop {
         while let Some(message) = mailbox.next() {
-            let (id, out) = match message {
+            let (shipment, out) = match message {
                 Message::Close => return End::Wanted,
-                Message::Send { shipment, wait } => (Some(shipment.id.clone()), request(&shipment, wait)),
+                Message::Send { shipment } => (Some(shipment), Out::default()),
                 Message::Probe => (None, probe(node)),
             };
+            let id = shipment.as_ref().map(|shipment| shipment.id.clone());
             let (head, body, text) = (None, None, BytesMut::new());
             let (before, stale, written, told) = (before.take(), false, false, false);
-            *exchange = Some(Exchange { id, before, stale, out, written, head, body, text, told });
+            *exchange = Some(Exchange { shipment, id, before, stale, out, written, head, body, text, told });
         }
         let ended = read(socket, &mut input);
         let full = input.len() > UNREAD;
@@ -165,6 +168,18 @@
             continue;
         };
         if !current.written && !ended {
+            // Until its first byte is written it is judged anew each time.
+            if current.out.written == 0
+                && let Some(shipment) = &current.shipment
+            {
+                match node.begin(link) {
+                    Ok(left) => current.out = request(shipment, left),
+                    Err(_) => {
+                        before = exchange.take().and_then(|exchange| exchange.before);
+                        continue;
+                    }
+                }
+            }
             match current.out.write(socket.inner_mut()) {
                 Ok(done) => current.written = done,
                 Err(_) => return End::Broke,
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets and clocks: they feed the reducer and carry out its effects. Every connection has a coroutine
 //! of its own, which waits for its socket and for its mailbox.
 
+mod arrivals;
 pub mod clients;
 pub mod clock;
 mod connect;
@@ -26,7 +27,7 @@
 use crate::fleet::trail::Trail;
 use crate::keep::Note;
 use clock::{Alarm, Clock};
-use linestack_core::{Client, Core, Effect, Input, Link};
+use linestack_core::{Client, Core, Effect, Input, Link, Refusal};
 use linestack_peers::{Fault as Unheard, Heard, Item, Tale, learn};
 use linestack_recovery::Fate;
 use linestack_recovery::start::Stage;
@@ -246,6 +247,20 @@
         self.alarm.set(inner.core.next_due());
     }
 
+    /// The first byte of what this connection carries is about to be written: how long its executor may be told to take.
+    pub(crate) fn begin(self: &Arc<Self>, link: Link) -> Result<Nanos, Refusal> {
+        let mut inner = lock(&self.inner);
+        let inner = &mut *inner;
+        let mut effects = std::mem::take(&mut inner.effects);
+        let permission = inner.core.begin(self.clock.now(), link, &mut effects);
+        for effect in effects.drain(..) {
+            self.carry_out(inner, effect);
+        }
+        inner.effects = effects;
+        self.alarm.set(inner.core.next_due());
+        permission
+    }
+
     /// Whether one-shots can be taken, and how one stands; none where nothing is remembered.
     pub(crate) fn remembered(&self, key: &[u8]) -> Option<(bool, Option<Fate>)> {
         self.keeper.as_ref()?;
@@ -394,9 +409,7 @@
             }
             Effect::CloseClient { client: to } => client(to, clients::Message::CloseIfIdle),
             Effect::DropClient { client: to } => client(to, clients::Message::Drop),
-            Effect::Send { link: to, shipment, wait, .. } => {
-                link(to, executors::Message::Send { shipment, wait })
-            }
+            Effect::Send { link: to, shipment, .. } => link(to, executors::Message::Send { shipment }),
             Effect::Probe { link: to } => link(to, executors::Message::Probe),
             Effect::CloseLink { link: to } => {
                 link(to, executors::Message::Close);
@@ -427,6 +440,11 @@
                     trail.write(self.clock.now(), What::Stage { stage });
                 }
             }
+            Effect::Refused { id, refusal, occasion } => {
+                let id = String::from_utf8_lossy(&id);
+                let (why, when) = (refusal.word(), occasion.word());
+                tracing::debug!(%id, why, when, "execution not begun");
+            }
             Effect::Fault(what) => tracing::error!(what, "invariant broken"),
             Effect::Report(stats) => {
                 tracing::info!(
@@ -441,6 +459,11 @@
                     put_out = stats.put_out,
                     held_back = stats.held_back,
                     executions = stats.executions,
+                    refused_over = stats.refused.over,
+                    refused_client_left = stats.refused.client_left,
+                    refused_deadline_passed = stats.refused.deadline_passed,
+                    refused_executor_leaving = stats.refused.executor_leaving,
+                    refused_forbidden = stats.refused.forbidden,
                     resets = stats.resets,
                     stale = stats.stale,
                     connect_failed = stats.connect_failed,
--- a/crates/world/src/world/effects.rs
+++ b/crates/world/src/world/effects.rs
@@ -32,7 +32,7 @@
             Effect::CloseLink { link } => self.close_connection(id(link)),
             Effect::Watch => self.watch_discovery(node, incarnation),
             Effect::Fault(what) => self.judge.breach(Rule::Invariant, self.now, what.into()),
-            Effect::Report(_) | Effect::Stage(_) => {}
+            Effect::Report(_) | Effect::Stage(_) | Effect::Refused { .. } => {}
             Effect::Keep { keep, ticket } => {
                 let sync = millis(self.scenario.nodes.sync_ms);
                 self.schedule_after(sync, Event::RecordPersisted { node, incarnation, keep, ticket });
