Three failing tests: a go-ahead in pieces, a reload and a start while calls fail

Seen with the preloaded library on real sockets: of '100 Continue' a short write sent 'HTTP/1.1 100 C', and the answer followed in its middle. A SIGHUP while no file could be opened (ENFILE) left the old discovery in force for good. A process whose first 300 ms had no socket or file to open ended with status 1.

--- a/crates/node/tests/ends/machine.rs
+++ b/crates/node/tests/ends/machine.rs
@@ -115,3 +115,44 @@
         }
     }
 }
+
+// A part of the go-ahead was written, and the rest dropped: what followed was no answer.
+#[test]
+fn a_go_ahead_is_written_whole_in_any_pieces() {
+    let node =
+        Node::start_failing(&configuration(&[willing(Place::open(), "r")], nobody(), &[]), "seed=3; short=1");
+    node.wait_until_ready();
+    let mut client = node.client();
+    let request = job(1, "look", 5_000);
+    let (head, body) = request.split_at(request.len() - 4);
+    send(&mut client, &head.replace("Host: h\r\n", "Host: h\r\nExpect: 100-continue\r\n"));
+    let go_ahead = message(&mut client).unwrap().0;
+    assert_eq!(go_ahead, "HTTP/1.1 100 Continue\r\n\r\n");
+    send(&mut client, body);
+    assert_eq!(message(&mut client).unwrap().1, "r");
+}
+
+// The new configuration was read while no file could be opened for a moment, and never again: the old discovery stayed.
+#[test]
+fn a_new_configuration_that_can_not_be_read_at_once_is_read_again() {
+    let (old, new) = (Place::open(), Place::open());
+    let text = configuration(&[nobody()], old.address, &[]);
+    let begin = Instant::now();
+    let node = Node::start_failing(&text, "open=1:ENFILE@1500..2500");
+    old.take().asked().unwrap();
+    node.replace_configuration(&text.replace(&old.address.to_string(), &new.address.to_string()));
+    std::thread::sleep(Duration::from_millis(1_700).saturating_sub(begin.elapsed()));
+    node.signal("-HUP");
+    new.take().asked().unwrap();
+    assert!(begin.elapsed() < Duration::from_secs(4), "{:?}", begin.elapsed());
+}
+
+// A process that found no descriptor in its first moment ended.
+#[test]
+fn a_start_bears_calls_that_fail_for_a_moment() {
+    let executor = willing(Place::open(), "r");
+    let text = configuration(&[executor], nobody(), &[]);
+    let node = Node::start_failing(&text, "socket=1:ENFILE,ENOBUFS@0..300; open=1:ENFILE@0..300");
+    node.wait_until_ready();
+    assert_eq!(status(ask(&mut node.client(), &job(1, "look", 1_500))), 200);
+}
--- a/crates/node/tests/ends/stand.rs
+++ b/crates/node/tests/ends/stand.rs
@@ -265,6 +265,11 @@
         Self { process, address: address.unwrap().parse().unwrap(), log, path }
     }
 
+    /// What it reads when it is told to read its configuration again.
+    pub fn replace_configuration(&self, text: &str) {
+        std::fs::write(&self.path, text).unwrap();
+    }
+
     pub fn signal(&self, signal: &str) {
         let pid = self.process.id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
