A go-ahead is written whole; starts and reloads bear calls that fail for a moment

Cause: net/clients.rs wrote '100 Continue' by one call and dropped what was left of it. main.rs and config.rs took every error of open and socket for final: a start ended, and a SIGHUP was forgotten.

Change: the go-ahead is written like an answer, and before it. cause.rs tells errors that may pass (EAGAIN, EINTR, ENFILE, ENOBUFS, ENOMEM) from others, and a start tries again for 5 s at most; a listener for the 2 s that it already waited for its address. A configuration that can't be opened is read again every 50 ms, by the signal that asked for it, so that SIGTERM is heard meanwhile. A typed FaultKind takes the place of a boolean.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -8,6 +8,7 @@
 use thiserror::Error;
 use tracing::Level;
 
+use crate::cause::{START_PATIENCE, may_pass, persist};
 use crate::net::discovery::List;
 
 #[derive(Debug, Error)]
@@ -16,8 +17,18 @@
     /// The variable or the key in the file that is at fault.
     pub key: String,
     pub why: String,
+    pub kind: FaultKind,
+}
+
+/// What is to be done about a fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultKind {
+    /// What the key holds makes no sense, or can't be read.
+    Wrong,
     /// It is nowhere.
-    missing: bool,
+    Missing,
+    /// The file can't be read now, for want of something on this machine.
+    Passing,
 }
 
 const DISCOVERY: &str = "PROXY_DISCOVERY";
@@ -109,7 +120,8 @@
     let most = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
     let most = most.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
     // One is used by looking.
-    let open = std::fs::read_dir("/proc/self/fd").map(|all| all.count().saturating_sub(1));
+    let open = persist(START_PATIENCE, || std::fs::read_dir("/proc/self/fd"));
+    let open = open.map(|all| all.count().saturating_sub(1));
     match open {
         Ok(open) if most.saturating_sub(open) >= LEAST_SOCKETS => Ok(()),
         Ok(open) => Err(format!(
@@ -125,7 +137,7 @@
     let Some(text) = variable(KEY) else { return Ok(Level::INFO) };
     text.parse().map_err(|_| {
         let why = format!("{text:?} is not a level");
-        Fault { key: KEY.to_owned(), why, missing: false }
+        Fault { key: KEY.to_owned(), why, kind: FaultKind::Wrong }
     })
 }
 
@@ -138,7 +150,7 @@
 ) -> Result<Config, Fault> {
     let newer = read(|key| if key == DISCOVERY { None } else { variable(key) }, &file);
     match newer {
-        Err(fault) if fault.key == DISCOVERY && fault.missing => {
+        Err(fault) if fault.key == DISCOVERY && fault.kind == FaultKind::Missing => {
             let present = present.discovery.to_string();
             read(|key| if key == DISCOVERY { Some(present.clone()) } else { variable(key) }, &file)
         }
@@ -153,9 +165,12 @@
     variable: impl Fn(&str) -> Option<String>,
     file: impl Fn(&str) -> std::io::Result<String>,
 ) -> Result<Config, Fault> {
-    let fault = |key: &str, why: String| Fault { key: key.to_owned(), why, missing: false };
+    let fault = |key: &str, why: String| Fault { key: key.to_owned(), why, kind: FaultKind::Wrong };
     let path = variable("PROXY_CONFIG").ok_or(fault("PROXY_CONFIG", "not set".into()))?;
-    let text = file(&path).map_err(|e| fault("PROXY_CONFIG", format!("{path}: {e}")))?;
+    let text = file(&path).map_err(|e| {
+        let kind = if may_pass(&e) { FaultKind::Passing } else { FaultKind::Wrong };
+        Fault { kind, ..fault("PROXY_CONFIG", format!("{path}: {e}")) }
+    })?;
     let read = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(&text));
     let file: File = read.map_err(|e| match e.path().to_string().as_str() {
         // No JSON at all.
@@ -166,7 +181,7 @@
         variable(key)
             .or(from_file)
             .filter(|v| !v.is_empty())
-            .ok_or(Fault { missing: true, ..fault(key, "not set, nor in the file".into()) })
+            .ok_or(Fault { kind: FaultKind::Missing, ..fault(key, "not set, nor in the file".into()) })
     };
     let address = |key: &str, from_file| {
         let text: String = either(key, from_file)?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! A linestack node on sockets: the decisions of `linestack_dispatch` behind HTTP/1.1.
 
 pub mod begin;
+pub mod cause;
 pub mod config;
 pub mod fleet;
 pub mod http;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -8,7 +8,8 @@
 
 use clap::Parser;
 use linestack::begin;
-use linestack::config::{self, Config};
+use linestack::cause::{START_PATIENCE, may_pass, persist};
+use linestack::config::{self, Config, FaultKind};
 use linestack::fleet;
 use linestack::fleet::config::Mode;
 use linestack::fleet::coordinate::Start as Begin;
@@ -109,14 +110,15 @@
         return ExitCode::FAILURE;
     }
     // Taken over before anything is served, so that no signal finds them missing.
-    let mut signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
+    let mut signals = match persist(START_PATIENCE, || Signals::new([SIGTERM, SIGINT, SIGHUP])) {
         Ok(signals) => signals,
         Err(why) => {
             tracing::error!(%why, "signals");
             return ExitCode::FAILURE;
         }
     };
-    let mut config = match level.and_then(|_| config::read(variable, |path| std::fs::read_to_string(path))) {
+    let file = |path: &str| persist(START_PATIENCE, || std::fs::read_to_string(path));
+    let mut config = match level.and_then(|_| config::read(variable, file)) {
         Ok(config) => config,
         Err(fault) => {
             tracing::error!(%fault, "configuration");
@@ -236,8 +238,8 @@
     let listen = loop {
         match clients::accept(&node, listen) {
             Ok(address) => break address,
-            // The one before it may not be quite gone.
-            Err(why) if tries.next().is_some() && why.kind() == ErrorKind::AddrInUse => {
+            // The one before it may not be quite gone, or this machine has nothing left for a moment.
+            Err(why) if (why.kind() == ErrorKind::AddrInUse || may_pass(&why)) && tries.next().is_some() => {
                 std::thread::sleep(LISTEN_AGAIN);
             }
             Err(why) => {
@@ -308,6 +310,22 @@
     }
 }
 
+/// How soon a configuration is tried again that could not be read for want of something on this machine.
+const READ_AGAIN: Duration = Duration::from_millis(50);
+
+/// Has the configuration read once more in a moment, by the signal that asked for it: meanwhile the other signals are heard.
+fn read_again_soon() {
+    let wait = std::thread::Builder::new().spawn(|| {
+        std::thread::sleep(READ_AGAIN);
+        if let Err(why) = signal_hook::low_level::raise(SIGHUP) {
+            tracing::error!(%why, "configuration is not tried again: the old one stays");
+        }
+    });
+    if let Err(why) = wait {
+        tracing::error!(%why, "configuration is not tried again: the old one stays");
+    }
+}
+
 /// Reads the configuration again. A file with a fault changes nothing; what is right is taken over, as far as
 /// that can be done in a running node.
 fn reload(node: &Arc<Node>, present: &mut Config, of_fleet: bool, variable: impl Fn(&str) -> Option<String>) {
@@ -338,6 +356,10 @@
             present.discovery = newer.discovery;
             node.rediscover(newer.discovery);
         }
+        Err(fault) if fault.kind == FaultKind::Passing => {
+            tracing::warn!(%fault, "configuration can't be read now, and is tried again");
+            read_again_soon();
+        }
         Err(fault) => tracing::error!(%fault, "configuration read again: the old one stays"),
     }
 }
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -1,6 +1,6 @@
 //! Clients' connections: requests in, final answers out, one at a time on each.
 
-use std::io::{self, Read as _, Write as _};
+use std::io::{self, Read as _};
 use std::net::{Shutdown, SocketAddr};
 use std::ops::Range;
 use std::sync::Arc;
@@ -159,6 +159,7 @@
     let mut input = BytesMut::new();
     let mut state = State::reading();
     let mut close = false;
+    let mut go_ahead = Out::default();
     let mut arrivals = Arrivals::default();
     let mut holding = node.client_room.holding();
     loop {
@@ -235,8 +236,10 @@
                             if let Some(incoming) = head
                                 && std::mem::take(&mut incoming.expects)
                                 && input.is_empty()
-                                && socket.inner_mut().write(b"HTTP/1.1 100 Continue\r\n\r\n").is_err()
                             {
+                                go_ahead.push(CONTINUE);
+                            }
+                            if go_ahead.write(socket.inner_mut()).is_err() {
                                 return;
                             }
                             break;
@@ -262,7 +265,7 @@
                     }
                 }
                 State::Waiting { .. } => break,
-                State::Answering { out, last } => match out.write(socket.inner_mut()) {
+                State::Answering { out, last } => match write_after(&mut go_ahead, out, socket.inner_mut()) {
                     Ok(false) => break,
                     Err(_) => return,
                     Ok(true) if *last => {
@@ -294,6 +297,11 @@
     }
 }
 
+/// Writes an answer behind a go-ahead that may not be quite out. True once all is written.
+fn write_after(go_ahead: &mut Out, answer: &mut Out, socket: &mut impl io::Write) -> io::Result<bool> {
+    Ok(go_ahead.write(socket)? && answer.write(socket)?)
+}
+
 /// Nothing more is written to the client, which has a while to close too.
 fn leave(node: &Arc<Node>, client: Client, socket: &TcpStream) -> io::Result<()> {
     socket.shutdown(Shutdown::Write)?;
@@ -479,6 +487,7 @@
     out
 }
 
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 const LAST: &[u8] = b"Connection: close\r\n";
 
 fn bare(status: u16, last: bool) -> Out {
--- a/crates/node/src/net/connect.rs
+++ b/crates/node/src/net/connect.rs
@@ -13,6 +13,7 @@
 use thiserror::Error;
 
 use super::Node;
+use crate::cause::Cause;
 
 const FIRST_PAUSE: Duration = Duration::from_millis(1);
 const LONGEST_PAUSE: Duration = Duration::from_millis(50);
@@ -33,37 +34,6 @@
     Cancelled,
 }
 
-/// Where the cause of a failed call lies.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Cause {
-    /// A resource of this machine or process.
-    LocalResource,
-    /// This machine knows no way there: at once its own trouble, for long the other's.
-    LocalRoute,
-    Remote,
-}
-
-impl Cause {
-    fn of(error: &io::Error) -> Self {
-        use rustix::io::Errno;
-        let Some(errno) = Errno::from_io_error(error) else { return Self::Remote };
-        match errno {
-            Errno::ACCESS
-            | Errno::ADDRINUSE
-            | Errno::ADDRNOTAVAIL
-            | Errno::AGAIN
-            | Errno::INTR
-            | Errno::MFILE
-            | Errno::NFILE
-            | Errno::NOBUFS
-            | Errno::NOMEM
-            | Errno::PERM => Self::LocalResource,
-            Errno::NETDOWN | Errno::NETUNREACH => Self::LocalRoute,
-            _ => Self::Remote,
-        }
-    }
-}
-
 /// Waits between tries: twice as long each time, half of it by chance.
 struct Backoff {
     pause: Duration,
@@ -105,7 +75,7 @@
             Err(error) => error,
         };
         let cause = Cause::of(&error);
-        if cause == Cause::Remote {
+        if cause == Cause::Other {
             return Err(ConnectError::Remote(error));
         }
         node.local_failures.fetch_add(1, Ordering::Relaxed);
