A connection carries nothing to an address that its executor has left

Cause: core/links.rs kept connections by the executor's index alone. list.rs closed those at rest when an address changed; one that was busy or opening went to rest among those to the new address, and what had waited for it was sent.

Change: a connection knows its address; permission.rs refuses 'executor-moved', and rest closes it.

--- a/crates/core/src/executions.rs
+++ b/crates/core/src/executions.rs
@@ -16,7 +16,8 @@
         self.workers[worker as usize].known += 1;
         self.stats.executions += 1;
         let load = Load::Execution(submission, execution);
-        let permission = self.permit(Occasion::Order, worker, load);
+        let address = self.workers[worker as usize].address;
+        let permission = self.permit(Occasion::Order, worker, address, load);
         must!(self, permission.is_ok(), "an execution was ordered that may not begin");
         if permission.is_err() {
             return self.unsent(worker, load);
--- a/crates/core/src/fates.rs
+++ b/crates/core/src/fates.rs
@@ -147,8 +147,8 @@
         let (shipment, version) = (Arc::clone(&taken.shipment), taken.version);
         // The connection may have broken meanwhile, or the order been called off.
         let Some(line) = self.links.get_mut(&link).filter(|l| l.load == Some(load)) else { return };
-        let worker = line.worker;
-        if lasts && self.permit(Occasion::Durable, worker, load).is_ok() {
+        let (worker, address) = (line.worker, line.address);
+        if lasts && self.permit(Occasion::Durable, worker, address, load).is_ok() {
             let until = self.sent(submission, execution).map_or(0, |sent| sent.until);
             let wait = until.saturating_sub(self.now);
             return self.effects.push(Effect::Send { link, shipment, wait, version });
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -186,6 +186,8 @@
 #[derive(Debug)]
 struct Line {
     worker: Worker,
+    /// Where it leads: the executor of this name may be elsewhere by now.
+    address: SocketAddr,
     stage: Stage,
     load: Option<Load>,
     /// Nothing more is wanted of it than what it carries.
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -131,7 +131,7 @@
             Some(Load::Probe) => self.probed(worker, Some(false), None),
             Some(Load::Execution(submission, execution)) => {
                 let outcome = match stage {
-                    Stage::Opening if self.stands(worker, Load::Execution(submission, execution)) => {
+                    Stage::Opening if self.stands(&line, Load::Execution(submission, execution)) => {
                         Outcome::ConnectFailed
                     }
                     Stage::Opening => Outcome::NotSent,
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -47,8 +47,10 @@
         }
         self.stats.links_opened += 1;
         let (stage, since) = (Stage::Opening, self.now);
+        let address = self.workers[worker as usize].address;
         let line = Line {
             worker,
+            address,
             stage,
             load: Some(load),
             last: false,
@@ -65,7 +67,6 @@
         if turn > self.now {
             return self.arm(turn, Timer::Open(link));
         }
-        let address = self.workers[worker as usize].address;
         self.effects.push(Effect::Open { link, address, limit });
     }
 
@@ -79,10 +80,10 @@
         }
     }
 
-    /// Whether an order that has waited for a connection may still be sent.
-    pub(crate) fn stands(&self, worker: Worker, load: Load) -> bool {
+    /// Whether an order that has waited for this connection may still be sent.
+    pub(crate) fn stands(&self, line: &Line, load: Load) -> bool {
         let Load::Execution(submission, execution) = load else { return true };
-        self.may_begin(worker, submission, execution).is_ok()
+        self.may_begin(line.worker, line.address, submission, execution).is_ok()
     }
 
     /// Sends the order over a connection that is up and carries nothing.
@@ -92,8 +93,8 @@
             return;
         };
         must!(self, line.load.is_none() && line.stage != Stage::Busy, "two orders on one connection");
-        let worker = line.worker;
-        if self.permit(Occasion::Connected, worker, load).is_err() {
+        let (worker, line_address) = (line.worker, line.address);
+        if self.permit(Occasion::Connected, worker, line_address, load).is_err() {
             self.rest(link);
             return self.unsent(worker, load);
         }
@@ -141,7 +142,7 @@
     pub(crate) fn rest(&mut self, link: Link) {
         let Some(line) = self.links.get_mut(&link) else { return };
         let place = &mut self.workers[line.worker as usize];
-        if place.health == Health::Gone || line.last {
+        if place.health == Health::Gone || place.address != line.address || line.last {
             return self.close_link(link);
         }
         (line.stage, line.load, line.since) = (Stage::Idle, None, self.now);
@@ -175,7 +176,7 @@
             return;
         };
         let opening = line.stage == Stage::Opening;
-        if broken.here || (opening && !self.stands(line.worker, load)) {
+        if broken.here || (opening && !self.stands(&line, load)) {
             return self.unsent(line.worker, load);
         }
         // Closed at the other end while it was idle, which says nothing of the worker. Before the last byte
@@ -189,7 +190,7 @@
                 (Load::Execution(submission, execution), true) => {
                     self.ended(submission, execution, Outcome::Stale, None, None);
                 }
-                _ if self.permit(Occasion::Reconnect, line.worker, load).is_ok() => {
+                _ if self.permit(Occasion::Reconnect, line.worker, line.address, load).is_ok() => {
                     self.open(line.worker, load)
                 }
                 _ => self.unsent(line.worker, load),
--- a/crates/core/src/permission.rs
+++ b/crates/core/src/permission.rs
@@ -21,6 +21,8 @@
     ExecutorDraining,
     /// The list says that its executor has left.
     ExecutorLeft,
+    /// The list says that its executor is at another address now.
+    ExecutorMoved,
     /// Its product may not go to that zone or kind.
     NotOpen,
     /// Another execution of its submission is out, and two may not be.
@@ -38,6 +40,7 @@
             Self::DeadlinePassed => "deadline-passed",
             Self::ExecutorDraining => "executor-draining",
             Self::ExecutorLeft => "executor-left",
+            Self::ExecutorMoved => "executor-moved",
             Self::NotOpen => "not-open",
             Self::SecondCopy => "second-copy",
         }
@@ -82,7 +85,7 @@
     pub client_left: u64,
     /// The deadline had passed.
     pub deadline_passed: u64,
-    /// The executor drained or had left.
+    /// The executor drained, had left or was elsewhere.
     pub executor_leaving: u64,
     /// By the rules on places and copies; the decisions should never lead there.
     pub forbidden: u64,
@@ -94,7 +97,9 @@
             Refusal::Withdrawn | Refusal::Answered => &mut self.over,
             Refusal::ClientLeft => &mut self.client_left,
             Refusal::DeadlinePassed => &mut self.deadline_passed,
-            Refusal::ExecutorDraining | Refusal::ExecutorLeft => &mut self.executor_leaving,
+            Refusal::ExecutorDraining | Refusal::ExecutorLeft | Refusal::ExecutorMoved => {
+                &mut self.executor_leaving
+            }
             Refusal::NotOpen | Refusal::SecondCopy => &mut self.forbidden,
         };
         *count += 1;
@@ -102,10 +107,11 @@
 }
 
 impl Core {
-    /// How long an execution may take if it begins now, or why it may not.
+    /// How long an execution may take if it begins now at an address that was its executor's, or why it may not.
     pub(crate) fn may_begin(
         &self,
         worker: Worker,
+        address: SocketAddr,
         submission: Submission,
         execution: Execution,
     ) -> Result<Nanos, Refusal> {
@@ -125,6 +131,9 @@
             Health::Draining => return Err(Refusal::ExecutorDraining),
             Health::Gone => return Err(Refusal::ExecutorLeft),
         }
+        if place.address != address {
+            return Err(Refusal::ExecutorMoved);
+        }
         let at = Listing { kind: place.kind, zone: place.zone, ..Listing::default() };
         if !self.products.get(usize::from(taken.product)).is_none_or(|p| p.open_to(&at)) {
             return Err(Refusal::NotOpen);
@@ -141,10 +150,11 @@
         &mut self,
         occasion: Occasion,
         worker: Worker,
+        address: SocketAddr,
         load: Load,
     ) -> Result<Nanos, Refusal> {
         let Load::Execution(submission, execution) = load else { return Ok(Nanos::MAX) };
-        let permission = self.may_begin(worker, submission, execution);
+        let permission = self.may_begin(worker, address, submission, execution);
         if let Err(refusal) = permission {
             self.stats.refused.count(refusal);
             let taken = self.taken.get(submission as usize).and_then(Option::as_ref);
@@ -163,9 +173,9 @@
     pub fn begin(&mut self, now: Nanos, link: Link, effects: &mut Vec<Effect>) -> Result<Nanos, Refusal> {
         self.now = self.now.max(now);
         let line = self.links.get(&link);
-        let carried = line.and_then(|line| Some((line.worker, line.load?)));
-        let Some((worker, load)) = carried else { return Err(Refusal::Withdrawn) };
-        let permission = self.permit(Occasion::FirstByte, worker, load);
+        let carried = line.and_then(|line| Some((line.worker, line.address, line.load?)));
+        let Some((worker, address, load)) = carried else { return Err(Refusal::Withdrawn) };
+        let permission = self.permit(Occasion::FirstByte, worker, address, load);
         if permission.is_err() {
             if let Some(line) = self.links.get_mut(&link) {
                 (line.load, line.idled) = (None, None);
--- a/crates/core/src/starting.rs
+++ b/crates/core/src/starting.rs
@@ -94,7 +94,7 @@
 
     pub(crate) fn turn_came(&mut self, link: Link) {
         let Some(line) = self.links.get(&link) else { return };
-        let (address, limit) = (self.workers[line.worker as usize].address, line.limit.until);
+        let (address, limit) = (line.address, line.limit.until);
         let limit = limit.saturating_sub(self.now);
         self.effects.push(Effect::Open { link, address, limit });
     }
