A failing test: requests that were read ahead of a close for what was not kept

Seen on real sockets: of 1,000 requests sent at once the first is answered, with 'Connection: close', and the several hundred that were read whole are dropped.

--- a/crates/node/tests/ends/closes.rs
+++ b/crates/node/tests/ends/closes.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use socket2::{Domain, Socket, Type};
 
-use crate::stand::{LONG, Node, Place, job, message, nobody, send, status, willing};
+use crate::stand::{LONG, Node, Place, done, job, message, nobody, send, status, willing};
 
 /// A client that takes hardly anything at a time, so that what it is sent is still on its way when it has been sent.
 fn slow(address: SocketAddr) -> BufReader<TcpStream> {
@@ -93,3 +93,35 @@
     assert_eq!(client.read(&mut [0]).unwrap(), 0);
     assert!(start.elapsed() < Duration::from_secs(3));
 }
+
+// Of what a client sends ahead only so much is kept. All that was kept whole is answered before the connection is closed for
+// what was not; only the first was.
+#[test]
+fn all_that_was_read_ahead_is_answered_before_a_close_for_what_was_not() {
+    const AHEAD: u32 = 1_000;
+    const READ_AHEAD: usize = 64 * 1024;
+    let place = Place::open();
+    let node = Node::start(&[place.address], &[]);
+    let mut client = node.client();
+    let requests: Vec<String> = (1..=AHEAD).map(|id| job(id, "look", 8_000)).collect();
+    send(&mut client, &requests.concat());
+    let mut call = place.take();
+    let first = call.id().unwrap();
+    // All the rest has been read, and what is beyond dropped.
+    (0..50).for_each(|_| node.fence());
+    call.say(&done(first, "r"));
+    std::thread::spawn(move || {
+        while let Some(id) = call.id() {
+            call.say(&done(id, "r"));
+        }
+    });
+    let (mut answered, mut closes) = (0, false);
+    while let Some((head, _)) = message(&mut client) {
+        assert!(!closes, "an answer behind the last");
+        assert!(head.starts_with("HTTP/1.1 200 ") || head.starts_with("HTTP/1.1 503 "), "{head}");
+        closes = head.contains("Connection: close");
+        answered += 1;
+    }
+    assert!(closes);
+    assert!(answered >= READ_AHEAD / requests[0].len(), "{answered}");
+}
