All that was read whole on a connection is answered before the node closes it

Cause: net/clients.rs closed behind the first answer that followed an order to close, a stop, or bytes that it could not keep, and let go of the requests that it had read behind it.

Change: an answer is the last only if no whole request was read behind it (http::has_request), unless the client asked for the close. What comes after a cut is dropped, and what was read before it stays.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -346,6 +346,23 @@
     }
 }
 
+/// Whether a whole request stands at the beginning of what was read, or something that is none and is to be answered so.
+#[must_use]
+pub fn has_request(input: &[u8]) -> bool {
+    if input.is_empty() {
+        return false;
+    }
+    match request(input) {
+        Ok(None) => false,
+        Err(_) => true,
+        Ok(Some(head)) => {
+            let mut rest = BytesMut::from(&input[head.length..]);
+            let mut body = Body::new(head.framing.unwrap_or(Framing::Length(0)));
+            body.take(&mut rest, &mut BytesMut::new()).unwrap_or(true)
+        }
+    }
+}
+
 /// The figure of this name in a load report written as text, such as `TEXT inflight=7, queue=2`.
 #[must_use]
 pub fn text_figure(text: &str, name: &str) -> Option<f32> {
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -159,6 +159,7 @@
     let mut input = BytesMut::new();
     let mut state = State::reading();
     let mut close = false;
+    let mut cut = false;
     let mut go_ahead = Out::default();
     let mut arrivals = Arrivals::default();
     let mut holding = node.client_room.holding();
@@ -172,7 +173,9 @@
                 // A request may have come in meanwhile; it is answered first.
                 Message::CloseIfIdle => close = true,
                 Message::Answer { answer, last } => {
-                    let last = last || close || matches!(state, State::Waiting { last: true, .. });
+                    // What was read behind it is owed an answer too, unless the client wants none.
+                    let last = matches!(state, State::Waiting { last: true, .. })
+                        || ((last || close) && !http::has_request(&input));
                     state = State::Answering { out: answered(answer, last), last };
                 }
             }
@@ -191,7 +194,8 @@
             continue;
         }
         let before = input.len();
-        let more = match read(socket, &mut input, state.beyond()) {
+        let beyond = if cut { state.beyond().max(Beyond::NewDropped) } else { state.beyond() };
+        let more = match read(socket, &mut input, beyond) {
             // A client that closes has gone away.
             Ok(Read::Ended) | Err(_) => return,
             Ok(Read::Some) => true,
@@ -201,11 +205,10 @@
         if over && matches!(state, State::Answering { .. } | State::Lingering) {
             return;
         }
-        if input.len() > KEPT
-            && let State::Waiting { last, .. } = &mut state
-        {
-            // What it sends beyond is not kept, so what follows can't be told from the middle of a request.
-            *last = true;
+        if input.len() > KEPT && matches!(state, State::Waiting { .. }) {
+            // What it sends beyond is not kept, so what follows can't be told from the middle of a request. Those that
+            // were read whole are answered, and then it is closed.
+            (cut, close) = (true, true);
         }
         // Many that bring much and never end would fill the memory, which ends the node.
         if !holding.set(input.len() + state.size()) && matches!(state, State::Reading { .. }) {
@@ -289,7 +292,7 @@
         }
         // What was left in the socket makes no event; it is read once there is room for it, and not before
         // the others had their turn.
-        if more && (input.len() <= KEPT || state.beyond() != Beyond::Waits) {
+        if more && (input.len() <= KEPT || cut || state.beyond() != Beyond::Waits) {
             node.alarm.sleep(TURN);
         } else {
             socket.wait_io();
@@ -313,12 +316,14 @@
 const KEPT: usize = http::HEAD + http::BODY;
 
 /// What becomes of bytes beyond those that may be read ahead.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Beyond {
     /// They wait in the socket, and what follows them is not seen.
     Waits,
     /// They are dropped: behind them the client's end must be seen.
     Dropped,
+    /// What comes from now on is dropped, and what was read stays.
+    NewDropped,
     /// All are dropped.
     AllDropped,
 }
@@ -347,7 +352,7 @@
             Ok(0) => return Ok(Read::Ended),
             Ok(n) => {
                 taken += n;
-                if !full {
+                if !full && beyond < Beyond::NewDropped {
                     input.extend_from_slice(&piece[..n]);
                 }
             }
@@ -516,7 +521,7 @@
             }
             out.push(&b"\r\n"[..]);
         }
-        Answer::Repeated => return bare(409, true),
+        Answer::Repeated => return bare(409, !last.is_empty()),
         Answer::Aborted => {
             out.push(&b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n"[..]);
             out.push(last);
