A failing test: what starts after a step of the wall clock is cold

Seen with the preloaded library on real sockets: the wall clock is stepped back an hour, and an executor that starts after that is told with a time an hour ago by the node's clock. It got 33 to 39 submissions in its first second, where its budget by the settings is 18.

--- a/crates/node/tests/ends/machine.rs
+++ b/crates/node/tests/ends/machine.rs
@@ -1,7 +1,9 @@
 //! System calls that fail for a while, and a wall clock that is stepped.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::stand::{
     Node, Place, WATCH, ask, configuration, done, entry, job, listed, message, nobody, send, status, willing,
@@ -148,3 +150,67 @@
     node.wait_until_ready();
     assert_eq!(status(ask(&mut node.client(), &job(1, "look", 1_500))), 200);
 }
+
+/// Takes a while for each answer, and counts what it was sent.
+fn working(place: Place, takes: Duration, count: Arc<AtomicU32>) -> SocketAddr {
+    let address = place.address;
+    std::thread::spawn(move || {
+        loop {
+            let mut call = place.take();
+            let count = Arc::clone(&count);
+            std::thread::spawn(move || {
+                while let Some(id) = call.id() {
+                    count.fetch_add(1, Ordering::Relaxed);
+                    std::thread::sleep(takes);
+                    if std::io::Write::write_all(call.0.get_mut(), done(id, "r").as_bytes()).is_err() {
+                        break;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+// After a step back what starts is told with a time of an hour ago by the clock of before. Taken for warm, it got its full
+// share at once.
+#[test]
+fn what_starts_after_a_step_of_the_wall_clock_is_cold() {
+    const HOUR_MS: f64 = 3_600_000.0;
+    let takes = Duration::from_millis(100);
+    let warm: Vec<_> = (0..2).map(|_| working(Place::open(), takes, Arc::default())).collect();
+    let sent = Arc::new(AtomicU32::new(0));
+    let cold = working(Place::open(), takes, Arc::clone(&sent));
+    let discovery = Place::open();
+    let node =
+        Node::start_failing(&configuration(&warm, discovery.address, &[]), &format!("clock=-{HOUR_MS}@1500"));
+    let begin = Instant::now();
+    let mut call = discovery.take();
+    call.asked().unwrap();
+    let entries: Vec<_> = (0..2).map(|i| entry(&format!("w{i}"), warm[i])).collect();
+    call.say(&format!("{WATCH}{}", listed(5, true, &entries)));
+    node.wait_until_ready();
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..10_u32)
+        .map(|number| {
+            let (mut client, stop) = (node.client(), Arc::clone(&stop));
+            std::thread::spawn(move || {
+                let mut id = number * 100_000 + 1;
+                while !stop.load(Ordering::Relaxed) {
+                    assert!(status(ask(&mut client, &job(id, "look", 1_500))) > 0);
+                    id += 1;
+                }
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(2_000).saturating_sub(begin.elapsed()));
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64() * 1e3;
+    let started = entry("w9", cold).replace('}', &format!(",\"since_ms\":{}}}", now - HOUR_MS));
+    call.say(&listed(6, false, &[started]));
+    std::thread::sleep(Duration::from_secs(1));
+    let sent = sent.load(Ordering::Relaxed);
+    stop.store(true, Ordering::Relaxed);
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    // By the settings it bears 2.5 x 0.3 slots' work of 100 ms in the first second, and 3 x root of that + 3 beside.
+    assert!(sent <= 18, "{sent}");
+}
