A told start is taken for the latest that it may mean while wall clocks move

Cause: core/list.rs compared Unix times from the list with the wall clock of the node's own start. After a step back of all clocks what started just now looked an hour old and warm.

Change: core/started.rs. The node tells with each list by how much its wall clock has moved since its start and until when discovery was heard; a told start is read by both clocks and the latest that is not in the future counts, and one that discovery tells of over 10 s after it was last heard without it counts from then. Told again it is the same start.

--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -12,6 +12,7 @@
 
 use crate::fates::Ticket;
 use crate::permission::{Occasion, Refusal, Refusals};
+use crate::started::ListClocks;
 
 /// A client's connection, numbered by the node and never again.
 pub type Client = u64;
@@ -97,6 +98,8 @@
         ticket: Ticket,
         lasts: bool,
     },
+    /// By which clocks the list is told that comes next.
+    ListClocks(ListClocks),
     Listed {
         kind: ListKind,
         endpoints: Vec<Endpoint>,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 mod links;
 mod list;
 mod permission;
+mod started;
 mod starting;
 
 use std::cmp::Reverse;
@@ -45,6 +46,7 @@
 pub use io::*;
 pub use linestack_dispatch::types::{Nanos, Outcome};
 pub use permission::{Occasion, Refusal, Refusals};
+pub use started::ListClocks;
 
 const SECOND: Nanos = 1_000_000_000;
 const DAY: Nanos = 86_400 * SECOND;
@@ -211,8 +213,7 @@
     zone: u16,
     group: u16,
     weight: f32,
-    /// What the list told last of its start, and what that is taken for here.
-    started: (Nanos, Nanos),
+    started: started::Started,
     idle: Vec<Link>,
     /// Connections to it, and executions there of submissions that are still known: while there are any, its
     /// index can mean no other.
@@ -288,6 +289,7 @@
     effects: Vec<Effect>,
     stats: Stats,
     list_state: ListState,
+    list_clocks: ListClocks,
     first_call_spread: Nanos,
     /// When the list is asked for next, if that is settled, and how often in a row that failed.
     call_at: Option<Nanos>,
@@ -370,6 +372,7 @@
             effects: Vec::new(),
             stats: Stats::default(),
             list_state: ListState::Missing,
+            list_clocks: ListClocks::default(),
             first_call_spread: first_list::first_call_spread(orders.nodes, orders.connect_timeout),
             call_at: None,
             unheard: 0,
@@ -447,6 +450,7 @@
                 self.proved();
             }
             Input::Kept { ticket, lasts } => self.kept(ticket, lasts),
+            Input::ListClocks(clocks) => self.list_clocks = clocks,
             Input::Listed { kind, endpoints } => self.listed(kind, endpoints),
             Input::Unheard { lost, busy } => self.unheard(lost, busy),
             Input::Heard { items } => self.heard(items),
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -49,7 +49,7 @@
             let now = self.now;
             let place = &mut self.workers[worker as usize];
             place.health = e.health;
-            let started = place.started(e.started, now);
+            let started = place.started.hear(e.started, now, self.list_clocks);
             let moved = std::mem::replace(&mut place.address, e.address) != e.address;
             if moved {
                 let idle = std::mem::take(&mut place.idle);
@@ -95,7 +95,7 @@
                 kind: word(&self.kinds, w.kind),
                 group: w.group,
                 health: w.health,
-                started: w.started.1,
+                started: w.started.at(),
                 weight: w.weight,
             })
             .collect()
@@ -115,7 +115,7 @@
             zone: u16::MAX,
             group: e.group,
             weight: e.weight,
-            started: (0, 0),
+            started: started::Started::default(),
             idle: Vec::new(),
             lines: 0,
             known: 0,
@@ -157,20 +157,6 @@
     }
 }
 
-/// A start told for so long from now is one by another clock: this machine's was set, or its.
-const AHEAD: Nanos = 60 * SECOND;
-
-impl Place {
-    /// When it started, as far as that can be told: one that lies years ahead would make it cold for years, so it
-    /// counts from when it was first told.
-    fn started(&mut self, told: Nanos, now: Nanos) -> Nanos {
-        if self.started.0 != told {
-            self.started = (told, if told > now + AHEAD { now } else { told });
-        }
-        self.started.1
-    }
-}
-
 /// The place of a name among those known; a new one is added while there is room.
 fn position(names: &mut Vec<String>, name: &str) -> u16 {
     let known = names.iter().position(|n| n == name).or_else(|| {
--- a/crates/node/src/net/clock.rs
+++ b/crates/node/src/net/clock.rs
@@ -29,6 +29,13 @@
     pub fn now(&self) -> Nanos {
         self.base + self.from.elapsed().as_nanos() as Nanos
     }
+
+    /// By how much the system's clock has moved against this one since the start, in nanoseconds.
+    #[must_use]
+    pub fn wall_moved(&self) -> i64 {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as Nanos;
+        wall.wrapping_sub(self.now()).cast_signed()
+    }
 }
 
 /// Wakes coroutines at their times, from a thread of its own. may's own timers won't do: it counts a wait
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -15,7 +15,7 @@
 use super::list_stream::{self, ListStream, Message};
 use super::{Node, lock, object};
 use crate::http;
-use linestack_core::{Endpoint, Input};
+use linestack_core::{Endpoint, Input, ListClocks};
 
 const CONNECT: Duration = Duration::from_millis(500);
 /// While nothing changes an empty line comes every 2 s, and a call waits in turn for as long as 3 s. What brings
@@ -272,6 +272,10 @@
                 list.whole |= std::mem::take(&mut all) && !list.endpoints.is_empty();
                 take(node, number, list)?;
             }
+            let mut watch = lock(&node.watch);
+            if watch.number == number {
+                watch.last_word = *heard;
+            }
         }
         if node.clock.now() > due {
             return Err(Fault::Silent);
@@ -285,14 +289,16 @@
 /// Hands the reducer a list, if this is still the watch that is wanted.
 fn take(node: &Arc<Node>, number: u64, list: List) -> Result<(), Fault> {
     let (index, whole, entries) = (list.index, list.whole, list.endpoints.len());
-    {
+    let known_until = {
         let mut watch = lock(&node.watch);
         if watch.number != number {
             return Err(Fault::Replaced);
         }
         watch.index = Some(index);
-    }
+        watch.last_word
+    };
     tracing::info!(index, whole, entries, "list");
+    node.feed(Input::ListClocks(ListClocks { known_until, wall_moved: node.clock.wall_moved() }));
     node.feed(list.into());
     node.heard(Some(index));
     Ok(())
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -170,6 +170,8 @@
     pub(crate) number: u64,
     /// The last list understood; none if the whole list is wanted.
     pub(crate) index: Option<u64>,
+    /// When discovery was heard last, 0 if never.
+    pub(crate) last_word: Nanos,
     /// When an answer must have come, where one is waited for after a change of discovery.
     pub(crate) hurry: Nanos,
     running: bool,
@@ -208,7 +210,15 @@
             names,
             layout,
             stamped,
-            watch: Mutex::new(Watch { discovery, number: 0, index, hurry: 0, running: false, socket: None }),
+            watch: Mutex::new(Watch {
+                discovery,
+                number: 0,
+                index,
+                last_word: 0,
+                hurry: 0,
+                running: false,
+                socket: None,
+            }),
             trail,
             keeper,
             awake: AtomicU64::new(0),
@@ -364,7 +374,7 @@
         }
         let number = watch.number + 1;
         let hurry = self.clock.now() + discovery::HURRY;
-        *watch = Watch { discovery, number, index: None, hurry, running: true, socket: None };
+        *watch = Watch { discovery, number, index: None, last_word: 0, hurry, running: true, socket: None };
         drop(watch);
         let node = Arc::clone(self);
         spawn(move || discovery::watch(&node, number));
