linestack-lab soak: thirty real processes under overlapping troubles, judged by invariants

Change: crates/soak. Plans are drawn from a seed or read from a file: stops, kills, standstills, new configurations, drains, replaced and restarted executors and such that misbehave in eight ways, discovery that is down, slow, mute or reset, floods, bad clients, failing system calls and stepped clocks by the preloaded library. A plan that fails is kept. The preloaded library leaves a process's own socket pairs alone: a write of one byte within a process does not fail with EINTR.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod policies;
 pub mod report;
 pub mod scale;
+pub mod soak;
 pub mod starts;
 pub mod sweep;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -15,6 +15,7 @@
 use linestack_lab::policies::Policy;
 use linestack_lab::report;
 use linestack_lab::scale;
+use linestack_lab::soak;
 use linestack_lab::starts;
 use linestack_lab::sweep::{Axis, grid};
 use linestack_rig::load::{self, Loaded, Plan};
@@ -184,6 +185,9 @@
     /// One dispatching node, measured in a process of its own.
     #[command(hide = true)]
     ScaleNode(scale::NodeArguments),
+    /// Play many real processes under overlapping troubles, drawn from seeds, and judge them by the invariants
+    /// (docs/invariants.md). Exits with 1 if one was broken; the plan is kept then.
+    Soak(soak::Arguments),
     /// Play scenario files again, as they are. Exits with 1 if a rule was broken.
     Replay { scenarios: Vec<PathBuf> },
 }
@@ -310,6 +314,7 @@
             many_starts(&program, &plan)
         }
         Command::Demo => demo(),
+        Command::Soak(arguments) => soak::soak(arguments),
         Command::Store { folder, records, span } => {
             let span = Duration::try_from_secs_f64(*span).map_err(|_| "a span of time is over 0")?;
             if !arguments.json {
--- a/crates/shim/src/calls.rs
+++ b/crates/shim/src/calls.rs
@@ -42,9 +42,15 @@
     if found == 0 { stat.st_mode & libc::S_IFMT } else { 0 }
 }
 
-/// A connection, not a listener or another socket of the program's own.
+/// A socket of the network. Pairs of sockets within a process, by which it wakes its own threads, never fail so.
 fn is_connection(fd: c_int) -> bool {
-    kind(fd) == libc::S_IFSOCK
+    let (mut domain, mut length) = (0 as c_int, size_of::<c_int>() as socklen_t);
+    // SAFETY: the pointers are to an integer of this frame and its size.
+    let found = unsafe {
+        let (level, name) = (libc::SOL_SOCKET, libc::SO_DOMAIN);
+        libc::syscall(libc::SYS_getsockopt, fd, level, name, &raw mut domain, &raw mut length)
+    };
+    found == 0 && matches!(domain, libc::AF_INET | libc::AF_INET6)
 }
 
 /// Sockets that were broken: a bit each. Those with larger numbers are not broken.
--- /dev/null
+++ b/crates/soak/src/bad_client.rs
@@ -0,0 +1,88 @@
+//! Clients that misbehave: they are owed an error or a close within 3 s, and must cost the others nothing.
+
+use std::io::{self, Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use rand::{Rng as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+use crate::client::{Surroundings, next_conversation};
+use crate::history::{BadClient, Event};
+use crate::network::reset;
+
+const CONNECT: Duration = Duration::from_secs(1);
+/// Longer than they are owed: what comes later is seen to.
+const PATIENCE: Duration = Duration::from_secs(8);
+const FLOOD: usize = 200_000;
+const DRIP: Duration = Duration::from_millis(250);
+const KINDS: [BadClient; 5] =
+    [BadClient::Silent, BadClient::Half, BadClient::Dripping, BadClient::Garbage, BadClient::Flood];
+
+/// Misbehaves in one way after another until the run is calm or over.
+pub fn run(number: usize, seed: u64, around: &Arc<Surroundings>) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xBAD ^ (number as u64) << 24);
+    let goes_on = || !around.over.load(Ordering::Relaxed) && !around.calm.load(Ordering::Relaxed);
+    while goes_on() {
+        std::thread::sleep(Duration::from_millis(rng.random_range(50..600)));
+        let Some((node, life, address)) = around.front.choose(rng.random()) else { continue };
+        let how = KINDS[rng.random_range(0..KINDS.len())];
+        let Ok(socket) = connect(address) else { continue };
+        let conversation = next_conversation();
+        around.recorder.now(Event::Misbehaved { conversation, node, life, how });
+        if misbehave(&socket, how).unwrap_or(true) {
+            around.recorder.now(Event::Rebuked { conversation });
+        }
+    }
+}
+
+fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpStream::connect_timeout(&address, CONNECT)?;
+    socket.set_nodelay(true)?;
+    socket.set_write_timeout(Some(PATIENCE))?;
+    socket.set_read_timeout(Some(PATIENCE))?;
+    Ok(socket)
+}
+
+/// True once an error or a close has come, or where none is owed.
+fn misbehave(mut socket: &TcpStream, how: BadClient) -> io::Result<bool> {
+    const HALF: &[u8] = b"POST /api HTTP/1.1\r\nHost: backend.local\r\nReq-Id: half\r\nContent-Le";
+    match how {
+        BadClient::Silent => {}
+        BadClient::Half => socket.write_all(HALF)?,
+        BadClient::Garbage => socket.write_all(b"\x16\x03\x01\x02\x00 not a request\r\n\r\n")?,
+        BadClient::Flood => {
+            let _ = socket.write_all(&vec![b'x'; FLOOD]);
+            reset(socket);
+            return Ok(true);
+        }
+        BadClient::Dripping => return drip(socket, HALF),
+    }
+    heard(socket)
+}
+
+/// Whether an error or a close comes in time.
+fn heard(mut socket: &TcpStream) -> io::Result<bool> {
+    match socket.read(&mut [0; 64]) {
+        Ok(_) => Ok(true),
+        Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => Ok(false),
+        Err(_) => Ok(true),
+    }
+}
+
+fn drip(mut socket: &TcpStream, text: &[u8]) -> io::Result<bool> {
+    let begun = Instant::now();
+    socket.set_read_timeout(Some(DRIP))?;
+    for byte in text.iter().cycle() {
+        if begun.elapsed() > PATIENCE {
+            return Ok(false);
+        }
+        socket.write_all(&[*byte])?;
+        if heard(socket)? {
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
--- /dev/null
+++ b/crates/soak/src/draw.rs
@@ -0,0 +1,182 @@
+//! Plans from seeds: troubles come in bursts, and those of one overlap with one another and with what the last has left.
+
+use rand::{Rng as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+use crate::plan::{Ailment, Plan, Shim, Trouble};
+use crate::terms::Terms;
+
+/// How large a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Processes of the program.
+    pub nodes: usize,
+    /// Stand-in executors.
+    pub executors: usize,
+    /// Clients that behave.
+    pub clients: usize,
+    /// For how long troubles may happen, in milliseconds.
+    pub span_ms: u64,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self { nodes: 30, executors: 24, clients: 60, span_ms: 15_000 }
+    }
+}
+
+/// Requests a second of each client, about.
+const RATE_EACH: f64 = 10.0;
+const CALM_MS: u64 = 3_000;
+/// Bursts of troubles come so far apart at most.
+const BURST_EVERY_MS: u64 = 2_000;
+/// Troubles of one burst begin within this.
+const BURST_MS: u64 = 700;
+/// So many, for thirty nodes.
+const MOST_IN_BURST: usize = 10;
+/// The part of the processes whose system calls fail.
+const SHIMMED: f64 = 0.4;
+
+const AILMENTS: [Ailment; 8] = [
+    Ailment::Hangs,
+    Ailment::Declines,
+    Ailment::Fails,
+    Ailment::Resets,
+    Ailment::Garbles,
+    Ailment::Repeats,
+    Ailment::Forgets,
+    Ailment::Drips,
+];
+
+struct Draw {
+    rng: Pcg64Mcg,
+    size: Size,
+}
+
+/// The plan of a seed.
+#[must_use]
+pub fn draw(seed: u64, size: Size) -> Plan {
+    let mut draw = Draw { rng: Pcg64Mcg::seed_from_u64(seed), size };
+    let terms = Terms::draw(&mut draw.rng);
+    let shims = (0..size.nodes).filter_map(|node| {
+        let plan = draw.shim();
+        (!plan.is_empty()).then_some(Shim { node, plan })
+    });
+    let shims = shims.collect();
+    let mut troubles = Vec::new();
+    let mut at = draw.rng.random_range(300..BURST_EVERY_MS);
+    while at + BURST_MS < size.span_ms {
+        for _ in 0..draw.rng.random_range(MOST_IN_BURST / 2..=MOST_IN_BURST) {
+            let begins = at + draw.rng.random_range(0..BURST_MS);
+            troubles.push(draw.trouble(begins));
+        }
+        at += draw.rng.random_range(BURST_MS..BURST_EVERY_MS);
+    }
+    Plan {
+        seed,
+        nodes: size.nodes,
+        executors: size.executors,
+        clients: size.clients,
+        bad_clients: (size.clients / 8).max(1),
+        rate: size.clients as f64 * RATE_EACH,
+        span_ms: size.span_ms,
+        calm_ms: CALM_MS,
+        terms,
+        shims,
+        troubles,
+    }
+}
+
+impl Draw {
+    fn node(&mut self) -> usize {
+        self.rng.random_range(0..self.size.nodes)
+    }
+
+    fn executor(&mut self) -> usize {
+        self.rng.random_range(0..self.size.executors)
+    }
+
+    fn ms(&mut self, least: u64, most: u64) -> u64 {
+        self.rng.random_range(least..=most)
+    }
+
+    /// Some nodes, one at the least.
+    fn nodes(&mut self) -> Vec<usize> {
+        let part: f64 = self.rng.random_range(0.1..0.6);
+        let mut nodes: Vec<usize> = (0..self.size.nodes).filter(|_| self.rng.random_bool(part)).collect();
+        if nodes.is_empty() {
+            nodes.push(self.node());
+        }
+        nodes
+    }
+
+    fn trouble(&mut self, at_ms: u64) -> Trouble {
+        match self.rng.random_range(0..20) {
+            0 | 1 => {
+                let shim = self.shim();
+                Trouble::StopNode { at_ms, node: self.node(), back_after_ms: self.ms(0, 1_500), shim }
+            }
+            2 => {
+                let shim = self.shim();
+                Trouble::KillNode { at_ms, node: self.node(), back_after_ms: self.ms(1_000, 2_500), shim }
+            }
+            3 | 4 => Trouble::PauseNode { at_ms, node: self.node(), for_ms: self.ms(50, 1_500) },
+            5 | 6 => Trouble::Reload {
+                at_ms,
+                nodes: self.nodes(),
+                twice: self.rng.random_bool(0.4),
+                bad_first: self.rng.random_bool(0.3),
+            },
+            7 | 8 => Trouble::Drain { at_ms, executor: self.executor(), left_after_ms: self.ms(300, 4_000) },
+            9 | 10 => {
+                Trouble::Replace { at_ms, executor: self.executor(), same_name: self.rng.random_bool(0.5) }
+            }
+            11 => Trouble::Restart { at_ms, executor: self.executor(), down_ms: self.ms(0, 800) },
+            12..=14 => Trouble::Ail {
+                at_ms,
+                executor: self.executor(),
+                for_ms: self.ms(300, 4_000),
+                how: AILMENTS[self.rng.random_range(0..AILMENTS.len())],
+                rate: self.rng.random_range(0.2..1.0),
+            },
+            15 => Trouble::DiscoveryDown { at_ms, for_ms: self.ms(200, 4_000) },
+            16 => Trouble::WatchesMute { at_ms },
+            17 => Trouble::WatchesReset { at_ms },
+            18 => Trouble::DiscoverySlow { at_ms, for_ms: self.ms(500, 3_000), each_ms: self.ms(100, 2_500) },
+            _ => Trouble::IdleFlood {
+                at_ms,
+                node: self.node(),
+                connections: self.rng.random_range(20..200),
+                for_ms: self.ms(500, 3_000),
+            },
+        }
+    }
+
+    /// What fails in one process; often nothing.
+    fn shim(&mut self) -> String {
+        if !self.rng.random_bool(SHIMMED) {
+            return String::new();
+        }
+        let mut rules = vec![format!("seed={}", self.rng.random_range(1..1_000_000))];
+        for _ in 0..self.rng.random_range(1..=3) {
+            let from = self.ms(0, 8_000);
+            let until = from + self.ms(100, 3_000);
+            let rate = self.rng.random_range(0.05..0.6);
+            rules.push(match self.rng.random_range(0..9) {
+                0 => format!("accept={rate:.2}@{from}..{until}"),
+                1 => format!("socket={rate:.2}@{from}..{until}"),
+                2 | 3 => format!("connect={rate:.2}@{from}..{until}"),
+                4 => format!("wait={rate:.2}"),
+                5 => format!("read={rate:.2}; write={rate:.2}"),
+                6 => format!("short={rate:.2}"),
+                7 => format!("open={rate:.2}@{from}..{until}"),
+                _ => {
+                    let by = if self.rng.random_bool(0.5) { 3_600_000 } else { self.ms(1_000, 9_000) };
+                    let sign = if self.rng.random_bool(0.5) { "-" } else { "" };
+                    format!("clock={sign}{by}@{from}")
+                }
+            });
+        }
+        rules.join("; ")
+    }
+}
--- /dev/null
+++ b/crates/soak/src/judge/answers.rs
@@ -0,0 +1,105 @@
+//! Answers: one for each request taken, in time, by an executor's result, and nothing after it.
+
+use super::{Facts, Life, Request, Rule, SLACK, Violation, ms};
+use crate::history::{BadClient, Deed, Event, Nanos, NoAnswer};
+use crate::millis;
+
+/// Up to so long after its deadline an answer only earns nothing.
+const LATE_BY: Nanos = 500_000_000;
+/// A client that misbehaves gets an error or a close within this.
+const REBUKED_WITHIN: Nanos = 3_000_000_000;
+
+pub(super) fn judge(facts: &Facts<'_>, found: &mut Vec<Violation>) {
+    for (id, request) in &facts.requests {
+        answered(facts, id, request, found);
+    }
+    unasked(facts, found);
+    bad_clients(facts, found);
+}
+
+fn answered(facts: &Facts<'_>, id: &str, request: &Request, found: &mut Vec<Violation>) {
+    let mut add = |rule, at, what: String| found.push(Violation { rule, at, what: format!("{id}: {what}") });
+    let answers = request.ends.iter().filter(|(_, end)| matches!(end, Event::Answered { .. })).count();
+    if answers > 1 {
+        add(Rule::Answer, request.asked, format!("answered {answers} times"));
+    }
+    for (at, end) in &request.ends {
+        match end {
+            Event::Answered { status: 200, result, .. } if *result != format!("r-{id}") => {
+                add(Rule::OwnAnswer, *at, format!("served with {result:?}"));
+            }
+            Event::Answered { status, .. } => {
+                if let Some(late) = late_by(facts, request, *at) {
+                    add(Rule::Answer, *at, format!("answered {status} {} ms after its deadline", ms(late)));
+                }
+            }
+            Event::Unanswered { how, .. } if !excused(facts.life(request), request, *how, *at) => {
+                add(Rule::Answer, *at, unanswered(request, *how, *at));
+            }
+            _ => {}
+        }
+    }
+}
+
+fn unanswered(request: &Request, how: NoAnswer, at: Nanos) -> String {
+    let Request { node, life, behind, .. } = request;
+    let waited = ms(at.saturating_sub(request.asked));
+    let connection = if request.first { "new" } else { "kept" };
+    format!("{how:?} after {waited} ms, node {node} life {life}, {connection} connection, {behind} before it")
+}
+
+/// By how much an answer came too late; none if it did not. Those that waited behind others are not judged.
+fn late_by(facts: &Facts<'_>, request: &Request, at: Nanos) -> Option<Nanos> {
+    if request.behind > 0 {
+        return None;
+    }
+    let paused = facts.life(request).map_or(0, |life| life.paused(request.asked, at));
+    let late = at.checked_sub(request.deadline + LATE_BY + paused + SLACK)?;
+    Some(late + LATE_BY)
+}
+
+/// A process that was killed outright owes nothing, unless it had been told to end and was not held still since.
+fn excused(life: Option<&Life>, request: &Request, how: NoAnswer, at: Nanos) -> bool {
+    let Some(life) = life else { return true };
+    let killed = life.when(|deed| *deed == Deed::Killed).filter(|killed| *killed <= at);
+    let stopped = life.when(|deed| *deed == Deed::Stopped).filter(|stopped| *stopped <= at);
+    if killed.is_some() && stopped.is_none_or(|stopped| life.paused(stopped, at) > 0) {
+        return true;
+    }
+    // Of those behind another it can't be told from outside whether they were read before a close.
+    let partly_read = !life.shim().is_empty() || stopped.is_some();
+    request.behind > 0 && how == NoAnswer::Closed && partly_read
+}
+
+fn unasked(facts: &Facts<'_>, found: &mut Vec<Violation>) {
+    for entry in facts.case.history {
+        if let Event::Unasked { conversation } = &entry.event {
+            let what = format!("connection {conversation}: something came behind the answer");
+            found.push(Violation { rule: Rule::Unasked, at: entry.at, what });
+        }
+    }
+}
+
+fn bad_clients(facts: &Facts<'_>, found: &mut Vec<Violation>) {
+    let last = facts.case.history.last().map_or(0, |entry| entry.at);
+    for entry in facts.case.history {
+        let Event::Misbehaved { conversation, node, life, how } = &entry.event else { continue };
+        if *how == BadClient::Flood {
+            continue;
+        }
+        let wanted = Event::Rebuked { conversation: *conversation };
+        let rebuked = facts.case.history.iter().find(|later| later.event == wanted).map(|later| later.at);
+        let life_of = facts.lives.get(&(*node, *life));
+        let paused = life_of.map_or(0, |l| l.paused(entry.at, rebuked.unwrap_or(last)));
+        let due = entry.at + REBUKED_WITHIN + paused + SLACK + millis(100);
+        let gone = life_of.and_then(|l| l.when(|deed| matches!(deed, Deed::Killed | Deed::Ended { .. })));
+        if gone.is_some_and(|gone| gone <= due) || rebuked.is_none() && last <= due {
+            continue;
+        }
+        if rebuked.is_none_or(|rebuked| rebuked > due) {
+            let waited = rebuked.map_or("never".to_owned(), |at| format!("{} ms later", ms(at - entry.at)));
+            let what = format!("{how:?} at node {node} life {life}: an error or a close came {waited}");
+            found.push(Violation { rule: Rule::BadClient, at: entry.at, what });
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/judge/cold.rs
@@ -0,0 +1,53 @@
+//! Cold executors: all nodes together send one that has just started no more than it bears, and what chance explains.
+
+use super::{Facts, Rule, Violation, ms};
+use crate::history::{Event, Nanos};
+use crate::millis;
+use crate::terms::{COLD_FROM, COLD_MS, FALL_MULTIPLE, FALL_WINDOW_MS};
+
+/// Under so many, chance explains more.
+const FEW: f64 = 30.0;
+
+pub(super) fn judge(facts: &Facts<'_>, found: &mut Vec<Violation>) {
+    for entry in facts.case.history {
+        let Event::Listed { executor, started, .. } = entry.event else { continue };
+        if started == 0 {
+            continue;
+        }
+        let Some((slots, work_ms)) = facts.case.strengths.get(executor).copied() else { continue };
+        if let Some((at, sent, most)) = overload(facts, executor, started, slots as f64, work_ms) {
+            let age = ms(at.saturating_sub(started));
+            let what =
+                format!("executor {executor}, {age} ms old: {sent} requests in the window, {most:.1} borne");
+            found.push(Violation { rule: Rule::Cold, at, what });
+        }
+    }
+}
+
+/// The first time at which it got more than it bears: when, how many, and how many it bears.
+fn overload(
+    facts: &Facts<'_>,
+    executor: usize,
+    started: Nanos,
+    slots: f64,
+    work_ms: f64,
+) -> Option<(Nanos, usize, f64)> {
+    let (cold, window) = (millis(COLD_MS as u64), millis(FALL_WINDOW_MS as u64));
+    let executions = facts.requests.values().flat_map(|request| &request.executions);
+    let here =
+        executions.filter(|e| e.executor == executor && (started..started + cold).contains(&e.received));
+    let mut times: Vec<Nanos> = here.map(|execution| execution.received).collect();
+    times.sort_unstable();
+    for (last, at) in times.iter().enumerate() {
+        let first = times.partition_point(|time| time + window < *at);
+        let sent = last + 1 - first;
+        let warmth = (at - started) as f64 / cold as f64;
+        let present = COLD_FROM + (1.0 - COLD_FROM) * warmth;
+        let bears = FALL_MULTIPLE * present * slots * FALL_WINDOW_MS / work_ms;
+        let chance = if bears < FEW { 3.0 * bears.sqrt() + 3.0 } else { 2.0 * bears.sqrt() + 2.0 };
+        if sent as f64 > bears + chance {
+            return Some((*at, sent, bears + chance));
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/soak/src/judge/executions.rs
@@ -0,0 +1,144 @@
+//! Executions: no effect twice, no refusal of what ran, nothing for nobody, no deadline beyond the client's, no product
+//! where it may not go.
+
+use super::{Execution, Facts, Request, Rule, SLACK, Violation, ms};
+use crate::history::{Event, Nanos};
+use crate::millis;
+use crate::terms::{BOUND_ZONE, Class, Effect};
+
+/// An attempt may begin so long after its client has left.
+const LEFT_GRACE: Nanos = 100_000_000;
+/// A deadline may be told so much too long.
+const TOLD_SLACK_MS: u64 = 150;
+/// Time limits are this much longer on sockets.
+const SOCKETS: Nanos = 50_000_000;
+
+pub(super) fn judge(facts: &Facts<'_>, found: &mut Vec<Violation>) {
+    for (id, request) in &facts.requests {
+        let mut add = |rule, at, what: String| {
+            found.push(Violation { rule, at, what: format!("{id} ({}): {what}", request.class.name()) })
+        };
+        repeated(facts, request, &mut add);
+        refused(request, &mut add);
+        for (number, execution) in request.executions.iter().enumerate() {
+            for_nobody(request, number, execution, &mut add);
+            deadline(facts, request, execution, &mut add);
+            placement(facts, request, execution, &mut add);
+        }
+    }
+    for entry in facts.case.history {
+        if let Event::Malformed { executor, why } = &entry.event {
+            let what = format!("executor {executor}: {why}");
+            found.push(Violation { rule: Rule::Malformed, at: entry.at, what });
+        }
+    }
+}
+
+/// Those that may have run, in order.
+fn ran(request: &Request) -> impl Iterator<Item = &Execution> {
+    request.executions.iter().filter(|execution| !execution.declined)
+}
+
+fn repeated(facts: &Facts<'_>, request: &Request, add: &mut impl FnMut(Rule, Nanos, String)) {
+    let terms = facts.case.terms;
+    let all = &request.executions;
+    if let Some(last) = all.get(terms.max_executions) {
+        add(Rule::TooMany, last.first_byte, format!("{} executions", all.len()));
+    }
+    let first = ran(request).next();
+    let after_first =
+        |first: &Execution| all.iter().filter(|e| e.received > first.received).collect::<Vec<_>>();
+    if let Some(first) = first {
+        for again in after_first(first) {
+            let apart = ms(again.first_byte.saturating_sub(first.received));
+            let to = format!("executor {} then {}, {apart} ms later", first.executor, again.executor);
+            match request.class.effect() {
+                Effect::Pure => {}
+                Effect::OneShot => add(Rule::Twice, again.first_byte, to),
+                Effect::Keyed => {
+                    let group = |e: &Execution| facts.case.places.get(e.executor).map(|place| place.group);
+                    let late = again.received > first.received + millis(terms.memory_ms) + SOCKETS + SLACK;
+                    if group(first) != group(again) {
+                        add(Rule::Twice, again.first_byte, format!("outside its group: {to}"));
+                    } else if late {
+                        add(Rule::Twice, again.first_byte, format!("after its window: {to}"));
+                    }
+                }
+            }
+        }
+    }
+    if !terms.may_duplicate {
+        for pair in all.windows(2) {
+            let out = pair[0].over.is_none_or(|over| over > pair[1].received + SLACK);
+            if out {
+                let what = format!("executors {} and {}", pair[0].executor, pair[1].executor);
+                add(Rule::TwoOut, pair[1].first_byte, what);
+            }
+        }
+    }
+}
+
+/// A refusal promises that asking again is harmless.
+fn refused(request: &Request, add: &mut impl FnMut(Rule, Nanos, String)) {
+    if request.class.effect() == Effect::Pure {
+        return;
+    }
+    let refusal = |(_, end): &&(Nanos, Event)| matches!(end, Event::Answered { status: 429 | 503, .. });
+    let Some((at, _)) = request.ends.iter().find(refusal) else { return };
+    if let Some(execution) = ran(request).next() {
+        add(Rule::RefusedAndRun, *at, format!("refused, and executor {} got it", execution.executor));
+    }
+}
+
+fn for_nobody(
+    request: &Request,
+    number: usize,
+    execution: &Execution,
+    add: &mut impl FnMut(Rule, Nanos, String),
+) {
+    let Some(left) = request.left else { return };
+    if execution.first_byte > left + LEFT_GRACE + SLACK {
+        let late = ms(execution.first_byte - left);
+        add(
+            Rule::ForNobody,
+            execution.first_byte,
+            format!("execution {number} began {late} ms after its client left"),
+        );
+    }
+}
+
+fn deadline(
+    facts: &Facts<'_>,
+    request: &Request,
+    execution: &Execution,
+    add: &mut impl FnMut(Rule, Nanos, String),
+) {
+    let Some(told) = execution.told_ms else { return };
+    let left = request.deadline.saturating_sub(execution.first_byte);
+    let paused = facts.life(request).map_or(0, |life| life.paused(request.asked, execution.first_byte));
+    // A process that stood still while a request came can't know for how long it had waited.
+    if paused > 0 {
+        return;
+    }
+    let most = ms(left + SLACK) + TOLD_SLACK_MS;
+    if told > most {
+        let behind = request.behind;
+        add(
+            Rule::Deadline,
+            execution.first_byte,
+            format!("told {told} ms, {} left, {behind} before it", ms(left)),
+        );
+    }
+}
+
+fn placement(
+    facts: &Facts<'_>,
+    request: &Request,
+    execution: &Execution,
+    add: &mut impl FnMut(Rule, Nanos, String),
+) {
+    let zone = facts.case.places.get(execution.executor).map(|place| place.zone);
+    if request.class == Class::Local && zone.is_some_and(|zone| zone != BOUND_ZONE) {
+        add(Rule::Placement, execution.first_byte, format!("executor {}", execution.executor));
+    }
+}
--- /dev/null
+++ b/crates/soak/src/judge/processes.rs
@@ -0,0 +1,83 @@
+//! Processes: none ends by itself, all that start are ready in time, and when troubles are over all is served.
+
+use super::{Facts, Life, Rule, SLACK, Violation, ms};
+use crate::history::{Deed, Event, Nanos};
+use crate::millis;
+
+/// A process that starts is ready within this,
+const READY_AT_MOST: Nanos = 30_000_000_000;
+/// and most of them within this.
+const READY_SOON: Nanos = 10_000_000_000;
+/// How many of ten are ready soon.
+const OF_TEN: usize = 9;
+/// A process is killed so long after the longest deadline, counted from SIGTERM.
+const KILL_AFTER: Nanos = 700_000_000;
+/// The part of the requests that is served when troubles are over.
+const SERVED: f64 = 0.95;
+/// Fewer tell nothing.
+const FEW: usize = 50;
+
+pub(super) fn judge(facts: &Facts<'_>, found: &mut Vec<Violation>) {
+    let last = facts.case.history.last().map_or(0, |entry| entry.at);
+    let mut waits = Vec::new();
+    for ((node, life), process) in &facts.lives {
+        let mut add = |rule, at, what: &str| {
+            found.push(Violation { rule, at, what: format!("node {node} life {life}: {what}") });
+        };
+        ends(facts, process, &mut add);
+        waits.extend(ready(process, last, &mut add));
+    }
+    let soon = waits.iter().filter(|wait| **wait <= READY_SOON).count();
+    if soon * 10 < waits.len() * OF_TEN {
+        let what = format!("{soon} of {} starts were ready within 10 s", waits.len());
+        found.push(Violation { rule: Rule::Ready, at: last, what });
+    }
+    recovered(facts, found);
+}
+
+fn ends(facts: &Facts<'_>, process: &Life, add: &mut impl FnMut(Rule, Nanos, &str)) {
+    let stopped = process.when(|deed| *deed == Deed::Stopped);
+    for (at, deed) in &process.deeds {
+        match deed {
+            Deed::Complained { line } => add(Rule::Crash, *at, line),
+            Deed::Ended { code } if stopped.is_none() => {
+                add(Rule::Crash, *at, &format!("it ended by itself, code {code:?}"));
+            }
+            Deed::Ended { code } if *code != Some(0) => {
+                add(Rule::Exit, *at, &format!("told to end, it ended with code {code:?}"));
+            }
+            Deed::Killed => {
+                let Some(stopped) = stopped else { continue };
+                let due = stopped + millis(facts.case.terms.deadline_ms) + KILL_AFTER;
+                if *at >= due && process.paused(stopped, *at) == 0 {
+                    add(Rule::Exit, *at, "told to end, it was there when the kill came");
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// How long a start took, if that can be told.
+fn ready(process: &Life, last: Nanos, add: &mut impl FnMut(Rule, Nanos, &str)) -> Option<Nanos> {
+    let started = process.when(|deed| matches!(deed, Deed::Started { .. }))?;
+    let ready = process.when(|deed| *deed == Deed::Ready);
+    let ended = process.when(|deed| matches!(deed, Deed::Stopped | Deed::Killed | Deed::Ended { .. }));
+    let until = ready.or(ended).unwrap_or(last);
+    let wait = (until - started).saturating_sub(process.paused(started, until));
+    if wait > READY_AT_MOST + SLACK {
+        add(Rule::Ready, until, &format!("it was not ready in {} ms", ms(wait)));
+    }
+    ready.map(|_| wait)
+}
+
+fn recovered(facts: &Facts<'_>, found: &mut Vec<Violation>) {
+    let Some(calm) = facts.calm else { return };
+    let asked = || facts.requests.values().filter(|request| request.asked > calm && !request.ends.is_empty());
+    let served = |end: &(Nanos, Event)| matches!(end.1, Event::Answered { status: 200, .. });
+    let (all, good) = (asked().count(), asked().filter(|request| request.ends.iter().any(served)).count());
+    if all >= FEW && (good as f64) < SERVED * all as f64 {
+        let what = format!("{good} of {all} were served after all troubles were over");
+        found.push(Violation { rule: Rule::Recovered, at: calm, what });
+    }
+}
--- /dev/null
+++ b/crates/soak/src/network.rs
@@ -0,0 +1,92 @@
+//! The loopback addresses of a run, and the small things that all its stand-ins do with sockets.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use socket2::SockRef;
+
+const NODES: u8 = 0;
+const EXECUTORS: u8 = 4;
+const DISCOVERIES: u8 = 8;
+const CLIENT_PORT: u16 = 8_443;
+const EXECUTOR_PORT: u16 = 9_000;
+const DISCOVERY_PORT: u16 = 8_500;
+/// Of 127.0.0.0/8, the second byte: those below are left to other programs.
+const FIRST_NETWORK: u32 = 16;
+const NETWORKS: u32 = 230;
+const HOSTS: usize = 250;
+
+/// A part of the loopback network that belongs to one run.
+#[derive(Clone, Copy, Debug)]
+pub struct Network {
+    number: u8,
+}
+
+impl Network {
+    /// One that no other run of this process has, and that those of other processes hardly have.
+    #[must_use]
+    pub fn next() -> Self {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        let number = FIRST_NETWORK + (std::process::id().wrapping_mul(37).wrapping_add(count)) % NETWORKS;
+        Self { number: number.to_le_bytes()[0] }
+    }
+
+    fn address(self, part: u8, index: usize, port: u16) -> SocketAddr {
+        let page = (index / HOSTS).to_le_bytes()[0];
+        let host = (index % HOSTS + 1).to_le_bytes()[0];
+        SocketAddr::from((Ipv4Addr::new(127, self.number, part + page, host), port))
+    }
+
+    /// Where a node listens for clients.
+    #[must_use]
+    pub fn node(self, index: usize) -> SocketAddr {
+        self.address(NODES, index, CLIENT_PORT)
+    }
+
+    /// Where an executor listens; each of its processes that is not at the address of the one before has a number.
+    #[must_use]
+    pub fn executor(self, index: usize, number: u16) -> SocketAddr {
+        self.address(EXECUTORS, index, EXECUTOR_PORT + number)
+    }
+
+    /// Where one of the discoveries listens for a node.
+    #[must_use]
+    pub fn discovery(self, node: usize, number: u16) -> SocketAddr {
+        self.address(DISCOVERIES, node, DISCOVERY_PORT + number)
+    }
+}
+
+/// Whether the other end has closed or reset a connection. What it has sent stays.
+#[must_use]
+pub fn is_closed(socket: &TcpStream) -> bool {
+    if socket.set_nonblocking(true).is_err() {
+        return true;
+    }
+    let seen = socket.peek(&mut [0]);
+    let blocking = socket.set_nonblocking(false);
+    let open = match seen {
+        Ok(0) => false,
+        Ok(_) => true,
+        Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+    };
+    !open || blocking.is_err()
+}
+
+/// Whether something has come that was not read.
+#[must_use]
+pub fn has_bytes(socket: &TcpStream) -> bool {
+    if socket.set_nonblocking(true).is_err() {
+        return false;
+    }
+    let seen = socket.peek(&mut [0]).is_ok_and(|n| n > 0);
+    socket.set_nonblocking(false).is_ok() && seen
+}
+
+/// Ends a connection the hard way: what its other end has not read may be lost.
+pub fn reset(socket: &TcpStream) {
+    let _ = SockRef::from(socket).set_linger(Some(Duration::ZERO));
+    let _ = socket.shutdown(std::net::Shutdown::Both);
+}
