A failing test: a store whose folder failed for a while takes one-shots again

Seen with the preloaded library on real sockets: syncs fail with EIO, or writes with ENOSPC, for one second. What can't last is refused and not sent, as it should be; but two seconds after the folder is back every one-shot is still refused, until a person starts the process again.

--- a/crates/node/tests/ends/machine.rs
+++ b/crates/node/tests/ends/machine.rs
@@ -1,6 +1,7 @@
 //! System calls that fail for a while, and a wall clock that is stepped.
 
 use std::net::SocketAddr;
+use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -214,3 +215,51 @@
     // By the settings it bears 2.5 x 0.3 slots' work of 100 ms in the first second, and 3 x root of that + 3 beside.
     assert!(sent <= 18, "{sent}");
 }
+
+// After one write or sync that failed nothing was taken on until a person started the process again.
+#[test]
+fn a_store_whose_folder_failed_for_a_while_takes_one_shots_again() {
+    for fault in ["sync=1:EIO", "file-write=1:ENOSPC"] {
+        let folder = tempfile::tempdir().unwrap();
+        let (store, file) = (folder.path().join("store"), folder.path().join("store.toml"));
+        let mut init = Command::new(env!("CARGO_BIN_EXE_linestack"));
+        assert!(init.args(["store", "init"]).arg(&store).status().unwrap().success());
+        std::fs::write(&file, format!("[store]\nfolder = {store:?}\nsame-by = \"req-id\"\n")).unwrap();
+        let executed = Arc::new(AtomicU32::new(0));
+        let executor = working(Place::open(), Duration::ZERO, Arc::clone(&executed));
+        let begin = Instant::now();
+        let text = configuration(&[executor], nobody(), &[]);
+        let node = Node::start_storing(&text, &format!("{fault}@1500..2500"), Some(&file));
+        node.wait_until_ready();
+        let mut client = node.client();
+        let mut pay = |id| status(ask(&mut client, &job(id, "pay", 1_500)));
+        assert_eq!(pay(1), 200, "{fault}");
+        std::thread::sleep(Duration::from_millis(1_600).saturating_sub(begin.elapsed()));
+        // Nothing can be made to last: it is refused, and was not sent.
+        assert_eq!(pay(2), 503, "{fault}");
+        assert_eq!(executed.load(Ordering::Relaxed), 1, "{fault}");
+        // What need not last goes on.
+        assert_eq!(status(ask(&mut node.client(), &job(3, "look", 1_500))), 200, "{fault}");
+        std::thread::sleep(Duration::from_millis(2_500).saturating_sub(begin.elapsed()));
+        let mut id = 10;
+        while pay(id) != 200 {
+            assert!(begin.elapsed() < Duration::from_millis(4_500), "{fault}: not taken again");
+            std::thread::sleep(Duration::from_millis(20));
+            id += 1;
+        }
+        // What was taken on before and since is known to the next process.
+        let before = executed.load(Ordering::Relaxed);
+        drop(node);
+        let node = Node::start_storing(&text, "", Some(&file));
+        node.wait_until_ready();
+        let mut client = node.client();
+        for known in [1, id] {
+            let (head, result) = ask(&mut client, &job(known, "pay", 1_500)).unwrap();
+            assert!(
+                head.starts_with("HTTP/1.1 200 ") && result == "r" || head.starts_with("HTTP/1.1 502 "),
+                "{head}"
+            );
+        }
+        assert_eq!(executed.load(Ordering::Relaxed), before, "{fault}: run again");
+    }
+}
--- a/crates/node/tests/ends/stand.rs
+++ b/crates/node/tests/ends/stand.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
@@ -250,6 +250,11 @@
 
     /// One whose system calls fail by this plan, from when it begins.
     pub fn start_failing(text: &str, plan: &str) -> Self {
+        Self::start_storing(text, plan, None)
+    }
+
+    /// One that also keeps a store, as this file says.
+    pub fn start_storing(text: &str, plan: &str, store: Option<&Path>) -> Self {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("linestack-ends-{}-{number}.json", std::process::id()));
@@ -264,6 +269,9 @@
         command.args(["-c", script, env!("CARGO_BIN_EXE_linestack")]);
         command.arg(linestack_rig::shim::library().unwrap()).arg(plan);
         command.env("PROXY_CONFIG", &path).env_remove("PROXY_LISTEN").env_remove("PROXY_DISCOVERY");
+        if let Some(store) = store {
+            command.env("PROXY_STORE", store);
+        }
         let mut process = command.stderr(Stdio::piped()).spawn().unwrap();
         let log = BufReader::new(process.stderr.take().unwrap());
         let mut lines = log.lines().map(Result::unwrap);
--- a/crates/soak/src/draw.rs
+++ b/crates/soak/src/draw.rs
@@ -34,6 +34,8 @@
 const BURST_MS: u64 = 700;
 /// So many, for thirty nodes.
 const MOST_IN_BURST: usize = 10;
+/// The shim's rule by which connections break, those of clients too.
+pub(crate) const BREAKS: &str = "broken";
 /// The part of the processes whose system calls fail.
 const SHIMMED: f64 = 0.4;
 
@@ -162,7 +164,7 @@
             let from = self.ms(0, 8_000);
             let until = from + self.ms(100, 3_000);
             let rate = self.rng.random_range(0.05..0.6);
-            rules.push(match self.rng.random_range(0..9) {
+            rules.push(match self.rng.random_range(0..10) {
                 0 => format!("accept={rate:.2}@{from}..{until}"),
                 1 => format!("socket={rate:.2}@{from}..{until}"),
                 2 | 3 => format!("connect={rate:.2}@{from}..{until}"),
@@ -170,6 +172,7 @@
                 5 => format!("read={rate:.2}; write={rate:.2}"),
                 6 => format!("short={rate:.2}"),
                 7 => format!("open={rate:.2}@{from}..{until}"),
+                8 => format!("{BREAKS}={:.3}@{from}..{until}", rate / 20.0),
                 _ => {
                     let by = if self.rng.random_bool(0.5) { 3_600_000 } else { self.ms(1_000, 9_000) };
                     let sign = if self.rng.random_bool(0.5) { "-" } else { "" };
--- a/crates/soak/src/judge/answers.rs
+++ b/crates/soak/src/judge/answers.rs
@@ -1,6 +1,7 @@
 //! Answers: one for each request taken, in time, by an executor's result, and nothing after it.
 
 use super::{Facts, Life, Request, Rule, SLACK, Violation, ms};
+use crate::draw::BREAKS;
 use crate::history::{BadClient, Deed, Event, Nanos, NoAnswer};
 use crate::millis;
 
@@ -58,7 +59,7 @@
     Some(late + LATE_BY)
 }
 
-/// A process that was killed outright owes nothing, unless it had been told to end and was not held still since.
+/// Nobody can be answered whose connection was broken by the shim. A process that was killed outright owes nothing, unless it had been told to end and was not held still since.
 fn excused(life: Option<&Life>, request: &Request, how: NoAnswer, at: Nanos) -> bool {
     let Some(life) = life else { return true };
     let killed = life.when(|deed| *deed == Deed::Killed).filter(|killed| *killed <= at);
@@ -66,6 +67,9 @@
     if killed.is_some() && stopped.is_none_or(|stopped| life.paused(stopped, at) > 0) {
         return true;
     }
+    if life.shim().contains(BREAKS) && how == NoAnswer::Closed {
+        return true;
+    }
     // Of those behind another it can't be told from outside whether they were read before a close.
     let partly_read = !life.shim().is_empty() || stopped.is_some();
     request.behind > 0 && how == NoAnswer::Closed && partly_read
