A store whose folder failed for a while takes records again by itself

Cause: store/store/mod.rs takes nothing after one failed write or sync, and keep.rs never looked whether the disk was back.

Change: Store::resume seals the segment where the last commit that lasted had ended, since a later sync proves nothing of what an earlier one failed on, and begins another. keep.rs tries it after 50 ms, then ever more seldom up to 500 ms; outcomes that came meanwhile are kept, 4,096 at most, and written first. The writer is a loop over groups, with records and failures in types of their own.

--- a/crates/core/src/fates.rs
+++ b/crates/core/src/fates.rs
@@ -160,6 +160,13 @@
         self.unsent(worker, load);
     }
 
+    /// The disk takes records again.
+    pub(crate) fn store_back(&mut self) {
+        if let Some(book) = &mut self.book {
+            book.failed = false;
+        }
+    }
+
     /// How a submission that was written down ended, as far as that makes it more certain.
     pub(crate) fn fated(&mut self, submission: Submission, fate: Fate) {
         let Some(taken) = self.taken.get(submission as usize).and_then(Option::as_ref) else { return };
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -100,6 +100,8 @@
     },
     /// By which clocks the list is told that comes next.
     ListClocks(ListClocks),
+    /// What is to last can be made to again.
+    StoreBack,
     Listed {
         kind: ListKind,
         endpoints: Vec<Endpoint>,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -450,6 +450,7 @@
                 self.proved();
             }
             Input::Kept { ticket, lasts } => self.kept(ticket, lasts),
+            Input::StoreBack => self.store_back(),
             Input::ListClocks(clocks) => self.list_clocks = clocks,
             Input::Listed { kind, endpoints } => self.listed(kind, endpoints),
             Input::Unheard { lost, busy } => self.unheard(lost, busy),
--- a/crates/node/src/keep.rs
+++ b/crates/node/src/keep.rs
@@ -3,7 +3,7 @@
 
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::{Duration, Instant};
 
 use linestack_core::{Core, Input, Nanos, Remembered, Ticket};
@@ -315,55 +315,130 @@
 
     fn work(self, node: &Arc<Node>) {
         let Self { mut keeper, from } = self;
-        let (mut failed, mut last, mut stamped) = (false, keeper.age, None::<Instant>);
-        while let Ok(first) = from.recv() {
-            // All that came while the one before was at the disk goes together.
-            let group: Vec<_> = std::iter::once(first).chain(from.try_iter().take(GROUP - 1)).collect();
-            let put = |kind: u8, key: &[u8], value: Vec<u8>, at: Age| Op::Put {
-                kind,
-                key: key.to_vec(),
-                value,
-                at,
-            };
-            let mut ops = Vec::new();
-            for note in &group {
-                match note {
-                    Note::Fate(keep, _) => {
-                        last = last.max(keep.at);
-                        ops.push(put(FATE, &keep.key, keep.fate.to_bytes(), keep.at));
-                    }
-                    Note::List(list) => match list.write() {
-                        text if text.len() + 64 < LARGEST => ops.push(put(LIST, b"list", text, last)),
-                        text => tracing::warn!(bytes = text.len(), "the list is too long to be kept"),
-                    },
-                    Note::Heard if stamped.is_some_and(|at| at.elapsed() < STAMPED) => {}
-                    Note::Heard => {
-                        stamped = Some(Instant::now());
-                        ops.push(put(HEARD, b"heard", Stamp::now(), last));
-                    }
-                }
+        let mut record = Record { last: keeper.age, stamped: None };
+        let mut failure: Option<Failure> = None;
+        loop {
+            let Some(group) = next_group(&from, failure.as_ref()) else { return };
+            if failure.as_mut().is_some_and(|failure| failure.may_be_over(&mut keeper.store, record.last)) {
+                tracing::info!("store takes records again");
+                failure = None;
+                node.feed(Input::StoreBack);
             }
-            if keeper.lost && node.sure() {
+            let mut ops: Vec<Op> = group.iter().filter_map(|note| record.op(note)).collect();
+            if keeper.lost && failure.is_none() && node.sure() {
                 keeper.lost = false;
                 ops.push(Op::Remove { kind: LOST, key: b"lost".to_vec() });
             }
-            if ops.is_empty() {
-                continue;
-            }
-            let now = last;
-            if !failed && let Err(why) = keeper.store.commit(&ops, now) {
-                failed = true;
-                tracing::error!(%why, "store failed: one-shots are dismissed from now on");
+            if !ops.is_empty()
+                && failure.is_none()
+                && let Err(why) = keeper.store.commit(&ops, record.last)
+            {
+                tracing::error!(%why, "store failed: one-shots are dismissed until it is back");
+                failure = Some(Failure::new());
                 if keeper.config.when_failed == WhenFailed::Stop {
                     let _ = signal_hook::low_level::raise(signal_hook::consts::SIGTERM);
                 }
             }
             for note in group {
-                if let Note::Fate(_, Some(ticket)) = note {
-                    node.feed(Input::Kept { ticket, lasts: !failed });
+                match note {
+                    Note::Fate(_, Some(ticket)) => {
+                        node.feed(Input::Kept { ticket, lasts: failure.is_none() });
+                    }
+                    Note::Fate(keep, None) => {
+                        if let Some(failure) = &mut failure {
+                            failure.owe(&keep);
+                        }
+                    }
+                    Note::List(_) | Note::Heard => {}
+                }
+            }
+        }
+    }
+}
+
+/// All that came while the group before was at the disk goes together. While the store has failed it may be empty: then it
+/// is time to look whether the disk is back. None once nobody is left who writes.
+fn next_group(from: &Receiver<Note>, failure: Option<&Failure>) -> Option<Vec<Note>> {
+    let first = match failure {
+        None => from.recv().ok()?,
+        Some(failure) => match from.recv_timeout(failure.pause) {
+            Ok(first) => first,
+            Err(RecvTimeoutError::Timeout) => return Some(Vec::new()),
+            Err(RecvTimeoutError::Disconnected) => return None,
+        },
+    };
+    Some(std::iter::once(first).chain(from.try_iter().take(GROUP - 1)).collect())
+}
+
+fn put(kind: u8, key: &[u8], value: Vec<u8>, at: Age) -> Op {
+    Op::Put { kind, key: key.to_vec(), value, at }
+}
+
+/// Makes records of notes.
+struct Record {
+    /// The age of the youngest.
+    last: Age,
+    /// When it was last written down that discovery was heard.
+    stamped: Option<Instant>,
+}
+
+impl Record {
+    fn op(&mut self, note: &Note) -> Option<Op> {
+        match note {
+            Note::Fate(keep, _) => {
+                self.last = self.last.max(keep.at);
+                Some(put(FATE, &keep.key, keep.fate.to_bytes(), keep.at))
+            }
+            Note::List(list) => {
+                let text = list.write();
+                if text.len() + 64 < LARGEST {
+                    return Some(put(LIST, b"list", text, self.last));
                 }
+                tracing::warn!(bytes = text.len(), "the list is too long to be kept");
+                None
             }
+            Note::Heard if self.stamped.is_some_and(|at| at.elapsed() < STAMPED) => None,
+            Note::Heard => {
+                self.stamped = Some(Instant::now());
+                Some(put(HEARD, b"heard", Stamp::now(), self.last))
+            }
+        }
+    }
+}
+
+/// How soon after a failure the disk is tried again, and how seldom in the end.
+const TRY_AGAIN: Duration = Duration::from_millis(50);
+const TRY_SELDOM: Duration = Duration::from_millis(500);
+/// Outcomes that are kept in memory while the disk fails. Of those beyond it stays written that they may have run.
+const MOST_OWED: usize = 4096;
+
+/// The disk fails.
+struct Failure {
+    pause: Duration,
+    tried: Instant,
+    /// Outcomes that came meanwhile.
+    owed: Vec<Op>,
+}
+
+impl Failure {
+    fn new() -> Self {
+        Self { pause: TRY_AGAIN, tried: Instant::now(), owed: Vec::new() }
+    }
+
+    fn owe(&mut self, keep: &Keep) {
+        if self.owed.len() < MOST_OWED {
+            self.owed.push(put(FATE, &keep.key, keep.fate.to_bytes(), keep.at));
+        }
+    }
+
+    /// Tries whether the disk takes what came meanwhile, if it is time. True if it does.
+    fn may_be_over(&mut self, store: &mut Store<Folder>, now: Age) -> bool {
+        if self.tried.elapsed() < self.pause {
+            return false;
         }
+        let resumed = store.resume().and_then(|()| store.commit(&self.owed, now));
+        (self.tried, self.pause) = (Instant::now(), (2 * self.pause).min(TRY_SELDOM));
+        resumed.is_ok()
     }
 }
 
--- a/crates/store/src/store/append.rs
+++ b/crates/store/src/store/append.rs
@@ -25,6 +25,17 @@
         self.checkpoint_if_due()
     }
 
+    /// Takes commits again after a write or a sync failed. What was written since the last commit that lasted is not counted
+    /// on, whatever a later sync says: the segment is sealed where that commit ended, and another is begun.
+    ///
+    /// # Errors
+    ///
+    /// The disk's: it fails still, and the store takes nothing as before.
+    pub fn resume(&mut self) -> Result<(), Fault> {
+        self.failed = false;
+        self.begin_segment()
+    }
+
     /// The records of these operations, if none is too large.
     fn records_of(&mut self, ops: &[Op], now: u64) -> Result<Vec<Record>, Fault> {
         let mut records = Vec::with_capacity(ops.len());
