--- a/crates/node/tests/ends/descriptors.rs
+++ b/crates/node/tests/ends/descriptors.rs
@@ -49,3 +49,28 @@
     }
     drop(silent);
 }
+
+// A request that came while no further client could be let in waited in the listener's queue, unseen, and was told to its
+// executor with its whole time.
+#[test]
+fn a_request_that_waited_to_be_let_in_is_told_with_what_its_client_has_left() {
+    const PATIENCE: u32 = 6_000;
+    // More than the configuration leaves room for.
+    const SILENT: usize = 200;
+    let executor = Place::open();
+    let node = Node::start(&[executor.address], &[]);
+    let silent: Vec<_> = (0..SILENT).map(|_| node.client()).collect();
+    let mut client = node.client();
+    let sent = Instant::now();
+    send(&mut client, &job(1, "look", PATIENCE));
+    let mut call = executor.take();
+    let head = call.asked().unwrap();
+    let waited = sent.elapsed();
+    assert!(waited > Duration::from_millis(300), "it was let in at once: {waited:?}");
+    let told = head.lines().find_map(|l| l.strip_prefix("Req-Deadline-Ms: ")).unwrap();
+    let left = u64::from(PATIENCE).saturating_sub(waited.as_millis() as u64);
+    assert!(told.parse::<u64>().unwrap() <= left + 150, "{told} ms told, {left} left");
+    call.say(&done(1, "r"));
+    assert_eq!(status(crate::stand::message(&mut client)), 200);
+    drop(silent);
+}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -14,6 +14,7 @@
 use rustix::process::Signal;
 use serde_json::{Value, json};
 
+use crate::draw::BREAKS;
 use crate::history::{Deed, Event, Recorder};
 use crate::lock;
 use crate::network::Network;
@@ -43,6 +44,8 @@
     open: AtomicBool,
     /// Its process was killed, or has ended.
     dead: AtomicBool,
+    /// Its connections break by the shim.
+    breaks: AtomicBool,
     life: Arc<AtomicU64>,
 }
 
@@ -61,7 +64,8 @@
     #[must_use]
     pub fn lives(&self, node: usize, life: u64) -> bool {
         let place = &self.places[node];
-        !place.dead.load(Ordering::SeqCst) && place.life.load(Ordering::SeqCst) == life
+        let stays = !place.dead.load(Ordering::SeqCst) && !place.breaks.load(Ordering::SeqCst);
+        stays && place.life.load(Ordering::SeqCst) == life
     }
 
     /// How many nodes take clients.
@@ -113,6 +117,7 @@
             address: ground.network.node(node),
             open: AtomicBool::new(false),
             dead: AtomicBool::new(true),
+            breaks: AtomicBool::new(false),
             life: Arc::default(),
         };
         let front = Arc::new(Front { places: (0..count).map(place).collect() });
@@ -189,6 +194,7 @@
         let life = self.front.places[node].life.fetch_add(1, Ordering::SeqCst) + 1;
         own.process.start()?;
         self.front.places[node].dead.store(false, Ordering::SeqCst);
+        self.front.places[node].breaks.store(plan.contains(BREAKS), Ordering::SeqCst);
         drop(own);
         self.note(node, Deed::Started { shim: plan.to_owned() });
         self.await_ready(node, life);
