A failing test, found by the soak: a copy ordered as the answer comes; and a canary in the soak

The pulse of the decisions runs before the event that it is called with, so that it orders a copy of what this very event ends. Before the one place of permission the order went as far as its connection, and was dropped there; since then it is refused at once and counted as a broken invariant, which ends a debug build.

--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -185,6 +185,38 @@
     assert_eq!(node.core.stats().open, usize::from(again));
 }
 
+// The pulse of the decisions falls due with the very input that brings the answer, and comes first: the copy that it orders
+// of what is late is for nobody any more.
+#[test]
+fn a_copy_ordered_as_the_answer_comes_is_not_begun() {
+    let mut node = Node::new(2);
+    let client = node.submit(LOOK, 5_000 * MS);
+    let (link, executor) = node.opened().unwrap();
+    node.feed(Input::LinkUp { link });
+    // Both executors are asked whether they are there, and the one that is at work is not.
+    let mut asked = Vec::new();
+    while asked.len() < 2 {
+        node.pass(MS);
+        asked.extend(node.effects.iter().filter_map(|e| match e {
+            Effect::Open { link, address, .. } => Some((*link, *address)),
+            _ => None,
+        }));
+    }
+    for (probe, address) in asked {
+        if address == executor {
+            node.feed(Input::LinkDown { link: probe, broken: FRESH });
+        } else {
+            node.feed(Input::LinkUp { link: probe });
+            node.feed(Input::Probed { link: probe, answered: Some(true), report: None });
+        }
+    }
+    node.now += 400 * MS;
+    node.end(link, Outcome::Satisfied);
+    assert_eq!(node.answers(), [(client, Answer::Satisfied(Bytes::from_static(b"r")))]);
+    let stats = node.core.stats();
+    assert_eq!((stats.refused.over, stats.broken), (1, 0));
+}
+
 // A drain heard of while the connection was being made: what was decided before it may not be sent after.
 #[rstest]
 #[case::draining(Health::Draining)]
--- a/crates/node/tests/ends/descriptors.rs
+++ b/crates/node/tests/ends/descriptors.rs
@@ -55,22 +55,34 @@
 #[test]
 fn a_request_that_waited_to_be_let_in_is_told_with_what_its_client_has_left() {
     const PATIENCE: u32 = 6_000;
-    // More than the configuration leaves room for.
-    const SILENT: usize = 200;
+    /// Clients that the configuration leaves room for.
+    const MOST: u32 = 120;
     let executor = Place::open();
     let node = Node::start(&[executor.address], &[]);
-    let silent: Vec<_> = (0..SILENT).map(|_| node.client()).collect();
+    let mut kept = Vec::new();
+    let mut call = None;
+    for id in 1..=MOST {
+        let mut client = node.client();
+        send(&mut client, &job(id, "look", PATIENCE));
+        let call = call.get_or_insert_with(|| executor.take());
+        assert_eq!(call.id(), Some(id));
+        call.say(&done(id, "r"));
+        assert_eq!(status(crate::stand::message(&mut client)), 200);
+        // Half of the next one: who has asked before has a while to hand it in, and is not put out.
+        send(&mut client, &job(id, "look", PATIENCE)[..60]);
+        kept.push(client);
+    }
+    let mut call = call.unwrap();
     let mut client = node.client();
     let sent = Instant::now();
-    send(&mut client, &job(1, "look", PATIENCE));
-    let mut call = executor.take();
+    send(&mut client, &job(MOST + 1, "look", PATIENCE));
     let head = call.asked().unwrap();
     let waited = sent.elapsed();
     assert!(waited > Duration::from_millis(300), "it was let in at once: {waited:?}");
     let told = head.lines().find_map(|l| l.strip_prefix("Req-Deadline-Ms: ")).unwrap();
     let left = u64::from(PATIENCE).saturating_sub(waited.as_millis() as u64);
     assert!(told.parse::<u64>().unwrap() <= left + 150, "{told} ms told, {left} left");
-    call.say(&done(1, "r"));
+    call.say(&done(MOST + 1, "r"));
     assert_eq!(status(crate::stand::message(&mut client)), 200);
-    drop(silent);
+    drop(kept);
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod bad_client;
 pub mod board;
+mod canary;
 pub mod client;
 pub mod discovery;
 pub mod draw;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,17 +7,16 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use linestack_rig::monotonic;
 use thiserror::Error;
 
 use crate::bad_client;
 use crate::board::{Board, Entry};
+use crate::canary;
 use crate::client::{Client, Surroundings};
 use crate::discovery::{Condition, Discovery};
 use crate::executor::Executor;
 use crate::fleet::{Ground, Nodes};
 use crate::history::{Entry as Noted, Event, Recorder};
-use crate::millis;
 use crate::network::Network;
 use crate::plan::Plan;
 use crate::terms::ZONES;
@@ -33,8 +32,6 @@
 /// Answers that are out are listened for as long.
 const LINGER: Duration = Duration::from_millis(6_500);
 const WATCH_EVERY: Duration = Duration::from_millis(10);
-/// The driver was late if it woke so much after its time.
-const LATE: Duration = Duration::from_millis(60);
 /// The discoveries that configurations name in turn.
 const DISCOVERIES: u16 = 2;
 
@@ -162,7 +159,7 @@
             discovery.start(network.discovery(node, number)).map_err(system("discovery"))?;
         }
     }
-    watch_own_lateness(&recorder, &over);
+    canary::start(&recorder, &over).map_err(system("canary"))?;
     start_all(plan, &nodes);
     if !nodes.await_all(START_WITHIN) {
         let ready = nodes.front().open();
@@ -233,21 +230,6 @@
     (0..plan.clients).map(client).collect()
 }
 
-/// Notes when this process itself was held up: what it then saw late tells nothing of the nodes.
-fn watch_own_lateness(recorder: &Arc<Recorder>, over: &Arc<AtomicBool>) {
-    let (recorder, over) = (Arc::clone(recorder), Arc::clone(over));
-    std::thread::spawn(move || {
-        while !over.load(Ordering::Relaxed) {
-            let before = monotonic();
-            std::thread::sleep(WATCH_EVERY);
-            let late = (monotonic() - before).saturating_sub(millis(WATCH_EVERY.as_millis() as u64));
-            if late > LATE.as_nanos() as u64 {
-                recorder.now(Event::Late { by: late });
-            }
-        }
-    });
-}
-
 /// Wakes the listeners, which then see that the run is over and close.
 fn wake(plan: &Plan, network: Network, executors: &Executors, board: &Board) {
     let knock = |address| drop(std::net::TcpStream::connect_timeout(&address, Duration::from_millis(100)));
