Time waited to be let in counts, and an order that its answer overtakes is no broken invariant

Cause: net/clients.rs took what it read first on a connection as having come then, though the connection may have waited in the listener's queue while no further client could be let in. core/executions.rs asserted that no order is ever refused, which an order of the pulse is when the event behind it ends its submission.

Change: what is there when a connection is taken counts as having come when the listener last found nobody waiting; a newcomer that was waited for half a millisecond had not been there. Refusals 'answered' and 'client-left' at an order are counted and no fault; all others still are.

--- a/crates/core/src/executions.rs
+++ b/crates/core/src/executions.rs
@@ -18,7 +18,9 @@
         let load = Load::Execution(submission, execution);
         let address = self.workers[worker as usize].address;
         let permission = self.permit(Occasion::Order, worker, address, load);
-        must!(self, permission.is_ok(), "an execution was ordered that may not begin");
+        // The pulse of the decisions comes before the event that it runs with, and may order a copy of what that one ends.
+        let overtaken = matches!(permission, Err(Refusal::Answered | Refusal::ClientLeft));
+        must!(self, permission.is_ok() || overtaken, "an execution was ordered that may not begin");
         if permission.is_err() {
             return self.unsent(worker, load);
         }
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -14,7 +14,7 @@
 use super::arrivals::Arrivals;
 use super::{Mailbox, Node, TURN, spawn};
 use crate::http::{self, Body, Fault, Framing, Out, Request};
-use linestack_core::{Answer, Client, Input, Intake, Phase, Shipment};
+use linestack_core::{Answer, Client, Input, Intake, Nanos, Phase, Shipment};
 use linestack_recovery::start::Stage;
 
 const NANOS_PER_MS: u64 = 1_000_000;
@@ -25,6 +25,8 @@
 /// After so many newcomers in a row those that are there get their turn: what they have sent tells them from
 /// a flood of silent ones.
 const AT_ONCE: u32 = 8;
+/// A newcomer that was waited for so long had not been there before.
+const AT_LEAST_WAITED: Nanos = NANOS_PER_MS / 2;
 /// Of the requests turned down one is logged in this time, however many come.
 pub(crate) const LOGGED_EVERY: u64 = 1_000 * NANOS_PER_MS;
 
@@ -49,20 +51,26 @@
     spawn(move || {
         let mut at_once = 0;
         let mut last = 0;
+        // Nobody was waiting to be let in then.
+        let mut nobody_waited = node.clock.now();
         loop {
             if node.crowded() {
                 node.alarm.sleep(BREATH);
                 continue;
             }
+            let asked = node.clock.now();
             match listener.accept() {
                 Ok((socket, _)) => {
                     let now = node.clock.now();
+                    if now - asked >= AT_LEAST_WAITED {
+                        nobody_waited = now;
+                    }
                     at_once = if now - last < TURN.as_nanos() as u64 { at_once + 1 } else { 1 };
                     last = now;
                     let (client, mailbox) = node.enlist();
                     node.feed(Input::ClientUp { client });
                     let served = Arc::clone(&node);
-                    spawn(move || serve(&served, client, socket, &mailbox));
+                    spawn(move || serve(&served, client, socket, nobody_waited, &mailbox));
                     if at_once >= AT_ONCE {
                         at_once = 0;
                         node.alarm.sleep(TURN);
@@ -134,12 +142,13 @@
     }
 }
 
-fn serve(node: &Arc<Node>, client: Client, mut socket: TcpStream, mailbox: &Mailbox<Message>) {
+/// `since` is when it connected, at the earliest.
+fn serve(node: &Arc<Node>, client: Client, mut socket: TcpStream, since: Nanos, mailbox: &Mailbox<Message>) {
     // However this ends, by a panic too, the reducer hears of it.
     let _gone = Gone { node, client };
     mailbox.wake(&socket);
     let _ = socket.set_nodelay(true);
-    converse(node, client, &mut socket, mailbox);
+    converse(node, client, &mut socket, since, mailbox);
 }
 
 struct Gone<'a> {
@@ -155,7 +164,15 @@
 }
 
 /// Returns when the connection is to be closed.
-fn converse(node: &Arc<Node>, client: Client, socket: &mut TcpStream, mailbox: &Mailbox<Message>) {
+fn converse(
+    node: &Arc<Node>,
+    client: Client,
+    socket: &mut TcpStream,
+    since: Nanos,
+    mailbox: &Mailbox<Message>,
+) {
+    // What is there already may have come while it waited to be let in; what comes later comes when it is read.
+    let mut waited_since = Some(since);
     let mut input = BytesMut::new();
     let mut state = State::reading();
     let mut close = false;
@@ -201,7 +218,8 @@
             Ok(Read::Some) => true,
             Ok(Read::All) => false,
         };
-        arrivals.read(input.len().saturating_sub(before), node.clock.now());
+        let came = waited_since.take().unwrap_or_else(|| node.clock.now());
+        arrivals.read(input.len().saturating_sub(before), came);
         if over && matches!(state, State::Answering { .. } | State::Lingering) {
             return;
         }
