No route from this machine to discovery is not its end, however long it lasts

Cause: net/connect.rs told a route that was missing for all of its time as the other machine's failure, which is right for an executor and wrong for discovery.

--- a/crates/node/src/net/connect.rs
+++ b/crates/node/src/net/connect.rs
@@ -26,6 +26,9 @@
     /// This machine had not what it takes, for as long as it was tried. Nothing is known of the other one.
     #[error("not tried, for want of something on this machine: {0}")]
     Local(io::Error),
+    /// This machine knew no way there, for as long as it was tried. Whose trouble that is nobody can tell.
+    #[error("no route: {0}")]
+    NoRoute(io::Error),
     /// Nobody could be reached there.
     #[error("{0}")]
     Remote(io::Error),
@@ -82,7 +85,7 @@
         let pause = backoff.next();
         if elapsed() + pause > within / 4 * 3 {
             return Err(match cause {
-                Cause::LocalRoute => ConnectError::Remote(error),
+                Cause::LocalRoute => ConnectError::NoRoute(error),
                 _ => ConnectError::Local(error),
             });
         }
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -182,7 +182,7 @@
         if hurry {
             tracing::warn!(%why, "new discovery does not answer yet");
             node.alarm.sleep(AGAIN);
-        } else if matches!(why, Fault::Connect(ConnectError::Local(_))) {
+        } else if matches!(why, Fault::Connect(ConnectError::Local(_) | ConnectError::NoRoute(_))) {
             // It costs discovery nothing, and says nothing of it: what it has to tell may be waiting.
             if node.may_log() {
                 tracing::warn!(%why, "discovery can't be asked from here");
