--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -142,10 +142,8 @@
     },
 }
 
-/// Processes of a run, at most: some hundreds are the operators' bound.
-const MOST_NODES: usize = 200;
-const MOST_EXECUTORS: usize = 500;
-const MOST_CLIENTS: usize = 500;
+/// Nodes, executors and clients of a run, at most, each. A machine bears far fewer nodes.
+const MOST: usize = 1_024;
 
 impl Plan {
     /// Reads a plan from its file's text.
@@ -173,10 +171,10 @@
             let why = format!("{value} is not from 1 to {most}");
             if (1..=most).contains(&value) { Ok(()) } else { Err(PlanError::Key { key, why }) }
         };
-        within("nodes", self.nodes, MOST_NODES)?;
-        within("executors", self.executors, MOST_EXECUTORS)?;
-        within("clients", self.clients, MOST_CLIENTS)?;
-        within("bad-clients", self.bad_clients + 1, MOST_CLIENTS)?;
+        within("nodes", self.nodes, MOST)?;
+        within("executors", self.executors, MOST)?;
+        within("clients", self.clients, MOST)?;
+        within("bad-clients", self.bad_clients + 1, MOST + 1)?;
         for trouble in &self.troubles {
             let (nodes, executor) = match trouble {
                 Trouble::StopNode { node, .. }
