Clients' connections in modules of one job each: reading, requests, answers

net/clients.rs had grown to 570 lines: what may be read and kept, what a request asks for, and what clients are told stand in files of their own; the conversation stays. Lines were moved and made visible to their module; nothing else.

--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -1,25 +1,29 @@
 //! Clients' connections: requests in, final answers out, one at a time on each.
 
-use std::io::{self, Read as _};
+mod answer;
+mod reading;
+mod request;
+
+use std::io;
 use std::net::{Shutdown, SocketAddr};
-use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use may::io::WaitIo;
 use may::net::{TcpListener, TcpStream};
 use socket2::{Domain, Socket, Type};
 
 use super::arrivals::Arrivals;
 use super::{Mailbox, Node, TURN, spawn};
-use crate::http::{self, Body, Fault, Framing, Out, Request};
-use linestack_core::{Answer, Client, Input, Intake, Nanos, Phase, Shipment};
-use linestack_recovery::start::Stage;
+use crate::http::{self, Fault, Out};
+use linestack_core::{Answer, Client, Input, Nanos, Phase};
+
+use answer::{CONTINUE, answered, bare};
+use reading::{Beyond, KEPT, Read, read};
+use request::{Asked, Incoming, next};
 
 const NANOS_PER_MS: u64 = 1_000_000;
-/// The longest that a client may say it waits, whatever the settings name.
-const LONGEST_WAIT_MS: u64 = 86_400_000;
 /// How long to leave the listener alone when no descriptor or room is left.
 const BREATH: Duration = Duration::from_millis(2);
 /// After so many newcomers in a row those that are there get their turn: what they have sent tells them from
@@ -89,14 +93,6 @@
     Ok(address)
 }
 
-/// A request of which the head has come: what it asks for, whether a go-ahead is wanted, and what is known of
-/// the body's end.
-struct Incoming {
-    asked: Asked,
-    expects: bool,
-    body: Body,
-}
-
 /// What a connection is doing.
 enum State {
     Reading {
@@ -330,165 +326,6 @@
     Ok(())
 }
 
-/// What may be read ahead.
-const KEPT: usize = http::HEAD + http::BODY;
-
-/// What becomes of bytes beyond those that may be read ahead.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Beyond {
-    /// They wait in the socket, and what follows them is not seen.
-    Waits,
-    /// They are dropped: behind them the client's end must be seen.
-    Dropped,
-    /// What comes from now on is dropped, and what was read stays.
-    NewDropped,
-    /// All are dropped.
-    AllDropped,
-}
-
-enum Read {
-    /// Nothing is left in the socket.
-    All,
-    Some,
-    Ended,
-}
-
-/// Reads what there is, up to what may be kept.
-fn read(socket: &mut TcpStream, input: &mut BytesMut, beyond: Beyond) -> io::Result<Read> {
-    let mut piece = [0; 4096];
-    let mut taken = 0;
-    loop {
-        if beyond == Beyond::AllDropped {
-            input.clear();
-        }
-        let full = input.len() > KEPT;
-        // One that never stops sending must not keep the others from being read.
-        if taken > KEPT || (full && beyond == Beyond::Waits) {
-            return Ok(Read::Some);
-        }
-        match socket.inner_mut().read(&mut piece) {
-            Ok(0) => return Ok(Read::Ended),
-            Ok(n) => {
-                taken += n;
-                if !full && beyond < Beyond::NewDropped {
-                    input.extend_from_slice(&piece[..n]);
-                }
-            }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(Read::All),
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-            Err(e) => return Err(e),
-        }
-    }
-}
-
-/// True once a request is whole. What its head already shows to make no sense is turned down before any of
-/// its body is waited for.
-fn next(
-    node: &Node,
-    input: &mut BytesMut,
-    head: &mut Option<Box<Incoming>>,
-    body: &mut BytesMut,
-) -> Result<bool, Fault> {
-    if head.is_none() {
-        let Some(request) = http::request(input)? else { return Ok(false) };
-        let text = input.split_to(request.length).freeze();
-        let body = Body::new(request.framing.unwrap_or(Framing::Length(0)));
-        *head = Some(Box::new(Incoming {
-            asked: requested(node, &request, &text)?,
-            expects: request.expects,
-            body,
-        }));
-    }
-    let Some(incoming) = head else { return Ok(false) };
-    let whole = incoming.body.take(input, body)?;
-    if body.len() > http::BODY {
-        return Err(Fault { status: 413, why: "body too large" });
-    }
-    Ok(whole)
-}
-
-enum Asked {
-    Execution(Intake, bool),
-    Health(Out, bool),
-}
-
-fn requested(node: &Node, request: &Request, text: &Bytes) -> Result<Asked, Fault> {
-    let last = request.close;
-    match (&text[request.method.clone()], &text[request.path.clone()]) {
-        (b"GET", b"/healthz") if node.remembered(b"").is_some_and(|(takes, _)| !takes) && node.ready() => {
-            Ok(Asked::Health(told(200, "the store has failed: one-shots are dismissed\n", last), last))
-        }
-        (b"GET", path) if path.starts_with(SUBMISSIONS) && node.remembered(b"").is_some() => {
-            let fate = node.remembered(&path[SUBMISSIONS.len()..]).and_then(|(_, fate)| fate);
-            let out = match fate {
-                Some(fate) => told(200, &format!("{{\"fate\":\"{}\"}}\n", fate.word()), last),
-                None => told(404, "{\"fate\":\"not known\"}\n", last),
-            };
-            Ok(Asked::Health(out, last))
-        }
-        (b"GET", b"/healthz") if node.stage().is_some_and(|s| s < Stage::Full) => {
-            let Some(stage) = node.stage() else { return Ok(Asked::Health(bare(503, last), last)) };
-            let text = format!("starting: {}: {}\n", stage.word(), stage.why());
-            Ok(Asked::Health(told(if node.ready() { 200 } else { 503 }, &text, last), last))
-        }
-        (b"GET", b"/healthz") if !node.sure() && node.ready() => {
-            let text = "an earlier store was lost: one-shots are aborted until what it sent is over\n";
-            Ok(Asked::Health(told(200, text, last), last))
-        }
-        (b"GET", b"/healthz") => Ok(Asked::Health(bare(if node.ready() { 200 } else { 503 }, last), last)),
-        (b"GET", _) => Ok(Asked::Health(bare(404, last), last)),
-        (b"POST", _) => Ok(Asked::Execution(intake(node, request, text)?, last)),
-        _ => Err(Fault { status: 405, why: "POST only" }),
-    }
-}
-
-/// What a request asks for, if it may be executed at all. Its body is still to come.
-fn intake(node: &Node, request: &Request, text: &Bytes) -> Result<Intake, Fault> {
-    let bad = |why| Fault { status: 400, why };
-    let part = |range: &Option<Range<usize>>| range.clone().map(|r| text.slice(r)).filter(|t| !t.is_empty());
-    let place = |names: &[String], name: &Bytes| names.iter().position(|n| n.as_bytes() == &name[..]);
-    let id = part(&request.id).ok_or(bad("no Req-Id"))?;
-    let kind = part(&request.kind).ok_or(bad("no Req-Kind"))?;
-    let product = place(&node.names.products, &kind).ok_or(bad("unknown Req-Kind"))?;
-    let tenant = if node.names.tenants.is_empty() {
-        0
-    } else {
-        let owner = part(&request.owner).ok_or(bad("no Req-Owner"))?;
-        place(&node.names.tenants, &owner).ok_or(bad("unknown Req-Owner"))?
-    };
-    let stamp = part(&request.stamp);
-    // Without its mark nothing would drop a repeat of it.
-    if stamp.is_none() && node.stamped.get(product).copied().unwrap_or(false) {
-        return Err(bad("no Idempotency-Key"));
-    }
-    let deadline = part(&request.deadline).ok_or(bad("no Req-Deadline-Ms"))?;
-    let digits = std::str::from_utf8(&deadline).ok().filter(|d| d.bytes().all(|b| b.is_ascii_digit()));
-    let deadline = digits.and_then(|d| d.parse::<u64>().ok());
-    let deadline = deadline.ok_or(bad("bad Req-Deadline-Ms"))?.min(LONGEST_WAIT_MS);
-    let extra = part(&request.extra);
-    let extra = extra.as_deref().and_then(|e| std::str::from_utf8(e).ok()).unwrap_or("");
-    let figure = |names: [&str; 2]| {
-        let found = names.iter().find_map(|n| http::text_figure(extra, n));
-        found.filter(|f| f.is_finite() && *f >= 0.0).map(f64::from)
-    };
-    let shipment = Shipment {
-        method: text.slice(request.method.clone()),
-        path: text.slice(request.path.clone()),
-        host: part(&request.host).unwrap_or_default(),
-        id,
-        stamp,
-        body: Bytes::new(),
-    };
-    Ok(Intake {
-        product: u8::try_from(product).map_err(|_| bad("unknown Req-Kind"))?,
-        tenant: u16::try_from(tenant).map_err(|_| bad("unknown Req-Owner"))?,
-        patience: deadline * NANOS_PER_MS,
-        slots: figure(["slots", "needs"]).filter(|s| *s > 0.0).unwrap_or(1.0),
-        memory: figure(["memory", "memNeeded"]).unwrap_or(0.0),
-        shipment: Arc::new(shipment),
-    })
-}
-
 fn turned_down(node: &Arc<Node>, client: Client, fault: Fault) -> State {
     if node.may_log() {
         tracing::warn!(status = fault.status, why = fault.why, "request turned down");
@@ -496,71 +333,3 @@
     node.feed(Input::TurnedDown { client });
     State::Answering { out: bare(fault.status, true), last: true }
 }
-
-/// Where a client can ask how a submission stands, by the key that it keeps.
-const SUBMISSIONS: &[u8] = b"/v1/submissions/";
-
-fn told(status: u16, text: &str, last: bool) -> Out {
-    let mut out = Out::default();
-    let length = text.len();
-    out.push(Bytes::from(format!("HTTP/1.1 {status} {}\r\nContent-Length: {length}\r\n", reason(status))));
-    out.push(if last { LAST } else { b"" });
-    out.push(&b"\r\n"[..]);
-    out.push(Bytes::from(text.to_owned()));
-    out
-}
-
-const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-const LAST: &[u8] = b"Connection: close\r\n";
-
-fn bare(status: u16, last: bool) -> Out {
-    let mut out = Out::default();
-    out.push(Bytes::from(format!("HTTP/1.1 {status} {}\r\nContent-Length: 0\r\n", reason(status))));
-    out.push(if last { LAST } else { b"" });
-    out.push(&b"\r\n"[..]);
-    out
-}
-
-fn answered(answer: Answer, last: bool) -> Out {
-    let mut out = Out::default();
-    let last = if last { LAST } else { b"" };
-    match answer {
-        Answer::Satisfied(result) => {
-            out.push(&b"HTTP/1.1 200 OK\r\n"[..]);
-            out.push(last);
-            out.push(Bytes::from(format!("Content-Length: {}\r\n\r\n", result.len())));
-            out.push(result);
-        }
-        Answer::Dismissed(come_back) => {
-            out.push(&b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"[..]);
-            out.push(last);
-            if let Some(wait) = come_back {
-                out.push(Bytes::from(format!("Retry-After: {:.3}\r\n", wait as f64 / 1e9)));
-            }
-            out.push(&b"\r\n"[..]);
-        }
-        Answer::Repeated => return bare(409, !last.is_empty()),
-        Answer::Aborted => {
-            out.push(&b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n"[..]);
-            out.push(last);
-            out.push(&b"\r\n"[..]);
-        }
-    }
-    out
-}
-
-fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        408 => "Request Timeout",
-        409 => "Conflict",
-        413 => "Content Too Large",
-        431 => "Request Header Fields Too Large",
-        503 => "Service Unavailable",
-        505 => "HTTP Version Not Supported",
-        _ => "Error",
-    }
-}
