--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -109,14 +109,7 @@
         write_history(&played, &folder)?;
         std::fs::write(folder.join("plan.toml"), plan.write()?)?;
     }
-    let case = Case {
-        history: &played.history,
-        terms: &plan.terms,
-        places: &played.places,
-        strengths: &played.strengths,
-        nodes: plan.nodes,
-    };
-    let verdict = judge(&case);
+    let verdict = judge(&Case::of(plan, &played));
     print(name, &played, &verdict, begun.elapsed());
     Ok(verdict)
 }
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -21,14 +21,7 @@
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     let folder = tempfile::tempdir().unwrap();
     let played = run(plan, Path::new(env!("CARGO_BIN_EXE_linestack")), folder.path()).unwrap();
-    let case = Case {
-        history: &played.history,
-        terms: &plan.terms,
-        places: &played.places,
-        strengths: &played.strengths,
-        nodes: plan.nodes,
-    };
-    let verdict = judge(&case);
+    let verdict = judge(&Case::of(plan, &played));
     println!("{:?}, {} doubtful", verdict.counts, verdict.doubtful.len());
     assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
     verdict.counts
--- a/crates/soak/src/judge/mod.rs
+++ b/crates/soak/src/judge/mod.rs
@@ -11,7 +11,8 @@
 
 use crate::history::{Connection, Conversation, Deed, Entry, Event, Nanos};
 use crate::millis;
-use crate::run::Place;
+use crate::plan::Plan;
+use crate::run::{Place, Played};
 use crate::terms::{Class, Terms};
 
 /// A rule of the page, by the name that it has there.
@@ -76,8 +77,19 @@
     pub places: &'a [Place],
     /// Their slots, and milliseconds of a job.
     pub strengths: &'a [(usize, f64)],
-    /// How many nodes there were.
-    pub nodes: usize,
+}
+
+impl<'a> Case<'a> {
+    /// A plan that was played.
+    #[must_use]
+    pub fn of(plan: &'a Plan, played: &'a Played) -> Self {
+        Self {
+            history: &played.history,
+            terms: &plan.terms,
+            places: &played.places,
+            strengths: &played.strengths,
+        }
+    }
 }
 
 /// What came of a case.
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -114,7 +114,6 @@
             terms: &terms,
             places: &[place(0, 0), place(1, 1), place(0, 0)],
             strengths: &[(4, 20.0); 3],
-            nodes: 1,
         };
         judge(&case).violations.into_iter().map(|violation| violation.rule).collect()
     }
