--- a/crates/node/tests/ends/descriptors.rs
+++ b/crates/node/tests/ends/descriptors.rs
@@ -86,3 +86,25 @@
     assert_eq!(status(crate::stand::message(&mut client)), 200);
     drop(kept);
 }
+
+// While others hold all the room with half requests, a newcomer is let in or shut in time: its request must not be answered
+// over half a second after its deadline.
+#[test]
+fn a_newcomer_is_answered_or_shut_in_time_while_all_room_is_held() {
+    const MOST: u32 = 120;
+    const PATIENCE: u32 = 500;
+    let node = Node::start(&[willing(Place::open(), "r")], &[]);
+    let mut kept = Vec::new();
+    for id in 1..=MOST {
+        let mut client = node.client();
+        assert_eq!(status(ask(&mut client, &job(id, "look", 6_000))), 200);
+        send(&mut client, &job(id, "look", 6_000)[..60]);
+        kept.push(client);
+    }
+    let mut client = node.client();
+    let sent = Instant::now();
+    send(&mut client, &job(MOST + 1, "look", PATIENCE));
+    drop(crate::stand::message(&mut client));
+    assert!(sent.elapsed() < Duration::from_millis(1_200), "{:?}", sent.elapsed());
+    drop(kept);
+}
