Review, case 3: a node with a store goes over its memory limit on large one-shots

The key of a remembered one-shot is a slice of the buffer that its request was read into, so the whole request stays in memory for as long as the outcome is known, and only the key is counted.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,6 +3,6 @@
 CASE="$(cd "$(dirname "$0")" && pwd)"
 ROOT="$(cd "$CASE/../.." && pwd)"
 export CASE ROOT
-timeout -k 3 110 "$ROOT/review/stand-ins/target/release/refused"
+timeout -k 3 110 "$ROOT/review/stand-ins/target/release/memory"
 status=$?
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
--- a/review/stand-ins/src/bin/paced.rs
+++ b/review/stand-ins/src/bin/paced.rs
@@ -52,7 +52,7 @@
     let mut answer = Err("not asked".to_owned());
     for try_number in 1..=5 {
         let id = format!("bbbbbbbbbbbbbb{try_number:02}");
-        let request = Request { id: &id, kind: "load", owner: "sabz-bank", key: KEY, deadline_ms: 4000 };
+        let request = Request { id: &id, kind: "load", owner: "sabz-bank", key: KEY, deadline_ms: 4000, body_bytes: 212 };
         answer = submit(record, node, &request);
         if !matches!(answer, Ok((429 | 503, _))) || !group.runs(KEY).is_empty() {
             break;
--- a/review/stand-ins/src/bin/restored.rs
+++ b/review/stand-ins/src/bin/restored.rs
@@ -60,7 +60,7 @@
         Ok::<_, Failure>(process)
     };
     let ask = |id: &str, key: &str| {
-        submit(record, node, &Request { id, kind: "redeem", owner: "sabz-bank", key, deadline_ms: 8000 })
+        submit(record, node, &Request { id, kind: "redeem", owner: "sabz-bank", key, deadline_ms: 8000, body_bytes: 212 })
     };
 
     store(record, &["init", &folder_text])?;
--- a/review/stand-ins/src/http.rs
+++ b/review/stand-ins/src/http.rs
@@ -52,15 +52,16 @@
     pub owner: &'a str,
     pub key: &'a str,
     pub deadline_ms: u64,
+    /// The length of the body.
+    pub body_bytes: usize,
 }
 
 /// Sends a request on a connection of its own, and waits for the answer until half a second after the deadline. Returns
 /// the status and the body.
 pub fn submit(record: &Record, node: SocketAddr, request: &Request) -> Result<(u16, String), String> {
-    let Request { id, kind, owner, key, deadline_ms } = request;
-    record.write(&format!("client sends {kind} id={id} key={key} deadline={deadline_ms} ms"));
-    let body = format!("order {key}");
-    let length = body.len();
+    let Request { id, kind, owner, key, deadline_ms, body_bytes: length } = request;
+    record.write(&format!("client sends {kind} id={id} key={key} deadline={deadline_ms} ms body={length} bytes"));
+    let body = "x".repeat(*length);
     let text = format!(
         "POST /api HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Kind: {kind}\r\nReq-Owner: {owner}\r\n\
          Req-Deadline-Ms: {deadline_ms}\r\nIdempotency-Key: {key}\r\nContent-Length: {length}\r\n\r\n{body}"
--- a/review/stand-ins/src/platform.rs
+++ b/review/stand-ins/src/platform.rs
@@ -64,6 +64,13 @@
         Ok(Self { child: command.spawn().map_err(|e| format!("{RUN}: {e}"))? })
     }
 
+    /// The memory that the process has for itself, in KiB: what is mapped from files is left out.
+    pub fn memory_kib(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
+
     /// Sends a signal by its name.
     pub fn signal(&self, name: &str) {
         let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
