--- a/review/stand-ins/src/bin/memory.rs
+++ b/review/stand-ins/src/bin/memory.rs
@@ -13,8 +13,8 @@
 
 /// The limit in the node's configuration, `limits.memory_mb`.
 const MEMORY_MB: u64 = 192;
-/// The time between two requests of all clients together: 40 a second.
-const GAP: Duration = Duration::from_millis(25);
+/// The time between two requests of all clients together: 45 a second.
+const GAP: Duration = Duration::from_micros(22_222);
 /// How long clients come.
 const SPAN: Duration = Duration::from_secs(88);
 /// The length of a body: near the 64 KiB that a body may have, or that of the example in the protocol page.
@@ -54,7 +54,7 @@
     record.write(&format!("node: ready, {} KiB of memory of its own", process.memory_kib()));
 
     let body_bytes = if has_trouble() { LARGE_BODY } else { SMALL_BODY };
-    record.write(&format!("clients send a one-shot each {} ms, with a body of {body_bytes} bytes", GAP.as_millis()));
+    record.write(&format!("clients send a one-shot each {} us, with a body of {body_bytes} bytes", GAP.as_micros()));
     let over = AtomicBool::new(false);
     let [asked, served, other, without_answer] = [const { AtomicU64::new(0) }; 4];
     let mut peak = 0;
--- a/review/stand-ins/src/platform.rs
+++ b/review/stand-ins/src/platform.rs
@@ -64,6 +64,11 @@
         Ok(Self { child: command.spawn().map_err(|e| format!("{RUN}: {e}"))? })
     }
 
+    /// The number of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The memory that the process has for itself, in KiB: what is mapped from files is left out.
     pub fn memory_kib(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
