Remembered one-shots keep no receive buffers; the table copies keys and results

Cause: the key of an outcome is a slice of the buffer that the whole request was received in, and a slice keeps all of that buffer. The table of outcomes kept it for as long as the outcome is remembered, and counted the bytes of the key.

The table copies what it keeps, so that whatever a caller hands in has the size that is counted. A key is one allocation, shared by the map, the order of expiry and the record for the disk. OutcomeTable has a file of its own.

In older tests a key is written as an Arc where it was Bytes; nothing else in them changed.

--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -1162,7 +1162,11 @@
         ("2", StoredOutcome::Completed(result.clone())),
         ("3", StoredOutcome::NeverSent),
     ];
-    outcomes.restore(records.map(|(key, outcome)| OutcomeRecord { key: key.into(), outcome, at: 0 }));
+    outcomes.restore(records.map(|(key, outcome)| OutcomeRecord {
+        key: key.as_bytes().into(),
+        outcome,
+        at: 0,
+    }));
     let mut node = with_outcome_store(outcomes);
     let first = node.submit(PAY, 5_000 * MS);
     assert_eq!(node.answers(), [(first, Answer::Aborted)]);
--- a/crates/node/tests/ends/harness.rs
+++ b/crates/node/tests/ends/harness.rs
@@ -384,6 +384,13 @@
     }
 }
 
+/// Returns a field of the node's /proc/PID/status in KiB, such as `VmRSS`.
+pub fn memory_kb(node: &Node, field: &str) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{}/status", node.process.id())).unwrap();
+    let line = text.lines().find_map(|l| l.strip_prefix(field)?.strip_prefix(':')).unwrap();
+    line.trim().strip_suffix(" kB").unwrap().parse().unwrap()
+}
+
 /// Returns a client's request for a job of the product `kind`, with its whole body and a deadline `timeout_ms` after its arrival.
 /// A request for the product `top-up` has an idempotency key, which that product requires.
 pub fn job(id: u32, kind: &str, timeout_ms: u32) -> String {
--- a/crates/node/tests/ends/large_fleet.rs
+++ b/crates/node/tests/ends/large_fleet.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::harness::{
-    FakeServer, Node, WAIT_LIMIT, answer_all, configuration, done_response, entry, exchange, job,
+    FakeServer, Node, WAIT_LIMIT, answer_all, configuration, done_response, entry, exchange, job, memory_kb,
     read_message, send, status,
 };
 
@@ -66,13 +66,6 @@
     format!("executor-{number:0>60}")
 }
 
-/// Returns a field of the node's /proc/PID/status in KiB, such as `VmRSS`.
-fn memory_kb(node: &Node, field: &str) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{}/status", node.process.id())).unwrap();
-    let line = text.lines().find_map(|l| l.strip_prefix(field)?.strip_prefix(':')).unwrap();
-    line.trim().strip_suffix(" kB").unwrap().parse().unwrap()
-}
-
 /// Sends jobs from several clients, each after the answer to the client's previous one. Returns the number of jobs that were done.
 fn run_jobs(node: &Node) -> u32 {
     let clients: Vec<_> = (0..CLIENTS)
--- a/crates/node/tests/ends/main.rs
+++ b/crates/node/tests/ends/main.rs
@@ -13,6 +13,7 @@
 mod harness;
 mod large_fleet;
 mod machine;
+mod memory;
 mod paused_process;
 mod startup;
 mod termination;
--- /dev/null
+++ b/crates/node/tests/ends/memory.rs
@@ -0,0 +1,57 @@
+//! The memory that a node still holds for a request after its answer.
+
+use std::process::Command;
+
+use crate::harness::{
+    FakeServer, Node, answer_all, configuration, confirming_discovery, exchange, job, memory_kb, status,
+};
+
+/// The node's `limits.memory_mb` in the tests' configuration, in KiB.
+const MEMORY_LIMIT_KB: u64 = 32 * 1024;
+/// A body near the longest that clients may send, in bytes.
+const LARGE_BODY: usize = 60 * 1024;
+/// Keeps the quota of tenants out of the tests.
+const NO_QUOTA: (&str, &str) = ("\"quotaPerS\": 50.0", "\"quotaPerS\": 1000000.0");
+
+/// Returns a request as [`job`] does, with a body of [`LARGE_BODY`] bytes.
+fn large_job(id: u32, kind: &str) -> String {
+    let text = job(id, kind, 5_000);
+    let (head, _) = text.split_once("\r\n\r\n").unwrap();
+    let head = head.replace("Content-Length: 4", &format!("Content-Length: {LARGE_BODY}"));
+    format!("{head}\r\n\r\n{}", "x".repeat(LARGE_BODY))
+}
+
+/// Sends these requests one after another, each on a connection of its own, and checks that each is served.
+fn run_jobs(node: &Node, jobs: impl Iterator<Item = String>) {
+    for text in jobs {
+        assert_eq!(status(exchange(&mut node.client(), &text)), 200);
+    }
+    node.barrier();
+}
+
+/// Returns the node's memory that is not mapped from files, in KiB.
+fn own_memory_kb(node: &Node) -> u64 {
+    memory_kb(node, "RssAnon")
+}
+
+// Guards against a store whose node keeps the receive buffer of every one-shot that it remembers, and so exceeds its limit of memory
+// although the remembered keys and results are short.
+#[test]
+fn remembered_one_shots_keep_no_receive_buffers() {
+    const ONE_SHOTS: u32 = 400;
+    let folder = tempfile::tempdir().unwrap();
+    let (store, file) = (folder.path().join("store"), folder.path().join("store.toml"));
+    let mut init = Command::new(env!("CARGO_BIN_EXE_linestack"));
+    assert!(init.args(["store", "init"]).arg(&store).status().unwrap().success());
+    std::fs::write(&file, format!("[store]\nfolder = {store:?}\nsame-by = \"req-id\"\n")).unwrap();
+    let executor = answer_all(FakeServer::open(), "r");
+    let text = configuration(&[executor], confirming_discovery(), &[NO_QUOTA]);
+    let node = Node::start_with_store(&text, "", Some(&file));
+    node.wait_until_ready();
+    run_jobs(&node, (0..50).map(|id| large_job(id, "pay")));
+    let before = own_memory_kb(&node);
+    run_jobs(&node, (1_000..1_000 + ONE_SHOTS).map(|id| large_job(id, "pay")));
+    let growth = own_memory_kb(&node).saturating_sub(before);
+    // Remembered outcomes may take an eighth of the memory.
+    assert!(growth < MEMORY_LIMIT_KB / 8, "{growth} KiB for {ONE_SHOTS} one-shots");
+}
--- /dev/null
+++ b/crates/recovery/src/outcome_table.rs
@@ -0,0 +1,145 @@
+//! The outcomes that a node remembers, for a limited time and in limited memory.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::{OutcomeRecord, StoreTime, StoredOutcome};
+
+/// The outcomes that a node remembers, bounded in time, number and memory.
+#[derive(Debug)]
+pub struct OutcomeTable {
+    /// The latest outcome of each key.
+    latest: HashMap<Arc<[u8]>, LatestOutcome>,
+    /// Every recorded outcome, the oldest first. An entry that a later one for the same key has superseded is skipped when
+    /// it expires.
+    expiry_queue: VecDeque<ExpiryEntry>,
+    /// How long an outcome is remembered; clients do not retry later than that.
+    retention: StoreTime,
+    max_entries: usize,
+    /// The bytes of all keys and results.
+    used_bytes: usize,
+    max_bytes: usize,
+}
+
+/// The latest outcome of a key.
+#[derive(Debug)]
+struct LatestOutcome {
+    outcome: StoredOutcome,
+    recorded_at: StoreTime,
+}
+
+/// An outcome that was recorded for this key, for the order of expiry.
+#[derive(Debug)]
+struct ExpiryEntry {
+    recorded_at: StoreTime,
+    key: Arc<[u8]>,
+}
+
+/// Returns the number of bytes that an outcome counts against the table's limit.
+fn entry_size(key: &[u8], outcome: &StoredOutcome) -> usize {
+    key.len() + if let StoredOutcome::Completed(result) = outcome { result.len() } else { 0 }
+}
+
+impl OutcomeTable {
+    /// Creates a table that remembers each outcome for `retention`, and is full at `max_entries` or `max_bytes`.
+    #[must_use]
+    pub fn new(retention: StoreTime, max_entries: usize, max_bytes: usize) -> Self {
+        Self {
+            latest: HashMap::new(),
+            expiry_queue: VecDeque::new(),
+            retention,
+            max_entries,
+            used_bytes: 0,
+            max_bytes,
+        }
+    }
+
+    /// Loads stored records, in any order.
+    pub fn restore(&mut self, records: impl IntoIterator<Item = OutcomeRecord>) {
+        let mut records: Vec<OutcomeRecord> = records.into_iter().collect();
+        records.sort_by_key(|r| r.at);
+        records.into_iter().for_each(|r| self.insert(r));
+    }
+
+    fn insert(&mut self, record: OutcomeRecord) {
+        let OutcomeRecord { key, outcome, at: recorded_at } = record;
+        self.used_bytes += entry_size(&key, &outcome);
+        self.expiry_queue.push_back(ExpiryEntry { recorded_at, key: key.clone() });
+        if let Some(previous) = self.latest.insert(key.clone(), LatestOutcome { outcome, recorded_at }) {
+            self.used_bytes = self.used_bytes.saturating_sub(entry_size(&key, &previous.outcome));
+        }
+    }
+
+    /// Drops the outcomes that are past their retention time.
+    pub fn expire(&mut self, now: StoreTime) {
+        while let Some(oldest) = self.expiry_queue.front() {
+            if oldest.recorded_at.saturating_add(self.retention) >= now {
+                return;
+            }
+            let Some(ExpiryEntry { recorded_at, key }) = self.expiry_queue.pop_front() else { return };
+            if self.latest.get(&key).is_some_and(|latest| latest.recorded_at == recorded_at)
+                && let Some(expired) = self.latest.remove(&key)
+            {
+                self.used_bytes = self.used_bytes.saturating_sub(entry_size(&key, &expired.outcome));
+            }
+        }
+    }
+
+    /// Returns whether there is no room for another submission, which must then be rejected: forgetting a submission that
+    /// may have run would let it run twice.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.latest.len() >= self.max_entries || self.used_bytes >= self.max_bytes
+    }
+
+    /// Returns the outcome recorded for a key.
+    #[must_use]
+    pub fn outcome(&self, key: &[u8]) -> Option<&StoredOutcome> {
+        self.latest.get(key).map(|latest| &latest.outcome)
+    }
+
+    /// Returns the number of keys whose outcome is remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.latest.len()
+    }
+
+    /// Returns whether no outcome is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.latest.is_empty()
+    }
+
+    /// Records that an execution is about to be sent. The returned record must be durable before the first byte of the
+    /// execution is sent.
+    pub fn record_sending(&mut self, key: &[u8], now: StoreTime) -> OutcomeRecord {
+        self.record(key, StoredOutcome::MayHaveRun, now)
+    }
+
+    /// Records the outcome of a submission and returns the record to be stored. Does nothing and returns none if no
+    /// outcome is remembered for the submission: no execution of it was sent, or the record has expired.
+    pub fn record_outcome(
+        &mut self,
+        key: &[u8],
+        outcome: StoredOutcome,
+        now: StoreTime,
+    ) -> Option<OutcomeRecord> {
+        self.latest.contains_key(key).then(|| self.record(key, outcome, now))
+    }
+
+    /// Records an outcome. The key and the result are copied, because they may be slices of the buffer that a whole message
+    /// was received in, and a slice keeps all of its buffer in memory.
+    fn record(&mut self, key: &[u8], outcome: StoredOutcome, at: StoreTime) -> OutcomeRecord {
+        let key =
+            self.latest.get_key_value(key).map_or_else(|| Arc::from(key), |(known, _)| Arc::clone(known));
+        let outcome = match outcome {
+            StoredOutcome::Completed(result) => StoredOutcome::Completed(Bytes::copy_from_slice(&result)),
+            other => other,
+        };
+        let record = OutcomeRecord { key, outcome, at };
+        self.insert(record.clone());
+        record
+    }
+}
--- a/crates/recovery/tests/outcomes.rs
+++ b/crates/recovery/tests/outcomes.rs
@@ -1,5 +1,7 @@
 //! Which outcomes are remembered after a restart, and for how long.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use linestack_recovery::{OutcomeRecord, OutcomeTable, StoredOutcome};
 use proptest::prelude::*;
@@ -29,7 +31,7 @@
     table.record_sending(&key, 2);
     assert_eq!(
         table.record_outcome(&key, StoredOutcome::NeverSent, 3),
-        Some(OutcomeRecord { key: key.clone(), outcome: StoredOutcome::NeverSent, at: 3 })
+        Some(OutcomeRecord { key: key[..].into(), outcome: StoredOutcome::NeverSent, at: 3 })
     );
     assert_eq!(table.outcome(&key), Some(&StoredOutcome::NeverSent));
 }
@@ -54,6 +56,38 @@
     assert!(table.is_full());
 }
 
+/// A receive buffer that holds `TEXT` at its start and much more after it.
+struct ReceiveBuffer {
+    bytes: Vec<u8>,
+    // Shows by its count whether the buffer is still in memory.
+    _alive: Arc<()>,
+}
+
+impl AsRef<[u8]> for ReceiveBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+// Guards against a table whose keys and results are slices of receive buffers, each of which it keeps in memory as a whole for as
+// long as the outcome is remembered.
+#[test]
+fn a_remembered_outcome_keeps_no_receive_buffer() {
+    const TEXT: &[u8] = b"key or result";
+    let alive = Arc::new(());
+    let slice = || {
+        let bytes = [TEXT, &[0; 60_000]].concat();
+        Bytes::from_owner(ReceiveBuffer { bytes, _alive: Arc::clone(&alive) }).slice(..TEXT.len())
+    };
+    let mut table = OutcomeTable::new(100, 10, 1000);
+    let sending = table.record_sending(&slice(), 1);
+    assert_eq!(Arc::strong_count(&alive), 1);
+    let completed = table.record_outcome(&slice(), StoredOutcome::Completed(slice()), 2).unwrap();
+    assert_eq!(Arc::strong_count(&alive), 1);
+    assert_eq!(table.outcome(TEXT), Some(&completed.outcome));
+    assert_eq!((&*sending.key, &*completed.key), (TEXT, TEXT));
+}
+
 proptest! {
     // Compares the table with a plain list: an outcome is known until its retention time after it was last recorded, and
     // a table restored from the stored records knows the same.
