Idle connections to executors keep no receive buffers

Cause: a connection keeps the id of the last request that it carried, to recognize a second response. The id is a slice of the buffer that the whole request was received in, so each idle connection held its last request, head and body.

A request's head is copied out of the receive buffer, so that what is kept of it never holds the body; the id of an idle connection is a copy, since a head may have 16 KiB.

Test: ends memory::idle_connections_keep_no_receive_buffers.

--- a/crates/node/src/net/clients/request.rs
+++ b/crates/node/src/net/clients/request.rs
@@ -3,7 +3,7 @@
 use std::ops::Range;
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use linestack_core::{ForwardedRequest, NewSubmission};
 use linestack_recovery::start::Stage;
 
@@ -27,6 +27,9 @@
 
 /// Reads the next request from `input`. Returns true once it is complete. A request with an invalid head is rejected
 /// before any of its body is awaited.
+///
+/// The head is copied out of the receive buffer: parts of it are needed until the submission is answered and longer, and a
+/// slice would keep the whole buffer in memory.
 pub(super) fn read_request(
     node: &Node,
     input: &mut BytesMut,
@@ -35,7 +38,8 @@
 ) -> Result<bool, HttpError> {
     if head.is_none() {
         let Some(request) = http::parse_request(input)? else { return Ok(false) };
-        let head_text = input.split_to(request.length).freeze();
+        let head_text = Bytes::copy_from_slice(&input[..request.length]);
+        input.advance(request.length);
         let body = BodyDecoder::new(request.framing.unwrap_or(Framing::Length(0)));
         *head = Some(Box::new(Incoming {
             action: route(node, &request, &head_text)?,
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -227,7 +227,8 @@
             Progress::Reusable if !ended && current.fully_written && input.is_empty() => {
                 let identified =
                     current.id.is_some() && current.head.as_ref().is_some_and(|h| h.status == 200);
-                previous_id = exchange.take().and_then(|e| e.id);
+                // A copy, since the id is a slice of its request's head, which would otherwise stay in memory.
+                previous_id = exchange.take().and_then(|e| e.id).map(|id| Bytes::copy_from_slice(&id));
                 input = BytesMut::new();
                 node.handle_input(Input::ConnectionReusable { connection, identified });
             }
--- a/crates/node/tests/ends/memory.rs
+++ b/crates/node/tests/ends/memory.rs
@@ -1,5 +1,6 @@
 //! The memory that a node still holds for a request after its answer.
 
+use std::net::SocketAddr;
 use std::process::Command;
 
 use crate::harness::{
@@ -55,3 +56,22 @@
     // Remembered outcomes may take an eighth of the memory.
     assert!(growth < MEMORY_LIMIT_KB / 8, "{growth} KiB for {ONE_SHOTS} one-shots");
 }
+
+// Guards against idle connections to executors each of which keeps the receive buffer of the last request that it carried, for the
+// recognition of a second response.
+#[test]
+fn idle_connections_keep_no_receive_buffers() {
+    const EXECUTORS: usize = 60;
+    /// The memory that a connection is reckoned at, with its stack and its buffers while it is idle.
+    const CONNECTION_KB: u64 = 20;
+    let executors: Vec<SocketAddr> = (0..EXECUTORS).map(|_| answer_all(FakeServer::open(), "r")).collect();
+    let node = Node::start(&executors, &[NO_QUOTA]);
+    // Enough that hardly any executor is without a connection.
+    let jobs = 8 * EXECUTORS as u32;
+    run_jobs(&node, (0..jobs).map(|id| job(id, "look", 5_000)));
+    run_jobs(&node, std::iter::once(large_job(jobs, "look")));
+    let before = own_memory_kb(&node);
+    run_jobs(&node, (10_000..10_000 + jobs).map(|id| large_job(id, "look")));
+    let growth = own_memory_kb(&node).saturating_sub(before);
+    assert!(growth < CONNECTION_KB * EXECUTORS as u64, "{growth} KiB for {EXECUTORS} connections");
+}
