A one-shot that is repeated takes one place in the order of expiry

One key recorded 100,000 times took 6,291,756 bytes in a table with a limit of 4,096, which did not say that it was full.

Cause: the order of expiry was a queue with an entry for each record, and those that a later record had superseded stayed for as long as outcomes are remembered.

--- a/crates/recovery/src/outcome_table.rs
+++ b/crates/recovery/src/outcome_table.rs
@@ -1,6 +1,6 @@
 //! The outcomes that a node remembers, for a limited time and in limited memory.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -12,9 +12,8 @@
 pub struct OutcomeTable {
     /// The latest outcome of each key.
     latest: HashMap<Arc<[u8]>, LatestOutcome>,
-    /// Every recorded outcome, the oldest first. An entry that a later one for the same key has superseded is skipped when
-    /// it expires.
-    expiry_queue: VecDeque<ExpiryEntry>,
+    /// One entry for each key in `latest`, the next to expire first.
+    expiry_order: BTreeSet<ExpiryEntry>,
     /// How long an outcome is remembered; clients do not retry later than that.
     retention: StoreTime,
     max_entries: usize,
@@ -30,8 +29,8 @@
     recorded_at: StoreTime,
 }
 
-/// An outcome that was recorded for this key, for the order of expiry.
-#[derive(Debug)]
+/// The order of expiry: by time, and by key among those of the same time.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ExpiryEntry {
     recorded_at: StoreTime,
     key: Arc<[u8]>,
@@ -48,7 +47,7 @@
     pub fn new(retention: StoreTime, max_entries: usize, max_bytes: usize) -> Self {
         Self {
             latest: HashMap::new(),
-            expiry_queue: VecDeque::new(),
+            expiry_order: BTreeSet::new(),
             retention,
             max_entries,
             used_bytes: 0,
@@ -65,25 +64,27 @@
 
     fn insert(&mut self, record: OutcomeRecord) {
         let OutcomeRecord { key, outcome, at: recorded_at } = record;
+        self.remove(&key);
         self.used_bytes += entry_size(&key, &outcome);
-        self.expiry_queue.push_back(ExpiryEntry { recorded_at, key: key.clone() });
-        if let Some(previous) = self.latest.insert(key.clone(), LatestOutcome { outcome, recorded_at }) {
-            self.used_bytes = self.used_bytes.saturating_sub(entry_size(&key, &previous.outcome));
+        self.expiry_order.insert(ExpiryEntry { recorded_at, key: Arc::clone(&key) });
+        self.latest.insert(key, LatestOutcome { outcome, recorded_at });
+    }
+
+    fn remove(&mut self, key: &Arc<[u8]>) {
+        if let Some(LatestOutcome { outcome, recorded_at }) = self.latest.remove(key) {
+            self.used_bytes -= entry_size(key, &outcome);
+            self.expiry_order.remove(&ExpiryEntry { recorded_at, key: Arc::clone(key) });
         }
     }
 
     /// Drops the outcomes that are past their retention time.
     pub fn expire(&mut self, now: StoreTime) {
-        while let Some(oldest) = self.expiry_queue.front() {
+        while let Some(oldest) = self.expiry_order.first() {
             if oldest.recorded_at.saturating_add(self.retention) >= now {
                 return;
             }
-            let Some(ExpiryEntry { recorded_at, key }) = self.expiry_queue.pop_front() else { return };
-            if self.latest.get(&key).is_some_and(|latest| latest.recorded_at == recorded_at)
-                && let Some(expired) = self.latest.remove(&key)
-            {
-                self.used_bytes = self.used_bytes.saturating_sub(entry_size(&key, &expired.outcome));
-            }
+            let key = Arc::clone(&oldest.key);
+            self.remove(&key);
         }
     }
 
