The table of outcomes counts all the memory that its entries take

Cause: an entry counted the bytes of its key and result. Its places in the map and in the order of expiry, and its allocations, are several times that where keys and results are short.

An entry counts all that it takes. The map is a B-tree, as the order of expiry is: the least use of a node bounds what an entry takes, and it does not double at once. With keys of 32 bytes and results of 44 an entry counts 384 bytes, so that an eighth of 192 MB holds 65,000 one-shots before new ones are dismissed; by keys and results alone it said 331,000.

--- a/crates/recovery/src/outcome_table.rs
+++ b/crates/recovery/src/outcome_table.rs
@@ -1,6 +1,6 @@
 //! The outcomes that a node remembers, for a limited time and in limited memory.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -11,13 +11,13 @@
 #[derive(Debug)]
 pub struct OutcomeTable {
     /// The latest outcome of each key.
-    latest: HashMap<Arc<[u8]>, LatestOutcome>,
+    latest: BTreeMap<Arc<[u8]>, LatestOutcome>,
     /// One entry for each key in `latest`, the next to expire first.
     expiry_order: BTreeSet<ExpiryEntry>,
     /// How long an outcome is remembered; clients do not retry later than that.
     retention: StoreTime,
     max_entries: usize,
-    /// The bytes of all keys and results.
+    /// The memory that all entries take, in bytes.
     used_bytes: usize,
     max_bytes: usize,
 }
@@ -36,9 +36,27 @@
     key: Arc<[u8]>,
 }
 
-/// Returns the number of bytes that an outcome counts against the table's limit.
+/// What the allocator takes for itself with each allocation, in bytes.
+const ALLOCATION_OVERHEAD: usize = 16;
+/// The two counts before the bytes of a shared slice.
+const SHARED_SLICE_HEADER: usize = 2 * size_of::<usize>();
+/// What [`Bytes`] allocates when it is cloned: a pointer, a capacity and a count.
+const CLONED_BYTES_HEADER: usize = 3 * size_of::<usize>();
+/// The memory of one entry in both trees, in bytes. At least five of the eleven places of a B-tree's node are in use, and a node
+/// has links besides, so an entry takes up to two and a half times its own size.
+const TREE_ENTRY: usize =
+    (size_of::<Arc<[u8]>>() + size_of::<LatestOutcome>() + size_of::<ExpiryEntry>()) * 5 / 2;
+
+/// Returns the memory that an outcome takes, in bytes.
 fn entry_size(key: &[u8], outcome: &StoredOutcome) -> usize {
-    key.len() + if let StoredOutcome::Completed(result) = outcome { result.len() } else { 0 }
+    let key_size = SHARED_SLICE_HEADER + key.len() + ALLOCATION_OVERHEAD;
+    let result_size = match outcome {
+        StoredOutcome::Completed(result) => {
+            result.len() + ALLOCATION_OVERHEAD + CLONED_BYTES_HEADER + ALLOCATION_OVERHEAD
+        }
+        StoredOutcome::MayHaveRun | StoredOutcome::NeverSent => 0,
+    };
+    TREE_ENTRY + key_size + result_size
 }
 
 impl OutcomeTable {
@@ -46,7 +64,7 @@
     #[must_use]
     pub fn new(retention: StoreTime, max_entries: usize, max_bytes: usize) -> Self {
         Self {
-            latest: HashMap::new(),
+            latest: BTreeMap::new(),
             expiry_order: BTreeSet::new(),
             retention,
             max_entries,
--- a/crates/recovery/tests/memory.rs
+++ b/crates/recovery/tests/memory.rs
@@ -3,7 +3,9 @@
 use std::alloc::System;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use bytes::Bytes;
 use linestack_recovery::{OutcomeTable, StoreTime, StoredOutcome};
+use rstest::rstest;
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 
 #[global_allocator]
@@ -16,10 +18,23 @@
     ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Returns the bytes that were allocated in the region and are still in use.
+/// What the system's allocator takes for itself with each allocation, in bytes.
+const ALLOCATION_OVERHEAD: usize = 16;
+
+/// Returns the memory that was allocated in the region and is still in use, in bytes.
 fn used_bytes(region: &Region<'_, System>) -> usize {
     let change = region.change();
-    change.bytes_allocated.saturating_sub(change.bytes_deallocated)
+    let allocations = change.allocations.saturating_sub(change.deallocations);
+    change.bytes_allocated.saturating_sub(change.bytes_deallocated) + allocations * ALLOCATION_OVERHEAD
+}
+
+/// Returns a key of this length. Keys of successive numbers are in order of their bytes if `in_order`.
+fn key(number: u64, length: usize, in_order: bool) -> Vec<u8> {
+    // The multiplier is odd, so that different numbers have different keys.
+    let number = if in_order { number } else { number.wrapping_mul(0x9E37_79B9_7F4A_7C15) };
+    let mut key = number.to_be_bytes().to_vec();
+    key.resize(length, 0);
+    key
 }
 
 /// Records a one-shot that is sent and then declined, with the key `number`.
@@ -44,3 +59,43 @@
     let used = used_bytes(&region);
     assert!(used <= LIMIT, "{used} bytes for one submission");
 }
+
+// Guards against a table that counts its keys and results alone, and so takes many times the memory that it may take before it says
+// that it is full.
+#[rstest]
+#[case::results_of_a_few_words(32, 44, false)]
+#[case::results_of_a_few_words_and_keys_in_order(32, 44, true)]
+#[case::empty_results_and_short_keys(8, 0, false)]
+#[case::empty_results_and_short_keys_in_order(8, 0, true)]
+#[case::long_results(32, 3_000, false)]
+#[case::long_keys(1_000, 0, false)]
+fn a_full_table_takes_no_more_memory_than_it_may(
+    #[case] key_length: usize,
+    #[case] result_length: usize,
+    #[case] in_order: bool,
+) {
+    const LIMIT: usize = 1 << 20;
+    /// More than the last entry, which is recorded just before the table is full.
+    const LAST_ENTRY: usize = 8 << 10;
+    /// How often the older half of the table expires before it is filled again.
+    const ROUNDS: usize = 6;
+    let _alone = alone();
+    let region = Region::new(ALLOCATOR);
+    // The time is the number of the submission.
+    let (mut table, mut now) = (OutcomeTable::new(0, usize::MAX, LIMIT), 0);
+    for _ in 0..ROUNDS {
+        while !table.is_full() {
+            now += 1;
+            let key = key(now, key_length, in_order);
+            table.record_sending(&key, now);
+            let result = Bytes::from(vec![b'r'; result_length]);
+            drop(table.record_outcome(&key, StoredOutcome::Completed(result), now));
+            // A client that repeats its submission is answered with a clone of the result.
+            drop(table.outcome(&key).cloned());
+        }
+        let used = used_bytes(&region);
+        assert!(used <= LIMIT + LAST_ENTRY, "{used} bytes for {} submissions", table.len());
+        table.expire(now - table.len() as u64 / 2);
+        assert!(!table.is_full());
+    }
+}
