Store: expired records leave the index when a segment is begun, and expired segments go

What was seen: found by the search for what else of remembered one-shots takes memory that is not bounded.

Cause: the index kept each record until its segment was cleaned, and segments were cleaned when the budget on the disk was spent, whatever the retention says. With short keys 256 MiB hold over a million one-shots, at 85 to 145 bytes of memory each, and the next start reads them all. That a node exceeds its memory so after hours is reckoned, not run.

Each time a segment is begun, what has expired leaves the index, and the oldest segments, two at most, are cleaned if no more than an eighth of them is still needed, so that cleaning appends little and no commit takes long. A damaged segment is left alone then.

Tests: store/tests/faults.rs expired_records_take_neither_memory_nor_disk, failing before (265 records in the index after 264 commits with a retention of 200, and growing); no_needed_record_is_lost_while_expired_ones_are_dropped, kills and power failures at any step.

--- a/crates/store/src/store/append.rs
+++ b/crates/store/src/store/append.rs
@@ -21,6 +21,7 @@
         self.check_usable()?;
         let records = self.records_of(ops, now)?;
         self.append(&records)?;
+        self.drop_expired_if_due(now)?;
         self.enforce_budget(now)?;
         self.checkpoint_if_due()
     }
--- a/crates/store/src/store/compaction.rs
+++ b/crates/store/src/store/compaction.rs
@@ -85,7 +85,7 @@
             if !self.is_current(&key, entry.number, found.offset) {
                 return;
             }
-            if self.is_expired(&record, now) {
+            if self.limits.is_expired(record.kind, record.time, now) {
                 classified.dropped.push(key);
             } else if eviction == Eviction::Allowed && self.limits.evictable_kinds.contains(&record.kind) {
                 classified.evicted += 1;
@@ -96,9 +96,4 @@
         })?;
         Ok(classified)
     }
-
-    fn is_expired(&self, record: &Record, now: u64) -> bool {
-        let retention = self.limits.retention.iter().find(|retention| retention.kind == record.kind);
-        retention.is_some_and(|retention| record.time.saturating_add(retention.duration) < now)
-    }
 }
--- a/crates/store/src/store/mod.rs
+++ b/crates/store/src/store/mod.rs
@@ -6,12 +6,14 @@
 //! - `recovery`: creating and opening a store;
 //! - `checkpoint`: writing the index to a file, for a faster start;
 //! - `compaction`: dropping replaced and expired records;
+//! - `expiry`: dropping expired records before the budget is spent;
 //! - `read`: reading records, and verifying the whole store;
 //! - `repair`: creating a new store from the readable records of a damaged one.
 
 mod append;
 mod checkpoint;
 mod compaction;
+mod expiry;
 mod read;
 mod recovery;
 mod repair;
@@ -37,6 +39,8 @@
     /// The offset in the last segment at which the next record is written.
     append_offset: u64,
     index: Index,
+    /// The last segment when expired records were last dropped from the index.
+    expired_dropped_in: u64,
     /// Whether a write or a sync failed, after which the state of the disk is unknown.
     failed: bool,
     stats: Stats,
@@ -92,6 +96,7 @@
             salts: HashMap::new(),
             append_offset: 0,
             index: Index::default(),
+            expired_dropped_in: 0,
             failed: false,
             stats: Stats::default(),
         }
--- a/crates/store/tests/faults.rs
+++ b/crates/store/tests/faults.rs
@@ -334,6 +334,41 @@
     assert!(store.get(2, &2_u64.to_le_bytes()).unwrap().is_none());
 }
 
+// Guards against an index that keeps expired records until the budget on the disk is spent, and so fills the memory of a process that
+// commits for hours, and of the next one that opens its store. The process is killed now and then.
+#[test]
+fn expired_records_take_neither_memory_nor_disk() {
+    const RETENTION: u64 = 200;
+    /// Far more than a record takes on the disk; its key and value have 108 bytes.
+    const MAX_RECORD_SIZE: u64 = 192;
+    let limits = || Limits {
+        budget: 1 << 30,
+        retention: vec![Retention { kind: 1, duration: RETENTION }],
+        ..limits()
+    };
+    let put = |kind, i: u64| Op::Put { kind, key: i.to_le_bytes().to_vec(), value: vec![9; 100], at: i };
+    let mut store = Store::open(SimulatedDisk::default(), limits(), OpenMode::Create, 7).unwrap();
+    store.commit(&[put(2, 0)], 0).unwrap();
+    for now in 1..10_000 {
+        store.commit(&[put(1, now)], now).unwrap();
+        if now % 1_234 == 0 {
+            store = Store::open(store.close().after_kill(), limits(), OpenMode::Existing, 7).unwrap();
+        }
+        // Beside the records that have not expired there are those of one segment, in the index, and of three, on the disk: the one
+        // that is written, the oldest, part of which is still needed, and one more after a cleaning. The records of each
+        // segment that a restart finds expired are dropped when the next segment is begun.
+        let stats = store.stats();
+        let in_index = RETENTION + 2 * 4096 / 128;
+        let on_disk = RETENTION * MAX_RECORD_SIZE + 3 * 4096;
+        assert!(stats.records as u64 <= in_index && stats.bytes <= on_disk, "{now}: {stats:?}");
+    }
+    for number in 9_999 - RETENTION..10_000 {
+        assert!(store.get(1, &number.to_le_bytes()).unwrap().is_some(), "{number} was dropped too early");
+    }
+    assert!(store.get(2, &0_u64.to_le_bytes()).unwrap().is_some(), "a record that never expires was dropped");
+    assert_eq!(store.verify().unwrap(), []);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, rng_seed: prop::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
 
@@ -376,4 +411,47 @@
             }
         }
     }
+
+    // Kills and power failures at any step while expired segments are removed cost no record that has not expired.
+    #[test]
+    fn no_needed_record_is_lost_while_expired_ones_are_dropped(
+        seed in any::<u64>(),
+        faults in prop::collection::vec((1_usize..400, any::<bool>()), 1..6),
+    ) {
+        const RETENTION: u64 = 60;
+        let limits = || Limits { budget: 1 << 30, retention: vec![Retention { kind: 1, duration: RETENTION }], ..limits() };
+        /// Many times what fits into a segment.
+        const MAX_COMMITS: usize = 600;
+        let mut rng = Rng::with_seed(seed);
+        let mut disk = Store::open(SimulatedDisk::default(), limits(), OpenMode::Create, 7).unwrap().close();
+        let (mut now, mut committed) = (0_u64, Vec::new());
+        for (step, is_power_failure) in faults {
+            let mut store = Store::open(disk, limits(), OpenMode::Existing, 7).unwrap();
+            for commit in 0..MAX_COMMITS {
+                if commit == MAX_COMMITS / 3 {
+                    disk = store.close();
+                    disk.fault = Some((disk.steps + step, DiskFault::PowerFailure(rng.usize(0..600))));
+                    store = Store::open(disk, limits(), OpenMode::Existing, 7).unwrap();
+                }
+                now += 1;
+                let put = Op::Put { kind: 1, key: now.to_le_bytes().to_vec(), value: vec![9; 100], at: now };
+                if store.commit(&[put], now).is_err() {
+                    break;
+                }
+                committed.push(now);
+            }
+            disk = store.close();
+            disk = if is_power_failure { disk.after_power_failure(&mut rng) } else { disk.after_kill() };
+            match Store::open(disk.clone(), limits(), OpenMode::Existing, 7) {
+                Ok(store) => {
+                    for number in committed.iter().filter(|number| **number + RETENTION >= now) {
+                        prop_assert!(store.get(1, &number.to_le_bytes()).unwrap().is_some(), "{number} is lost at {now}");
+                    }
+                    disk = store.close();
+                }
+                Err(StoreError::Damaged { .. }) if is_power_failure => return Ok(()),
+                Err(error) => return Err(TestCaseError::fail(error.to_string())),
+            }
+        }
+    }
 }
