A result that does not fit into the memory of outcomes is not remembered

Cause: whether the table is full is asked when a one-shot is accepted; the results of those accepted before were all taken in.

A result that would pass the limit is not recorded: the one-shot remains one that may have run, so that a repeat is aborted instead of answered with the result, and nothing runs twice. The first answer is given all the same.

--- a/crates/recovery/src/outcome_table.rs
+++ b/crates/recovery/src/outcome_table.rs
@@ -138,14 +138,18 @@
     }
 
     /// Records the outcome of a submission and returns the record to be stored. Does nothing and returns none if no
-    /// outcome is remembered for the submission: no execution of it was sent, or the record has expired.
+    /// outcome is remembered for the submission, because no execution of it was sent or the record has expired, or if there
+    /// is no memory for the result: the submission then remains one that may have run.
     pub fn record_outcome(
         &mut self,
         key: &[u8],
         outcome: StoredOutcome,
         now: StoreTime,
     ) -> Option<OutcomeRecord> {
-        self.latest.contains_key(key).then(|| self.record(key, outcome, now))
+        let previous = entry_size(key, &self.latest.get(key)?.outcome);
+        let size = entry_size(key, &outcome);
+        let fits = size <= previous || self.used_bytes - previous + size <= self.max_bytes;
+        fits.then(|| self.record(key, outcome, now))
     }
 
     /// Records an outcome. The key and the result are copied, because they may be slices of the buffer that a whole message
--- a/crates/recovery/tests/memory.rs
+++ b/crates/recovery/tests/memory.rs
@@ -99,3 +99,33 @@
         assert!(!table.is_full());
     }
 }
+
+// Guards against results of submissions that were accepted before the table was full, all of which it takes in without a limit.
+#[test]
+fn results_that_do_not_fit_are_not_remembered() {
+    const LIMIT: usize = 1 << 20;
+    const RESULT_LENGTH: usize = 64 << 10;
+    const SUBMISSIONS: u64 = 200;
+    let _alone = alone();
+    let region = Region::new(ALLOCATOR);
+    let mut table = OutcomeTable::new(StoreTime::MAX, usize::MAX, LIMIT);
+    for number in 0..SUBMISSIONS {
+        assert!(!table.is_full());
+        drop(table.record_sending(&key(number, 32, false), number));
+    }
+    let completed = |number: &u64, table: &mut OutcomeTable| {
+        let result = Bytes::from(vec![b'r'; RESULT_LENGTH]);
+        table.record_outcome(&key(*number, 32, false), StoredOutcome::Completed(result), *number).is_some()
+    };
+    let remembered = (0..SUBMISSIONS).filter(|number| completed(number, &mut table)).count();
+    let used = used_bytes(&region);
+    assert!(used <= LIMIT && remembered >= LIMIT / RESULT_LENGTH - 2, "{used} bytes, {remembered} results");
+    // Nothing is forgotten: an execution whose result is not remembered may have run.
+    for number in 0..SUBMISSIONS {
+        let outcome = table.outcome(&key(number, 32, false));
+        assert!(matches!(outcome, Some(StoredOutcome::MayHaveRun | StoredOutcome::Completed(_))));
+    }
+    // An outcome that takes no more memory is recorded all the same.
+    let declined = key(SUBMISSIONS - 1, 32, false);
+    assert!(table.record_outcome(&declined, StoredOutcome::NeverSent, SUBMISSIONS).is_some());
+}
