Shim's tests: the clocks are read before the calls, which a busy machine may take long over

Cause, in the program that the test runs: it read the clocks first after 400 calls, a hundred of them syncs, and the step is planned 100 ms after its start. When the calls take longer than that, the step is over before the first reading.

The clocks are read first, and the calls follow. Plans, bounds and assertions are as they were.

--- a/crates/shim/examples/victim.rs
+++ b/crates/shim/examples/victim.rs
@@ -10,7 +10,20 @@
 /// How often each call is made.
 const CALLS: usize = 100;
 
+/// Prints by how many seconds the wall clock and the monotonic clock have advanced after 0.3 s.
+fn print_clocks() {
+    let (wall_start, monotonic_start) = (SystemTime::now(), Instant::now());
+    std::thread::sleep(Duration::from_millis(300));
+    let wall_seconds = SystemTime::now()
+        .duration_since(wall_start)
+        .map_or_else(|e| -(e.duration().as_secs() as i64), |d| d.as_secs() as i64);
+    println!("clock {wall_seconds}");
+    println!("steady {}", monotonic_start.elapsed().as_secs());
+}
+
 fn main() {
+    // Before the calls, which take long on a busy machine: a planned step of the clock must come after the first reading.
+    print_clocks();
     let mut counts = BTreeMap::<String, usize>::new();
     let mut count = |call: &str, result: std::io::Result<usize>| {
         let outcome =
@@ -41,13 +54,6 @@
         count("open", File::open(&path).map(|_| 0));
     }
     let _ = std::fs::remove_file(&path);
-    let (wall_start, monotonic_start) = (SystemTime::now(), Instant::now());
-    std::thread::sleep(Duration::from_millis(300));
-    let wall_seconds = SystemTime::now()
-        .duration_since(wall_start)
-        .map_or_else(|e| -(e.duration().as_secs() as i64), |d| d.as_secs() as i64);
-    println!("clock {wall_seconds}");
-    println!("steady {}", monotonic_start.elapsed().as_secs());
     for (outcome, times) in counts {
         println!("{outcome} x{times}");
     }
