--- a/crates/node/tests/back.rs
+++ b/crates/node/tests/back.rs
@@ -44,12 +44,31 @@
 /// Checks that no guarantee was violated, that the whole plan was carried out, and that the kill affected some request.
 fn assert_sound(outcome: &Outcome) {
     assert!(outcome.faults.is_empty(), "{:?}", outcome.faults);
-    assert!(outcome.findings.is_empty(), "{:?}", outcome.findings);
+    assert!(outcome.findings.is_empty(), "{}", describe_findings(outcome));
     let affected =
         |event: &HistoryEvent| matches!(event, HistoryEvent::Unknown { .. } | HistoryEvent::Unsent { .. });
     assert!(outcome.lines.iter().any(|l| affected(&l.what)), "no request was affected by the kill");
 }
 
+/// Returns the findings, and the lines of the history that name a submission of a finding or tell of an action or a start.
+fn describe_findings(outcome: &Outcome) -> String {
+    let mut text = format!("{:?}\n", outcome.findings);
+    let submissions: Vec<&str> =
+        outcome.findings.iter().filter_map(|finding| finding.reason.split([' ', ':']).next()).collect();
+    for line in &outcome.lines {
+        let event = format!("{:?}", line.what);
+        let of_a_submission = submissions.iter().any(|id| event.contains(&format!("{id:?}")));
+        let of_a_process = matches!(
+            line.what,
+            HistoryEvent::Did { .. } | HistoryEvent::Started | HistoryEvent::Stage { .. }
+        );
+        if of_a_submission || of_a_process {
+            text += &format!("{} {} {event}\n", line.at, line.by);
+        }
+    }
+    text
+}
+
 /// The targets of a step that affects seven of the ten nodes.
 const SEVEN_NODES: &str = "to = [\"n0\", \"n1\", \"n2\", \"n3\", \"n4\", \"n5\", \"n6\"]";
 
