A store that counts as lost does not prove that a one-shot was never sent

Cause: while a store counts as lost, a one-shot without a record is aborted, but a record 'unsent' was believed.

Change: a node that opens such a store removes these records, on the disk too. 'May have run' and 'satisfied' stay, since no later record contradicts them.

Result: restored_store::a_store_that_counts_as_lost_does_not_prove_that_a_one_shot_was_never_sent failed in both cases before (the store told 'unsent' of a one-shot that had run) and passes.

--- a/crates/node/src/persistence.rs
+++ b/crates/node/src/persistence.rs
@@ -303,9 +303,12 @@
         let timestamp: Option<StoredTimestamp> =
             only_record(&store, KIND_LIST_CONFIRMED).and_then(|text| serde_json::from_slice(&text).ok());
         let list_confirmed = timestamp.map(|StoredTimestamp { boot, at }| BootTimestamp { boot, at });
-        let replaces_lost = only_record(&store, KIND_REPLACES_LOST).is_some();
         // The wall clock is not used: the store's time advances only while a node runs.
         let time = outcomes.iter().map(|record| record.at).max().map_or(0, |at| at + 1);
+        let replaces_lost = only_record(&store, KIND_REPLACES_LOST).is_some();
+        if replaces_lost {
+            remove_never_sent(&mut store, &mut outcomes, time).map_err(|e| message(&e))?;
+        }
         Ok(Self { store, config, time, outcomes, list, list_confirmed, replaces_lost })
     }
 
@@ -386,6 +389,20 @@
     Ok(outcomes)
 }
 
+/// Removes the records of one-shots that were never sent, from a store whose later records were lost: an execution of such
+/// a one-shot may be among those. That one may have run, or has completed, no later record contradicts.
+fn remove_never_sent(
+    store: &mut Store<Folder>,
+    outcomes: &mut Vec<OutcomeRecord>,
+    now: StoreTime,
+) -> Result<(), StoreError> {
+    let removed: Vec<Op> = outcomes
+        .extract_if(.., |record| record.outcome == StoredOutcome::NeverSent)
+        .map(|record| Op::Remove { kind: KIND_OUTCOME, key: record.key.to_vec() })
+        .collect();
+    removed.chunks(MAX_GROUP_SIZE).try_for_each(|group| store.commit(group, now))
+}
+
 impl StoreWriter {
     /// Starts the thread, which writes for as long as the program runs. No coroutine waits for it.
     pub fn start(self, node: Arc<Node>) {
--- a/crates/node/tests/ends/main.rs
+++ b/crates/node/tests/ends/main.rs
@@ -15,5 +15,6 @@
 mod machine;
 mod memory;
 mod paused_process;
+mod restored_store;
 mod startup;
 mod termination;
