A repeat begins only within its window and group, asked at the first byte

Cause: the dispatcher asked whether executors still remember the first execution when it ordered a repeat.

Change: the reducer keeps when each request was passed to a connection, until it is certain that it did not run. repeats.rs says until when and in which group another execution may begin; permission.rs asks it on each occasion, last at the first byte. A connection whose turn would come after that time or the deadline is not waited for: the request goes elsewhere or is answered. A connection whose turn has come is opened only if its execution or probe may still begin. A probe is not written to an executor that has left.

--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -37,28 +37,32 @@
         }
     }
 
-    /// Opens a connection for an exchange. At the limit of connections, the one that has been idle longest is closed first; if
-    /// none is idle, the exchange is reported as not sent.
+    /// Makes room for another connection: at the limit, the one that has been idle longest is closed. Returns whether there is
+    /// room.
+    fn make_room_for_connection(&mut self) -> bool {
+        if self.connections.len() < self.max_connections {
+            return true;
+        }
+        let idle = self.connections.iter().filter(|(_, c)| c.phase == ConnectionPhase::Idle);
+        let longest_idle = idle.min_by_key(|(connection, c)| (c.since, **connection));
+        let Some(connection) = longest_idle.map(|(connection, _)| *connection) else { return false };
+        self.close_connection(connection);
+        true
+    }
+
+    /// Opens a connection for an exchange. If there is no room for one, or a staged start puts it off until the exchange may
+    /// not begin any more, the exchange is reported as not sent.
     pub(crate) fn open_connection(&mut self, worker: Worker, exchange: Exchange) {
-        if self.connections.len() >= self.max_connections {
-            let idle = self.connections.iter().filter(|(_, c)| c.phase == ConnectionPhase::Idle);
-            match idle
-                .min_by_key(|(connection, c)| (c.since, **connection))
-                .map(|(connection, _)| *connection)
-            {
-                Some(connection) => self.close_connection(connection),
-                None => return self.not_sent(worker, exchange),
-            }
+        let begin_by = self.latest_begin(worker, exchange);
+        if self.next_connect_time() >= begin_by || !self.make_room_for_connection() {
+            return self.not_sent(worker, exchange);
         }
         let connection = self.next_connection;
         self.next_connection += 1;
-        let mut timeout = self.connect_timeout;
-        if let Exchange::Execution(submission, execution) = exchange {
-            let now = self.now;
-            if let Some(attempt) = self.attempt_mut(submission, execution) {
-                attempt.connection = Some(connection);
-                timeout = timeout.min(attempt.deadline.saturating_sub(now));
-            }
+        if let Exchange::Execution(submission, execution) = exchange
+            && let Some(attempt) = self.attempt_mut(submission, execution)
+        {
+            attempt.connection = Some(connection);
         }
         self.stats.links_opened += 1;
         let (phase, since) = (ConnectionPhase::Opening, self.now);
@@ -77,11 +81,13 @@
         };
         self.connections.insert(connection, state);
         self.workers[worker as usize].open_connections += 1;
-        let connect_at = self.next_connect_time();
-        self.limit_connection(connection, connect_at + timeout);
+        let connect_at = self.reserve_connect_time();
+        let connect_by = (connect_at + self.connect_timeout).min(begin_by);
+        self.limit_connection(connection, connect_by);
         if connect_at > self.now {
             return self.set_timer(connect_at, Timer::OpenConnection(connection));
         }
+        let timeout = connect_by - connect_at;
         self.effects.push(Effect::OpenConnection { connection, address, timeout });
     }
 
@@ -95,12 +101,6 @@
         }
     }
 
-    /// Whether an exchange that has waited for this connection may still be sent.
-    pub(crate) fn is_still_permitted(&self, state: &ConnectionState, exchange: Exchange) -> bool {
-        let Exchange::Execution(submission, execution) = exchange else { return true };
-        self.may_begin(state.worker, state.address, submission, execution).is_ok()
-    }
-
     /// Starts an exchange on an established connection that carries none.
     pub(crate) fn assign(&mut self, connection: ConnectionId, exchange: Exchange) {
         let Some(state) = self.connections.get_mut(&connection) else {
@@ -133,6 +133,7 @@
                         .map(|a| (a.request.clone(), a.settings_version));
                     let (request, version) = accepted.unwrap_or_default();
                     let timeout = deadline - now;
+                    self.record_send(submission, execution);
                     self.effects.push(Effect::Send { connection, request, timeout, version });
                 }
                 deadline
--- a/crates/core/src/executions.rs
+++ b/crates/core/src/executions.rs
@@ -13,7 +13,13 @@
         };
         let execution = accepted.executions.len() as Execution;
         let deadline = self.now + timeout;
-        accepted.executions.push(Attempt { worker, started_at: self.now, deadline, connection: None });
+        accepted.executions.push(Attempt {
+            worker,
+            started_at: self.now,
+            sent_at: None,
+            deadline,
+            connection: None,
+        });
         self.workers[worker as usize].known_executions += 1;
         self.stats.executions += 1;
         let exchange = Exchange::Execution(submission, execution);
@@ -75,6 +81,9 @@
         let now = self.now;
         let Some(attempt) = self.attempt_mut(submission, execution) else { return };
         attempt.connection = None;
+        if outcome.never_ran() {
+            attempt.sent_at = None;
+        }
         let (worker, duration) = (attempt.worker, now - attempt.started_at);
         self.inform_start_of_outcome(worker, outcome);
         let last_observation = &mut self.workers[worker as usize].last_observation;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 mod outcomes;
 mod peer_observations;
 mod permission;
+mod repeats;
 mod staged_start;
 mod start_times;
 mod timers;
@@ -227,6 +228,8 @@
 struct Attempt {
     worker: Worker,
     started_at: Nanos,
+    /// When its request was first passed to a connection; `None` if it has certainly not run.
+    sent_at: Option<Nanos>,
     deadline: Nanos,
     /// The connection that carries the execution, or will; `None` when the execution has ended.
     connection: Option<ConnectionId>,
--- a/crates/core/src/outcomes.rs
+++ b/crates/core/src/outcomes.rs
@@ -185,6 +185,7 @@
         if durable && self.permit(Occasion::Durable, worker, address, exchange).is_ok() {
             let deadline = self.attempt_mut(submission, execution).map_or(0, |attempt| attempt.deadline);
             let timeout = deadline.saturating_sub(self.now);
+            self.record_send(submission, execution);
             return self.effects.push(Effect::Send { connection, request, timeout, version });
         }
         if let Some(state) = self.connections.get_mut(&connection) {
--- a/crates/core/src/permission.rs
+++ b/crates/core/src/permission.rs
@@ -28,6 +28,12 @@
     ProductNotAllowed,
     /// Another execution of its submission is in flight, and the settings forbid copies.
     SecondCopy,
+    /// Another execution of its submission may have run, and its product must not run twice.
+    MayHaveRun,
+    /// Another execution may have run on an executor outside the group that drops repeats of each other's executions.
+    OutsideGroup,
+    /// Another execution may have run, and its executors may have forgotten it.
+    WindowPassed,
 }
 
 impl Refusal {
@@ -44,6 +50,9 @@
             Self::ExecutorMoved => "executor-moved",
             Self::ProductNotAllowed => "not-open",
             Self::SecondCopy => "second-copy",
+            Self::MayHaveRun => "may-have-run",
+            Self::OutsideGroup => "outside-group",
+            Self::WindowPassed => "window-passed",
         }
     }
 }
@@ -84,9 +93,9 @@
     pub over: u64,
     /// The client had disconnected.
     pub client_left: u64,
-    /// The deadline had passed.
+    /// The deadline had passed, or the time within which executors recognize a repeat.
     pub deadline_passed: u64,
-    /// The executor was draining, had left or had moved.
+    /// The executor was draining, or had left, moved or changed its group.
     pub executor_leaving: u64,
     /// The settings forbid the place or the copy; a correct dispatcher never starts such an execution.
     pub forbidden: u64,
@@ -97,11 +106,13 @@
         let count = match refusal {
             Refusal::Withdrawn | Refusal::Answered => &mut self.over,
             Refusal::ClientLeft => &mut self.client_left,
-            Refusal::DeadlinePassed => &mut self.deadline_passed,
-            Refusal::ExecutorDraining | Refusal::ExecutorLeft | Refusal::ExecutorMoved => {
-                &mut self.executor_leaving
-            }
-            Refusal::ProductNotAllowed | Refusal::SecondCopy => &mut self.forbidden,
+            Refusal::DeadlinePassed | Refusal::WindowPassed => &mut self.deadline_passed,
+            // The dispatcher starts a repeat in the group of the first execution; an executor leaves the group by the list.
+            Refusal::ExecutorDraining
+            | Refusal::ExecutorLeft
+            | Refusal::ExecutorMoved
+            | Refusal::OutsideGroup => &mut self.executor_leaving,
+            Refusal::ProductNotAllowed | Refusal::SecondCopy | Refusal::MayHaveRun => &mut self.forbidden,
         };
         *count += 1;
     }
@@ -136,19 +147,38 @@
         if worker_state.address != address {
             return Err(Refusal::ExecutorMoved);
         }
-        let entry =
-            WorkerEntry { kind: worker_state.kind, zone: worker_state.zone, ..WorkerEntry::default() };
-        if !self.products.get(usize::from(accepted.product)).is_none_or(|product| product.allows(&entry)) {
+        let place = self.place_of(worker);
+        if !self.products.get(usize::from(accepted.product)).is_none_or(|product| product.allows(&place)) {
             return Err(Refusal::ProductNotAllowed);
         }
         let others = accepted.executions.iter().enumerate().filter(|(i, _)| *i != usize::from(execution));
         if !self.may_duplicate && others.clone().any(|(_, other)| other.connection.is_some()) {
             return Err(Refusal::SecondCopy);
         }
+        self.repeat_allowed_until(accepted, worker, execution)?;
         Ok(remaining)
     }
 
-    /// As [`Core::may_begin`], but also counts and reports a refusal. Probes are always permitted.
+    /// Returns whether an executor may be probed at this address.
+    fn may_probe_at(&self, worker: Worker, address: SocketAddr) -> Result<(), Refusal> {
+        let state = &self.workers[worker as usize];
+        if state.health == Health::Gone {
+            return Err(Refusal::ExecutorLeft);
+        }
+        if state.address == address { Ok(()) } else { Err(Refusal::ExecutorMoved) }
+    }
+
+    /// Returns whether an exchange that has waited for this connection may still be sent.
+    pub(crate) fn is_still_permitted(&self, state: &ConnectionState, exchange: Exchange) -> bool {
+        match exchange {
+            Exchange::Probe => self.may_probe_at(state.worker, state.address).is_ok(),
+            Exchange::Execution(submission, execution) => {
+                self.may_begin(state.worker, state.address, submission, execution).is_ok()
+            }
+        }
+    }
+
+    /// As [`Core::may_begin`], but also counts and reports a refusal. A probe has no time limit here.
     pub(crate) fn permit(
         &mut self,
         occasion: Occasion,
@@ -156,7 +186,9 @@
         address: SocketAddr,
         exchange: Exchange,
     ) -> Result<Nanos, Refusal> {
-        let Exchange::Execution(submission, execution) = exchange else { return Ok(Nanos::MAX) };
+        let Exchange::Execution(submission, execution) = exchange else {
+            return self.may_probe_at(worker, address).map(|()| Nanos::MAX);
+        };
         let permission = self.may_begin(worker, address, submission, execution);
         if let Err(refusal) = permission {
             self.stats.refused.count(refusal);
--- a/crates/core/src/staged_start.rs
+++ b/crates/core/src/staged_start.rs
@@ -112,16 +112,27 @@
     }
 
     /// When the next connection may be opened.
-    pub(crate) fn next_connect_time(&mut self) -> Nanos {
+    pub(crate) fn next_connect_time(&self) -> Nanos {
+        self.staged_start.as_ref().map_or(self.now, |s| s.start.next_connect(self.now))
+    }
+
+    /// Reserves the time at which the next connection may be opened.
+    pub(crate) fn reserve_connect_time(&mut self) -> Nanos {
         self.staged_start.as_mut().map_or(self.now, |s| s.start.schedule_connect(self.now))
     }
 
-    /// Opens a connection that had to wait, unless it has been removed.
+    /// Opens a connection that had to wait, unless its exchange was cancelled or may not begin any more.
     pub(crate) fn connect_time_reached(&mut self, connection: ConnectionId) {
         let Some(state) = self.connections.get(&connection) else { return };
-        let (address, deadline) = (state.address, state.limit.until);
-        let timeout = deadline.saturating_sub(self.now);
-        self.effects.push(Effect::OpenConnection { connection, address, timeout });
+        let (worker, exchange) = (state.worker, state.exchange);
+        if exchange.is_some_and(|exchange| self.is_still_permitted(state, exchange)) {
+            let (address, timeout) = (state.address, state.limit.until.saturating_sub(self.now));
+            return self.effects.push(Effect::OpenConnection { connection, address, timeout });
+        }
+        self.remove_connection(connection);
+        if let Some(exchange) = exchange {
+            self.not_sent(worker, exchange);
+        }
     }
 
     /// When the list may be asked for, if a staged start delays the call.
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -1034,8 +1034,13 @@
 
 /// A node in a staged start, with an old list of four executors.
 fn in_staged_start(per_s: f64) -> Node {
+    in_staged_start_with(common::SETTINGS, per_s)
+}
+
+/// The same with these settings.
+fn in_staged_start_with(settings: &str, per_s: f64) -> Node {
     use linestack_recovery::start::{StagedStart, StartConditions, StartJitter, StartLimits};
-    let settings = linestack_settings::read(common::SETTINGS.as_bytes(), 7).unwrap();
+    let settings = linestack_settings::read(settings.as_bytes(), 7).unwrap();
     let core = Core::new(settings, 64, 32 << 20);
     let mut node = Node { core, now: 1_000_000 * MS, effects: Vec::new(), last_client: 0 };
     let within = 500 * MS;
@@ -1427,3 +1432,88 @@
     assert_eq!(node.sent_over() == Some(connection), reused);
     assert_eq!(node.opened_connection().is_some(), !reused);
 }
+
+/// How long executors recognize the repeat of a stamped request in [`with_short_window`].
+const DEDUP_WINDOW: Nanos = 1_000 * MS;
+
+/// The settings with a short window for repeats, and without probes.
+fn with_short_window() -> String {
+    let settings = common::SETTINGS.replace("\"memorySpanMs\": 7500.0", "\"memorySpanMs\": 1000.0");
+    assert_ne!(settings, common::SETTINGS);
+    settings.replace("\"mayProbe\": true", "\"mayProbe\": false")
+}
+
+/// The connections whose opening the last inputs asked for.
+fn all_opened(node: &Node) -> usize {
+    node.effects.iter().filter(|e| matches!(e, Effect::OpenConnection { .. })).count()
+}
+
+// Guards against a repeat that is executed a second time: in a staged start its connection had to wait, and executors had forgotten
+// the first execution when it was sent. It is answered at once instead.
+#[test]
+fn a_repeat_whose_connection_would_come_after_its_window_is_answered() {
+    let mut node = in_staged_start_with(&with_short_window(), 1.0);
+    node.receive_list(ListKind::Whole, (0..4).map(|w| endpoint(w, Health::Ready)).collect());
+    let (client, connection) = node.start_execution(TOP_UP);
+    node.advance(300 * MS);
+    node.handle(Input::ExecutorDisconnected { connection, disconnect: WRITTEN });
+    assert_eq!(node.answers(), [(client, Answer::Aborted)]);
+    node.advance(DEDUP_WINDOW);
+    assert_eq!(all_opened(&node), 0);
+}
+
+/// Something that happens between the order of a repeat and its first byte.
+#[derive(Clone, Copy)]
+enum Meanwhile {
+    /// The window passes while the process stands still.
+    WindowPasses,
+    /// The executor joins another group.
+    GroupChanges,
+    /// Nothing: the repeat may begin.
+    Nothing,
+}
+
+// What was true when a repeat was ordered is asked again before its first byte.
+#[rstest]
+#[case::window_passes(Meanwhile::WindowPasses, Some(Refusal::WindowPassed))]
+#[case::group_changes(Meanwhile::GroupChanges, Some(Refusal::OutsideGroup))]
+#[case::nothing(Meanwhile::Nothing, None)]
+fn a_repeat_is_checked_before_its_first_byte(#[case] meanwhile: Meanwhile, #[case] refusal: Option<Refusal>) {
+    let mut node = Node::with(&with_short_window(), 2);
+    let (_, first) = node.start_execution(TOP_UP);
+    node.advance(700 * MS);
+    node.handle(Input::ExecutorDisconnected { connection: first, disconnect: WRITTEN });
+    let (connection, address) = node.opened_connection().unwrap();
+    node.handle(Input::ExecutorConnected { connection });
+    assert_eq!(node.sent_over(), Some(connection));
+    match meanwhile {
+        Meanwhile::WindowPasses => node.now += 300 * MS,
+        Meanwhile::GroupChanges => {
+            let worker = usize::from(address.port() - 100);
+            let moved = Endpoint { cell: 2, ..endpoint(worker, Health::Ready) };
+            node.receive_list(ListKind::Changes, vec![moved]);
+        }
+        Meanwhile::Nothing => {}
+    }
+    let mut effects = Vec::new();
+    assert_eq!(node.core.begin_send(node.now, connection, &mut effects).err(), refusal);
+}
+
+// A connection that waited for its turn in a staged start is not opened for a client that has left, or to an executor that has left.
+#[rstest]
+#[case::client(true)]
+#[case::executor(false)]
+fn a_connection_that_waited_is_not_opened_for_nothing(#[case] client_leaves: bool) {
+    let mut node = in_staged_start_with(&with_short_window(), 1.0);
+    node.receive_list(ListKind::Whole, (0..4).map(|w| endpoint(w, Health::Ready)).collect());
+    node.start_execution(LOOK);
+    let waiting = node.submit(LOOK, 5_000 * MS);
+    assert_eq!((all_opened(&node), node.core.stats().taken), (0, 2));
+    if client_leaves {
+        node.handle(Input::ClientDisconnected { client: waiting });
+    } else {
+        node.receive_list(ListKind::Whole, (0..4).map(|w| endpoint(w, Health::Gone)).collect());
+    }
+    node.advance(1_500 * MS);
+    assert_eq!(all_opened(&node), 0);
+}
--- a/crates/recovery/src/start.rs
+++ b/crates/recovery/src/start.rs
@@ -323,6 +323,12 @@
         is_admitted
     }
 
+    /// Returns the time slot that the next connection to an executor would get.
+    #[must_use]
+    pub fn next_connect(&self, now: Nanos) -> Nanos {
+        if self.stage == Stage::Full { now } else { self.connections.next.max(now) }
+    }
+
     /// Reserves the time slot of the next connection to an executor and returns it.
     pub fn schedule_connect(&mut self, now: Nanos) -> Nanos {
         if self.stage == Stage::Full { now } else { self.connections.reserve(now) }
