--- a/crates/node/tests/back.rs
+++ b/crates/node/tests/back.rs
@@ -2,12 +2,13 @@
 //! Also starts of a node with a missing, copied, damaged or unsupported store, with peers that send nothing or false data, and with
 //! few file descriptors.
 
+use std::collections::HashMap;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::Mutex;
 use std::time::Duration;
 
-use linestack_history::HistoryEvent;
+use linestack_history::{HistoryEvent, Line};
 use linestack_rig::http::get_status;
 use linestack_rig::plan::Plan;
 use linestack_rig::process::{Process, copy_folder};
@@ -50,20 +51,38 @@
     assert!(outcome.lines.iter().any(|l| affected(&l.what)), "no request was affected by the kill");
 }
 
-/// Returns the findings, and the lines of the history that name a submission of a finding or tell of an action or a start.
+/// How long before and after a finding the history of its node is shown.
+const SHOWN_AROUND_NS: u64 = 4_000_000_000;
+
+/// Returns the findings with the lines of the history that explain them: actions and starts, and all requests of clients at the node of a
+/// finding around that time.
 fn describe_findings(outcome: &Outcome) -> String {
     let mut text = format!("{:?}\n", outcome.findings);
-    let submissions: Vec<&str> =
-        outcome.findings.iter().filter_map(|finding| finding.reason.split([' ', ':']).next()).collect();
+    let is_near = |line: &Line| outcome.findings.iter().any(|f| f.at.abs_diff(line.at) < SHOWN_AROUND_NS);
+    let node_of = |line: &Line| match &line.what {
+        HistoryEvent::Asked { id, node, .. } => Some((id.clone(), node.clone())),
+        _ => None,
+    };
+    let asked: HashMap<String, String> = outcome.lines.iter().filter_map(node_of).collect();
+    let reasons: Vec<&str> = outcome.findings.iter().map(|finding| finding.reason.as_str()).collect();
+    let named = |word: &str| reasons.iter().any(|reason| reason.split([' ', ':', ',']).any(|w| w == word));
     for line in &outcome.lines {
-        let event = format!("{:?}", line.what);
-        let of_a_submission = submissions.iter().any(|id| event.contains(&format!("{id:?}")));
-        let of_a_process = matches!(
-            line.what,
-            HistoryEvent::Did { .. } | HistoryEvent::Started | HistoryEvent::Stage { .. }
-        );
-        if of_a_submission || of_a_process {
-            text += &format!("{} {} {event}\n", line.at, line.by);
+        let shown = match &line.what {
+            HistoryEvent::Did { .. } | HistoryEvent::Started | HistoryEvent::Stage { .. } => true,
+            HistoryEvent::Took { key, .. } => named(key),
+            HistoryEvent::Asked { id, .. }
+            | HistoryEvent::Told { id, .. }
+            | HistoryEvent::Unknown { id }
+            | HistoryEvent::Unsent { id }
+            | HistoryEvent::Taken { id, .. }
+            | HistoryEvent::TurnedAway { id }
+            | HistoryEvent::Answered { id, .. } => {
+                named(id) || (is_near(line) && asked.get(id).is_some_and(|node| named(node)))
+            }
+            _ => false,
+        };
+        if shown {
+            text += &format!("{} {} {:?}\n", line.at, line.by, line.what);
         }
     }
     text
