A client's socket is asked for its end right before its request is sent on

Cause: a worker that had taken an executor's answer before the process stood still ordered the next execution, asked for permission and wrote it before the coroutine of the client had read the end of its connection. The permission goes by what the reducer was told.

--- a/crates/core/src/permission.rs
+++ b/crates/core/src/permission.rs
@@ -199,8 +199,18 @@
         permission
     }
 
-    /// Returns the time limit to send to the executor, when the first byte of a request is about to be written. If the
-    /// execution may not begin any more, the connection becomes idle, and what follows from that is appended to `effects`.
+    /// Returns the client that waits for the execution on this connection, if there is one.
+    #[must_use]
+    pub fn waiting_client(&self, connection: ConnectionId) -> Option<ClientId> {
+        let Some(Exchange::Execution(submission, _)) = self.connections.get(&connection)?.exchange else {
+            return None;
+        };
+        self.accepted.get(submission as usize)?.as_ref()?.client
+    }
+
+    /// Returns the time limit to send to the executor, when the first byte of a request is about to be written.
+    /// `disconnected_client` is the client that waits for it, if that has disconnected. If the execution may not begin any
+    /// more, the connection becomes idle, and what follows from that is appended to `effects`.
     ///
     /// # Errors
     ///
@@ -209,9 +219,13 @@
         &mut self,
         now: Nanos,
         connection: ConnectionId,
+        disconnected_client: Option<ClientId>,
         effects: &mut Vec<Effect>,
     ) -> Result<Nanos, Refusal> {
         self.now = self.now.max(now);
+        if let Some(client) = disconnected_client {
+            self.client_disconnected(client);
+        }
         let state = self.connections.get(&connection);
         let assigned = state.and_then(|state| Some((state.worker, state.address, state.exchange?)));
         let Some((worker, address, exchange)) = assigned else { return Err(Refusal::Withdrawn) };
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -1496,7 +1496,7 @@
         Meanwhile::Nothing => {}
     }
     let mut effects = Vec::new();
-    assert_eq!(node.core.begin_send(node.now, connection, &mut effects).err(), refusal);
+    assert_eq!(node.core.begin_send(node.now, connection, None, &mut effects).err(), refusal);
 }
 
 // A connection that waited for its turn in a staged start is not opened for a client that has left, or to an executor that has left.
--- a/crates/node/src/net/clients/mod.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -75,10 +75,11 @@
                     }
                     burst = if now - last_accept < YIELD_PAUSE.as_nanos() as u64 { burst + 1 } else { 1 };
                     last_accept = now;
-                    let (client, mailbox) = node.register_client();
+                    let socket = Arc::new(socket);
+                    let (client, mailbox) = node.register_client(&socket);
                     node.handle_input(Input::ClientConnected { client });
                     let node_of_client = Arc::clone(&node);
-                    spawn(move || serve(&node_of_client, client, socket, queue_empty_at, &mailbox));
+                    spawn(move || serve(&node_of_client, client, &socket, queue_empty_at, &mailbox));
                     if burst >= ACCEPT_BURST {
                         burst = 0;
                         node.alarm.sleep(YIELD_PAUSE);
@@ -145,15 +146,15 @@
 fn serve(
     node: &Arc<Node>,
     client: ClientId,
-    mut socket: TcpStream,
+    socket: &TcpStream,
     earliest_connect: Nanos,
     mailbox: &Mailbox<Message>,
 ) {
     // The guard reports the end of the connection to the reducer, after a panic too.
     let _guard = DisconnectGuard { node, client };
-    mailbox.wake_on_message(&socket);
+    mailbox.wake_on_message(socket);
     let _ = socket.set_nodelay(true);
-    run_requests(node, client, &mut socket, earliest_connect, mailbox);
+    run_requests(node, client, socket, earliest_connect, mailbox);
 }
 
 /// Reports to the reducer that the client has disconnected when dropped.
@@ -173,7 +174,7 @@
 fn run_requests(
     node: &Arc<Node>,
     client: ClientId,
-    socket: &mut TcpStream,
+    socket: &TcpStream,
     earliest_connect: Nanos,
     mailbox: &Mailbox<Message>,
 ) {
@@ -275,7 +276,7 @@
                             {
                                 continue_response.push(CONTINUE);
                             }
-                            if continue_response.write(socket.inner_mut()).is_err() {
+                            if continue_response.write(&mut socket.inner()).is_err() {
                                 return;
                             }
                             break;
@@ -305,7 +306,7 @@
                 }
                 State::Waiting { .. } => break,
                 State::Answering { out, close_after } => {
-                    match write_after(&mut continue_response, out, socket.inner_mut()) {
+                    match write_after(&mut continue_response, out, &mut socket.inner()) {
                         Ok(false) => break,
                         Err(_) => return,
                         Ok(true) if *close_after => {
--- a/crates/node/src/net/clients/reading.rs
+++ b/crates/node/src/net/clients/reading.rs
@@ -34,11 +34,7 @@
 }
 
 /// Reads the available bytes, up to [`READ_AHEAD_BYTES`].
-pub(super) fn read(
-    socket: &mut TcpStream,
-    input: &mut BytesMut,
-    overflow: Overflow,
-) -> io::Result<ReadStatus> {
+pub(super) fn read(socket: &TcpStream, input: &mut BytesMut, overflow: Overflow) -> io::Result<ReadStatus> {
     let mut piece = [0; 4096];
     let mut received = 0;
     loop {
@@ -50,7 +46,7 @@
         if received > READ_AHEAD_BYTES || (full && overflow == Overflow::LeaveInSocket) {
             return Ok(ReadStatus::MoreAvailable);
         }
-        match socket.inner_mut().read(&mut piece) {
+        match socket.inner().read(&mut piece) {
             Ok(0) => return Ok(ReadStatus::Ended),
             Ok(n) => {
                 received += n;
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -16,6 +16,7 @@
 use serde_json::value::RawValue;
 
 use super::connect::{ConnectError, connect};
+use super::permission::report_late_write;
 use super::{Mailbox, Node, YIELD_PAUSE, parse_object};
 use crate::NANOS_PER_MS;
 use crate::http::{self, BodyDecoder, Response, WriteQueue};
@@ -200,18 +201,25 @@
         };
         if !current.fully_written && !ended {
             // Until the first byte is written, permission is requested again before each attempt to write.
+            let mut checked_at = None;
             if current.out.written == 0
                 && let Some(request) = &current.request
             {
-                match node.begin_execution(connection) {
-                    Ok(time_left) => current.out = encode_request(request, time_left),
-                    Err(_) => {
-                        previous_id = exchange.take().and_then(|exchange| exchange.previous_id);
-                        continue;
-                    }
+                let Ok(permission) = node.begin_execution(connection) else {
+                    previous_id = exchange.take().and_then(|exchange| exchange.previous_id);
+                    continue;
+                };
+                current.out = encode_request(request, permission.time_left);
+                checked_at = permission.check(node);
+                if checked_at.is_none() {
+                    continue;
                 }
             }
-            match current.out.write(socket.inner_mut()) {
+            let written = current.out.write(socket.inner_mut());
+            if let (Some(checked_at), Some(id)) = (checked_at, &current.id) {
+                report_late_write(node, id, checked_at);
+            }
+            match written {
                 Ok(done) => current.fully_written = done,
                 Err(_) => return ConnectionEnd::Broken,
             }
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod discovery;
 pub mod executors;
 pub mod list_stream;
+mod permission;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -33,6 +34,7 @@
 };
 use linestack_recovery::StoredOutcome;
 use linestack_recovery::start::Stage;
+use permission::{SendPermission, has_disconnected};
 
 /// The pause of a coroutine that has more to read or accept, so that others run. A yield is not enough: `may` polls its
 /// sockets only when no coroutine can run.
@@ -140,13 +142,19 @@
     }
 }
 
+/// A client's connection, as others than its coroutine see it.
+struct ClientHandle {
+    mailbox: Arc<Mailbox<clients::Message>>,
+    socket: Arc<TcpStream>,
+}
+
 /// The reducer and the mailboxes of the connections.
 struct NodeState {
     core: Core,
     /// An empty buffer, which is used again for the effects of each input.
     effects: Vec<Effect>,
     connections: HashMap<ConnectionId, Arc<Mailbox<executors::Message>>>,
-    clients: HashMap<ClientId, Arc<Mailbox<clients::Message>>>,
+    clients: HashMap<ClientId, ClientHandle>,
     next_client: ClientId,
 }
 
@@ -296,19 +304,25 @@
         self.alarm.set(state.core.next_due());
     }
 
-    /// Requests permission to write the first byte of the request that this connection carries. Returns the time that
-    /// the executor may take.
-    pub(crate) fn begin_execution(self: &Arc<Self>, connection: ConnectionId) -> Result<Nanos, Refusal> {
+    /// Requests permission to write the first byte of the request that this connection carries.
+    pub(crate) fn begin_execution(
+        self: &Arc<Self>,
+        connection: ConnectionId,
+    ) -> Result<SendPermission, Refusal> {
         let mut state = lock(&self.state);
         let state = &mut *state;
         let mut effects = std::mem::take(&mut state.effects);
-        let permission = state.core.begin_send(self.clock.now(), connection, &mut effects);
+        let client = state.core.waiting_client(connection);
+        let socket = client.and_then(|client| state.clients.get(&client)).map(|c| Arc::clone(&c.socket));
+        let disconnected = client.filter(|_| socket.as_deref().is_some_and(has_disconnected));
+        let now = self.clock.now();
+        let granted = state.core.begin_send(now, connection, disconnected, &mut effects);
         for effect in effects.drain(..) {
             self.apply_effect(state, effect);
         }
         state.effects = effects;
         self.alarm.set(state.core.next_due());
-        permission
+        SendPermission::new(granted, now, socket)
     }
 
     /// Returns whether the node has a store for the outcomes of one-shots.
@@ -453,12 +467,13 @@
         spawn(move || discovery::watch(&node, generation));
     }
 
-    fn register_client(&self) -> (ClientId, Arc<Mailbox<clients::Message>>) {
+    fn register_client(&self, socket: &Arc<TcpStream>) -> (ClientId, Arc<Mailbox<clients::Message>>) {
         let mut state = lock(&self.state);
         let client = state.next_client;
         state.next_client += 1;
         let mailbox = Arc::default();
-        state.clients.insert(client, Arc::clone(&mailbox));
+        let handle = ClientHandle { mailbox: Arc::clone(&mailbox), socket: Arc::clone(socket) };
+        state.clients.insert(client, handle);
         (client, mailbox)
     }
 
@@ -477,8 +492,8 @@
 
     fn apply_effect(self: &Arc<Self>, state: &mut NodeState, effect: Effect) {
         let to_client = |client: ClientId, message: clients::Message| {
-            if let Some(mailbox) = state.clients.get(&client) {
-                mailbox.send(message);
+            if let Some(handle) = state.clients.get(&client) {
+                handle.mailbox.send(message);
             }
         };
         let to_connection = |connection: ConnectionId, message: executors::Message| {
--- a/crates/node/tests/ends/paused_process.rs
+++ b/crates/node/tests/ends/paused_process.rs
@@ -1,6 +1,7 @@
 //! A node that is paused while its inputs change: a dispatch decided before the pause, or right after it, must respect the state
 //! at the time when the request is sent. Also pipelined requests that wait while the one before them is executed.
 
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::harness::{
@@ -148,3 +149,97 @@
     assert_eq!(status(read_message(&mut client)), 200);
     assert_eq!(status(exchange(&mut client, "GET /healthz HTTP/1.1\r\n\r\n")), 200);
 }
+
+/// When executors received each request, by its id.
+type Arrivals = Arc<Mutex<Vec<(u32, Instant)>>>;
+
+/// Requests with ids from here on are returned by the first executor that receives them; all others are completed.
+const FIRST_RETURNED_ID: u32 = 1_000;
+/// How long an executor holds a request that it returns.
+const HOLD_TIME: Duration = Duration::from_millis(20);
+/// The time within which the node must notice that a client has left.
+const DISCONNECT_LIMIT: Duration = Duration::from_millis(100);
+
+/// Answers the requests to an executor for the rest of the test run, and records when they arrived.
+fn record_arrivals(server: FakeServer, arrivals: Arrivals) {
+    std::thread::spawn(move || {
+        loop {
+            let mut connection = server.accept();
+            let arrivals = Arc::clone(&arrivals);
+            std::thread::spawn(move || {
+                while let Some(id) = connection.read_request_id() {
+                    let is_first = {
+                        let mut arrivals = arrivals.lock().unwrap();
+                        arrivals.push((id, Instant::now()));
+                        arrivals.iter().filter(|(other, _)| *other == id).count() == 1
+                    };
+                    if id >= FIRST_RETURNED_ID && is_first {
+                        std::thread::sleep(HOLD_TIME);
+                        connection.send(&chunked(&format!("{{\"id\":\"{id}\",\"state\":\"returned\"}}\n")));
+                    } else {
+                        connection.send(&done_response(id, "r"));
+                    }
+                }
+            });
+        }
+    });
+}
+
+/// Sends a signal to the node at once, without a further process.
+fn signal_now(node: &Node, signal: rustix::process::Signal) {
+    let pid = rustix::process::Pid::from_raw(node.process.id().cast_signed()).unwrap();
+    rustix::process::kill_process(pid, signal).unwrap();
+}
+
+// The node is paused at any moment around the one at which it receives a returned request and sends it on, and the client leaves
+// meanwhile. Guards against an execution for a client that has left: only what was checked before the pause and is written after
+// it can't be helped, and the node reports each such write.
+#[test]
+fn a_client_that_disconnects_as_its_request_is_sent_on_gets_no_further_execution() {
+    const TRIES: u32 = 40;
+    /// The pauses begin within this time around the return of the request.
+    const SPREAD: Duration = Duration::from_micros(600);
+    let arrivals = Arrivals::default();
+    let servers: Vec<FakeServer> = (0..4).map(|_| FakeServer::open()).collect();
+    let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
+    servers.into_iter().for_each(|server| record_arrivals(server, Arc::clone(&arrivals)));
+    let node = Node::start(&addresses, &[]);
+    let mut late = Vec::new();
+    for attempt in 0..TRIES {
+        // Requests that are completed keep some connections at hand.
+        for other in 0..4 {
+            let id = 100 + attempt * 4 + other;
+            assert_eq!(status(exchange(&mut node.client(), &job(id, "look", 5_000))), 200);
+        }
+        let id = FIRST_RETURNED_ID + attempt;
+        let arrived =
+            || arrivals.lock().unwrap().iter().filter(|(other, _)| *other == id).map(|(_, at)| *at).max();
+        let mut client = node.client();
+        send(&mut client, &job(id, "look", 5_000));
+        let first = loop {
+            if let Some(at) = arrived() {
+                break at;
+            }
+            std::thread::sleep(Duration::from_micros(200));
+        };
+        let pause_at = first + HOLD_TIME - SPREAD / 2 + SPREAD * (attempt * 37 % TRIES) / TRIES;
+        std::thread::sleep(pause_at.saturating_duration_since(Instant::now() + Duration::from_millis(1)));
+        while Instant::now() < pause_at {
+            std::hint::spin_loop();
+        }
+        signal_now(&node, rustix::process::Signal::STOP);
+        std::thread::sleep(Duration::from_millis(6));
+        let closed_at = Instant::now();
+        drop(client);
+        std::thread::sleep(Duration::from_millis(140));
+        signal_now(&node, rustix::process::Signal::CONT);
+        std::thread::sleep(Duration::from_millis(40));
+        if arrived().is_some_and(|at| at.saturating_duration_since(closed_at) > DISCONNECT_LIMIT) {
+            late.push(id);
+        }
+    }
+    node.barrier();
+    let reported: Vec<String> = node.log.try_iter().filter(|line| line.contains("stood still")).collect();
+    late.retain(|id| !reported.iter().any(|line| line.contains(&format!("id={id} "))));
+    assert!(late.is_empty(), "sent on for clients that were gone: {late:?}; reported: {reported:?}");
+}
