A change that is under way is told as pending, not refused

Cause: what is known of a request was looked up in the committed state alone; a change that was queued or being written met the check that only one change may be under way, and its operator was told that it was refused. It was decided a moment later.

Change: a change that is queued or being written counts as pending, for propose, outcome and abort.

--- a/crates/accord/src/coordinator/change.rs
+++ b/crates/accord/src/coordinator/change.rs
@@ -70,22 +70,23 @@
 }
 
 impl Leadership {
-    /// Returns the outcome of a change, or that it is pending; none if the change is unknown.
+    /// Returns the outcome of a change, or that it is pending; none if the change is unknown. A change that is queued or
+    /// being written counts as pending, since it may still be decided.
     pub(super) fn known_outcome(&self, request: &str) -> Option<Reply> {
         let committed = self.committed.as_ref()?;
         if let Some(ended) = committed.ended.iter().find(|ended| ended.request == request) {
             return Some(Reply::Ended(ended.clone()));
         }
-        let pending = committed.pending.as_ref().filter(|pending| pending.request == request)?;
-        Some(Reply::Pending { version: pending.policy.version })
+        let change = self.unfinished_changes().find(|change| change.request == request)?;
+        Some(Reply::Pending { version: change.policy.version })
     }
 
-    /// Returns the name of the change that is queued, being written, or pending.
-    fn unfinished_change(&self) -> Option<&String> {
+    /// Returns the changes that are queued, being written, or pending.
+    fn unfinished_changes(&self) -> impl Iterator<Item = &PendingChange> {
         let proposed = self.proposed.as_ref().map(|proposed| &proposed.change);
         let written = self.in_flight.as_ref().and_then(|write| write.state.pending.as_ref());
         let pending = self.committed.as_ref().and_then(|state| state.pending.as_ref());
-        proposed.or(written).or(pending).map(|change| &change.request)
+        proposed.into_iter().chain(written).chain(pending)
     }
 
     /// Returns why a proposal is invalid; empty if it is valid.
@@ -96,8 +97,8 @@
         config: &ConsensusConfig,
     ) -> Vec<String> {
         let mut errors = Vec::new();
-        if let Some(other) = self.unfinished_change() {
-            errors.push(format!("another change is in progress: {other}"));
+        if let Some(other) = self.unfinished_changes().next() {
+            errors.push(format!("another change is in progress: {}", other.request));
         }
         let (base, version) = (proposal.base_version, committed.policy.version);
         if base != version {
