A process that has just started sends a cold executor no more than its part by number

Cause: the probability with which a cold worker is drawn follows from the rate of submissions.

Change: for two seconds after a start, or a new configuration, the number of jobs that this node sends to a cold worker is limited too, to its part of what that can handle, growing with time and from a phase drawn per node (startup_budget.rs). The limit comes from the operators' N.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -18,6 +18,7 @@
 
 use std::borrow::Cow;
 
+use crate::startup_budget::StartupBudget;
 use crate::types::{
     Action, DedupScope, DispatchConfig, Ending, Event, Health, ListKind, Nanos, Outcome, ProbeOutcome,
     RepeatPolicy, Submission, Worker, WorkerEntry,
@@ -142,6 +143,7 @@
     best_payoff: f64,
     /// The points per submission that the probes for refreshing reports may cost.
     refresh_cost_limit: f64,
+    pub(crate) startup_budget: StartupBudget,
     actions: Vec<Action>,
 }
 
@@ -166,6 +168,7 @@
             } else {
                 REFRESH_COST_LIMIT
             },
+            startup_budget: StartupBudget::default(),
             actions: Vec::new(),
             config,
         }
@@ -176,6 +179,7 @@
         self.actions.clear();
         if self.now == 0 {
             self.assume_quota_rate(now);
+            self.startup_budget = StartupBudget::new(now, self.config.seed);
             self.fleet.probe_cursor = self.rng.usize(..);
         }
         self.now = self.now.max(now);
@@ -458,7 +462,10 @@
             let eligible = self.is_available(candidate) && (same_zone(candidate) || below.pick.is_none());
             let warm_candidates = (below.offered + unknown).max(1) as f64;
             let share = probability.min(fleet.relative_size(candidate) / fleet.mean_size / warm_candidates);
-            draw -= if has_room && eligible && self.may_execute(state, worker) { share } else { 0.0 };
+            let permitted = eligible
+                && self.may_execute(state, worker)
+                && self.is_within_startup_budget(candidate, self.slow_start_jobs(candidate));
+            draw -= if has_room && permitted { share } else { 0.0 };
             if draw < 0.0 {
                 pick = Some(worker);
                 break;
@@ -562,16 +569,11 @@
     /// worker is warm. All nodes learn of the worker's start at once, so each sends its part at random, and
     /// the expected sum of all nodes stays far below what the worker can handle in a window.
     fn slow_start_probability(&self, worker: &WorkerState) -> Option<f64> {
-        let age = self.now.saturating_sub(worker.entry.started);
-        if worker.entry.started == 0 || age >= self.config.slow_start_duration {
+        if !self.is_cold(worker) {
             return None;
         }
-        let warmth = age as f64 / self.config.slow_start_duration as f64;
-        let capacity_share =
-            self.config.cold_capacity_share + (1.0 - self.config.cold_capacity_share) * warmth;
         let window = self.config.overload_window as f64;
-        let max_work = self.config.overload_factor * capacity_share * self.fleet.mean_slots(worker) * window;
-        let max_jobs = max_work / self.traffic.mean_work(&self.answer_times);
+        let max_jobs = self.slow_start_jobs(worker);
         // The standard deviation of the number of jobs sent at random is the square root of its mean. This is
         // the mean that, with `SLOW_START_DEVIATIONS` of them added, reaches the maximum.
         let half = SLOW_START_DEVIATIONS / 2.0;
@@ -579,6 +581,23 @@
         Some(mean / f64::from(self.config.nodes) / (self.traffic.burst_rate(self.now) * window))
     }
 
+    /// Returns whether a worker has started so recently that it can't handle its usual load yet.
+    fn is_cold(&self, worker: &WorkerState) -> bool {
+        let age = self.now.saturating_sub(worker.entry.started);
+        worker.entry.started != 0 && age < self.config.slow_start_duration
+    }
+
+    /// Returns how many jobs of all nodes together a cold worker can handle in an overload window.
+    fn slow_start_jobs(&self, worker: &WorkerState) -> f64 {
+        let age = self.now.saturating_sub(worker.entry.started);
+        let warmth = age as f64 / self.config.slow_start_duration as f64;
+        let capacity_share =
+            self.config.cold_capacity_share + (1.0 - self.config.cold_capacity_share) * warmth;
+        let window = self.config.overload_window as f64;
+        let max_work = self.config.overload_factor * capacity_share * self.fleet.mean_slots(worker) * window;
+        max_work / self.traffic.mean_work(&self.answer_times)
+    }
+
     /// Sends the submission to the chosen worker; without one, and with no execution in flight, gives the
     /// final answer. This is the only place that starts an execution.
     fn execute(&mut self, submission: Submission, choice: &Choice) {
@@ -587,12 +606,14 @@
         let Some(worker) = choice.pick.filter(|w| !forbidden_copy && self.may_execute(state, *w)) else {
             return self.finish(submission, false);
         };
+        let is_cold = self.is_cold(&self.fleet[worker]);
         let (now, state) = (self.now, &mut self.submissions[submission as usize]);
         let expected_duration = self.answer_times[usize::from(state.job.product)].mean;
         self.traffic.slots_in_flight += state.job.slots;
         let mut execution =
             state.begin_execution(submission, worker, now, self.config.reports_start, expected_duration);
         let worker_state = self.fleet.track(worker);
+        worker_state.jobs_sent_cold += u32::from(is_cold);
         // The other end may have silently dropped a connection that was idle for too long, and a job sent on
         // it would be lost.
         match worker_state.idle_since.take().map(|since| now - since) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod decide;
 mod reconfigure;
+mod startup_budget;
 pub mod types;
 mod worker_stats;
 
--- a/crates/dispatch/src/reconfigure.rs
+++ b/crates/dispatch/src/reconfigure.rs
@@ -6,6 +6,7 @@
 //! answer times were measured under the previous configuration and start anew.
 
 use crate::decide::Dispatcher;
+use crate::startup_budget::StartupBudget;
 use crate::types::{DispatchConfig, Nanos};
 use crate::worker_stats::Fleet;
 
@@ -21,6 +22,7 @@
         self.submissions = old.submissions;
         self.traffic.slots_in_flight = old.traffic.slots_in_flight;
         self.assume_quota_rate(self.now);
+        self.startup_budget = StartupBudget::new(self.now, self.config.seed);
         (self.next_tick, self.subscribe_at, self.failed_list_requests) =
             (old.next_tick, old.subscribe_at, old.failed_list_requests);
     }
@@ -33,7 +35,7 @@
     slow_start_duration: Nanos,
 ) -> Fleet {
     for worker in &mut fleet.workers {
-        (worker.reported_at, worker.idle_since) = (None, None);
+        (worker.reported_at, worker.idle_since, worker.jobs_sent_cold) = (None, None, 0);
         (worker.recent_answers, worker.recent_ratios, worker.completed_jobs) = Default::default();
         // A job in flight may have started before starts were reported. It must not be cancelled as
         // unstarted.
--- a/crates/dispatch/src/worker_stats.rs
+++ b/crates/dispatch/src/worker_stats.rs
@@ -142,6 +142,8 @@
     /// A probe failed after the break: the process was lost, so the worker will be cold when it is back, even
     /// if the list does not show the new start yet.
     pub(crate) process_lost: bool,
+    /// The jobs that this node has sent to the worker since its last start while it was cold.
+    pub(crate) jobs_sent_cold: u32,
 }
 
 impl WorkerState {
@@ -221,7 +223,7 @@
     pub(crate) fn reset_after_restart(&mut self) {
         self.idle_since = None;
         (self.reported_at, self.loss_suspected, self.process_lost) = (None, false, false);
-        (self.unanswered_probes, self.next_probe_at) = (0, 0);
+        (self.unanswered_probes, self.next_probe_at, self.jobs_sent_cold) = (0, 0, 0);
     }
 
     /// Returns whether the worker lost its process before it was available again, and clears
--- a/crates/dispatch/tests/cold.rs
+++ b/crates/dispatch/tests/cold.rs
@@ -44,8 +44,14 @@
     LateList,
     /// Most other workers are full and refuse jobs, so that each submission is retried again and again.
     Full,
+    /// All nodes restart half a second after the cold worker has started, and their quotas are a fifth of what is
+    /// submitted.
+    LowQuotas,
 }
 
+/// The part of the submissions that the quotas account for under [`Disturbance::LowQuotas`].
+const LOW_QUOTA_SHARE: f64 = 0.2;
+
 #[derive(Clone, Copy, Debug)]
 struct Workload {
     took: Nanos,
@@ -194,6 +200,11 @@
     }
 }
 
+/// Returns when nodes restart under a disturbance that restarts any.
+fn restart_at(disturbance: Disturbance) -> Nanos {
+    COLD_START_AT + if disturbance == Disturbance::LowQuotas { SECOND / 2 } else { SECOND }
+}
+
 /// Returns the jobs that the cold worker can handle in a window that begins at `at`.
 fn permitted_jobs(at: Nanos, took: Nanos) -> f64 {
     let warmth = (at.saturating_sub(COLD_START_AT) as f64 / SLOW_START as f64).min(1.0);
@@ -218,10 +229,11 @@
 ) -> BudgetUse {
     let mut rng = fastrand::Rng::with_seed(seed);
     let rate = workload.load * f64::from(WARM_WORKERS) * f64::from(SLOTS) * 1e9 / workload.took as f64;
+    let quota_share = if disturbance == Disturbance::LowQuotas { LOW_QUOTA_SHARE } else { 1.0 };
     let new_node = |seed, cold| {
-        let mut dispatcher = Dispatcher::new(config(seed, nodes as u32, rate));
+        let mut dispatcher = Dispatcher::new(config(seed, nodes as u32, rate * quota_share));
         let entries: Vec<_> = (0..WARM_WORKERS + u32::from(cold)).map(entry).collect();
-        let now = BASE + if cold { COLD_START_AT + SECOND } else { 1 };
+        let now = BASE + if cold { restart_at(disturbance) } else { 1 };
         let _ = dispatcher.decide(now, Event::ListReceived { kind: ListKind::Cached, entries: &entries });
         Node { dispatcher, next_submission: 0, executions: Vec::new() }
     };
@@ -259,8 +271,8 @@
     for node in 0..nodes {
         let late = disturbance == Disturbance::LateList && node % 3 == 0;
         simulation.schedule(COLD_START_AT + if late { 2 * SECOND } else { 0 }, Occurrence::List(node));
-        if disturbance == Disturbance::Restarts && node % 2 == 0 {
-            simulation.schedule(COLD_START_AT + SECOND, Occurrence::Restart(node));
+        if disturbance == Disturbance::LowQuotas || disturbance == Disturbance::Restarts && node % 2 == 0 {
+            simulation.schedule(restart_at(disturbance), Occurrence::Restart(node));
         }
     }
     while let Some(Reverse((now, _, occurrence))) = simulation.queue.pop() {
@@ -325,7 +337,14 @@
 fn all_nodes_together_stay_within_the_budget_and_use_it(
     #[values(2, 3, 20, 30, 300)] nodes: usize,
     #[values(Traffic::Even, Traffic::Uneven, Traffic::Bursts, Traffic::Spikes)] traffic: Traffic,
-    #[values(Disturbance::None, Disturbance::Restarts, Disturbance::LateList, Disturbance::Full)] disturbance: Disturbance,
+    #[values(
+        Disturbance::None,
+        Disturbance::Restarts,
+        Disturbance::LateList,
+        Disturbance::Full,
+        Disturbance::LowQuotas
+    )]
+    disturbance: Disturbance,
 ) {
     let results: Vec<_> =
         (1..=10).map(|seed| simulate(seed, nodes, traffic, disturbance, TYPICAL_WORKLOAD)).collect();
