Rig: links to a process refuse connections as soon as it has ended

Cause: a killed node's links kept its address until its next start. The port was free meanwhile, and any other listener that got it (another test's stand-in, node or peer) answered the node's clients, or kept them waiting; a connection that was kept alive so outlived the kill.

Change: the address is cleared at a kill, a stop and an end.

--- a/crates/node/tests/back.rs
+++ b/crates/node/tests/back.rs
@@ -188,6 +188,46 @@
     assert_sound(&run(&Plan::read(&text).unwrap(), Path::new(PROGRAM), folder.path()).unwrap());
 }
 
+/// Waits until a process has logged its address and has ended since, and listens at that address in its place.
+fn take_over_port(log: &Path) -> std::net::TcpListener {
+    let address: std::net::SocketAddr = loop {
+        let text = std::fs::read_to_string(log).unwrap_or_default();
+        let found = text.split_once("listen=").and_then(|(_, rest)| rest.split_once(' ')?.0.parse().ok());
+        if let Some(address) = found {
+            break address;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    };
+    loop {
+        if let Ok(listener) = std::net::TcpListener::bind(address) {
+            return listener;
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+// Guards against requests that the test rig sends to a stranger: the port of a killed node is free, and another test's process that gets
+// it answered the node's clients, or left them without an answer, which counted as the node's fault.
+#[test]
+fn clients_of_a_killed_node_reach_no_other_process_at_its_port() {
+    let text = format!(
+        "nodes = 2\nexecutors = 2\nslots = 6\nload = {{ rate = 150, clients = 24, same-node = true }}\n{}{}",
+        step("after-ms = 500\ndo = \"kill\"\nto = [\"n1\"]"),
+        step("after-ms = 1500\ndo = \"start\"\nto = [\"n1\"]"),
+    );
+    let (folder, _guard) = (tempfile::tempdir().unwrap(), ONE_AT_A_TIME.lock());
+    let log = folder.path().join("n1").join("log");
+    let stranger = std::thread::spawn(move || {
+        let listener = take_over_port(&log);
+        listener.set_nonblocking(true).unwrap();
+        std::thread::sleep(Duration::from_millis(1_000));
+        std::iter::from_fn(|| listener.accept().ok()).count()
+    });
+    let outcome = run(&Plan::read(&text).unwrap(), Path::new(PROGRAM), folder.path()).unwrap();
+    assert_eq!(stranger.join().unwrap(), 0, "connections at the port of the killed node");
+    assert_sound(&outcome);
+}
+
 /// The number of the frame kind `ask`, a request to a peer.
 const PEER_REQUEST: u8 = 13;
 /// The number of the frame kind `tale`, a peer's answer with its snapshot.
--- a/crates/rig/src/run/actions.rs
+++ b/crates/rig/src/run/actions.rs
@@ -125,13 +125,25 @@
 
     fn act_on_process(&mut self, step: &Step, name: &str) -> io::Result<()> {
         match step.action {
-            Action::Kill => self.process(name)?.kill(),
+            Action::Kill => {
+                // The port is free once the process has ended, and any other process may get it.
+                self.clear_address(name);
+                self.process(name)?.kill()
+            }
             Action::Pause => self.process(name)?.set_paused(true),
             Action::Resume => self.process(name)?.set_paused(false),
-            Action::Stop => stop(self.process(name)?),
+            Action::Stop => {
+                stop(self.process(name)?)?;
+                self.clear_address(name);
+                Ok(())
+            }
             Action::Copy => copy_store(self.process(name)?),
             Action::Replace => self.replace(name),
-            Action::Gone => wait_until_failed(self.process(name)?),
+            Action::Gone => {
+                wait_until_failed(self.process(name)?)?;
+                self.clear_address(name);
+                Ok(())
+            }
             Action::Start | Action::StartEmpty | Action::StartOlder | Action::StartRolledBack => {
                 prepare_start(step, self.process(name)?)
             }
--- a/crates/rig/src/run/processes.rs
+++ b/crates/rig/src/run/processes.rs
@@ -45,7 +45,7 @@
             let process = self.process(name)?;
             let log_length = fs::metadata(process.log_file()).map_or(0, |m| m.len());
             process.start()?;
-            // The address of the previous run is no longer valid.
+            // A process that ended by itself may still have the address of its previous run.
             self.set_address(name, None);
             started.push((name, log_length));
         }
@@ -77,11 +77,17 @@
         self.set_targets(name, address);
     }
 
+    /// Has all links to a process refuse connections, since it listens no more.
+    pub(super) fn clear_address(&mut self, name: &str) {
+        self.set_address(name, None);
+        self.set_targets(&peer_name(name), None);
+    }
+
     /// Sets the target of other nodes' links to the address for peers that a node logged, or to none.
     fn set_peer_address(&self, name: &str, log_length: u64) {
         let value = self.processes[name].log_value("peers_at=", log_length);
         let address = value.and_then(|address| address.parse().ok());
-        self.set_targets(&format!("p{}", name.trim_start_matches('n')), address);
+        self.set_targets(&peer_name(name), address);
     }
 
     fn set_targets(&self, target: &str, address: Option<SocketAddr>) {
@@ -157,3 +163,8 @@
         }
     }
 }
+
+/// Returns the name, in links, of the address at which a node listens for its peers.
+fn peer_name(node: &str) -> String {
+    format!("p{}", node.trim_start_matches('n'))
+}
