A list that comes while the store fails is written when it works again

Cause: outcomes that come while the store fails are held, lists were not. Confirmations that are written later made the list of before look fresh, and the next start would go by it while discovery is down. A list that is too long to be stored was left out in the same way.

Change: the latest list is held and written before any confirmation; a list that is too long removes the stored one.

--- a/crates/node/src/persistence/writer.rs
+++ b/crates/node/src/persistence/writer.rs
@@ -15,6 +15,8 @@
 use crate::net::Node;
 use crate::net::discovery::List;
 
+/// The key of the record with the list.
+const LIST_KEY: &[u8] = b"list";
 /// The bytes of a record that are left for the key of the list.
 const LIST_KEY_ROOM_BYTES: usize = 64;
 /// The shortest time between two writes of [`KIND_LIST_CONFIRMED`].
@@ -86,7 +88,12 @@
                             failure.defer(&record);
                         }
                     }
-                    StoreRecord::List(_) | StoreRecord::ListConfirmed => {}
+                    StoreRecord::List(list) => {
+                        if let Some(failure) = &mut failure {
+                            failure.deferred_list = Some(encoder.encode_list(&list));
+                        }
+                    }
+                    StoreRecord::ListConfirmed => {}
                 }
             }
         }
@@ -128,14 +135,7 @@
                 self.newest_time = self.newest_time.max(record.at);
                 Some(put(KIND_OUTCOME, &record.key, record.outcome.to_bytes(), record.at))
             }
-            StoreRecord::List(list) => {
-                let text = list.write();
-                if text.len() + LIST_KEY_ROOM_BYTES < MAX_RECORD_LENGTH {
-                    return Some(put(KIND_LIST, b"list", text, self.newest_time));
-                }
-                tracing::warn!(bytes = text.len(), "the list is too long to be stored");
-                None
-            }
+            StoreRecord::List(list) => Some(self.encode_list(list)),
             StoreRecord::ListConfirmed
                 if self.list_confirmed.is_some_and(|at| at.elapsed() < LIST_CONFIRMED_INTERVAL) =>
             {
@@ -147,6 +147,17 @@
             }
         }
     }
+
+    /// Returns the operation that stores a list in place of the one before. If the list is too long, no list is stored: the
+    /// confirmations that follow must not refer to an older one.
+    fn encode_list(&self, list: &List) -> Op {
+        let text = list.write();
+        if text.len() + LIST_KEY_ROOM_BYTES < MAX_RECORD_LENGTH {
+            return put(KIND_LIST, LIST_KEY, text, self.newest_time);
+        }
+        tracing::warn!(bytes = text.len(), "the list is too long to be stored");
+        Op::Remove { kind: KIND_LIST, key: LIST_KEY.to_vec() }
+    }
 }
 
 /// The pause before the first retry after the store failed. It doubles with each retry.
@@ -163,11 +174,18 @@
     last_retry: Instant,
     /// Outcomes that arrived since, to be written when the store works again.
     deferred: Vec<Op>,
+    /// The latest list that arrived since. It is written before any confirmation of it.
+    deferred_list: Option<Op>,
 }
 
 impl Failure {
     fn new() -> Self {
-        Self { retry_pause: MIN_RETRY_PAUSE, last_retry: Instant::now(), deferred: Vec::new() }
+        Self {
+            retry_pause: MIN_RETRY_PAUSE,
+            last_retry: Instant::now(),
+            deferred: Vec::new(),
+            deferred_list: None,
+        }
     }
 
     /// Holds an outcome in memory until the store works again.
@@ -177,12 +195,13 @@
         }
     }
 
-    /// Tries to write the deferred outcomes, if the pause is over. Returns whether the store works again.
+    /// Tries to write what was deferred, if the pause is over. Returns whether the store works again.
     fn try_recover(&mut self, store: &mut Store<Folder>, now: StoreTime) -> bool {
         if self.last_retry.elapsed() < self.retry_pause {
             return false;
         }
-        let resumed = store.resume().and_then(|()| store.commit(&self.deferred, now));
+        let deferred: Vec<Op> = self.deferred.iter().chain(&self.deferred_list).cloned().collect();
+        let resumed = store.resume().and_then(|()| store.commit(&deferred, now));
         (self.last_retry, self.retry_pause) = (Instant::now(), (2 * self.retry_pause).min(MAX_RETRY_PAUSE));
         resumed.is_ok()
     }
--- a/crates/node/tests/ends/machine.rs
+++ b/crates/node/tests/ends/machine.rs
@@ -330,6 +330,39 @@
     assert!(sent <= MAX_COLD_REQUESTS, "{sent}");
 }
 
+// Guards against a list that came while the store failed and is never written: the confirmations that are written later would make the
+// older list look fresh, and a restarted node would send to an executor that has left.
+#[test]
+fn a_list_that_comes_while_the_store_fails_is_written_later() {
+    let folder = tempfile::tempdir().unwrap();
+    let (store, file) = (folder.path().join("store"), folder.path().join("store.toml"));
+    let program = env!("CARGO_BIN_EXE_linestack");
+    assert!(Command::new(program).args(["store", "init"]).arg(&store).status().unwrap().success());
+    std::fs::write(&file, format!("[store]\nfolder = {store:?}\nsame-by = \"req-id\"\n")).unwrap();
+    let (discovery, executor) = (FakeServer::open(), FakeServer::open());
+    let begin = Instant::now();
+    let sleep_until = |ms| std::thread::sleep(Duration::from_millis(ms).saturating_sub(begin.elapsed()));
+    let text = configuration(&[executor.address], discovery.address, &[]);
+    let node = Node::start_with_store(&text, "sync=1:EIO@1500..2500", Some(&file));
+    let mut watch = discovery.accept();
+    watch.read_head().unwrap();
+    let active = entry("w0", executor.address);
+    watch.send(&format!("{WATCH_HEAD}{}", list_chunk(5, true, std::slice::from_ref(&active))));
+    node.wait_until_ready();
+    sleep_until(1_700);
+    watch.send(&list_chunk(6, false, &[active.replace("active", "leaving")]));
+    sleep_until(2_600);
+    // Heartbeats confirm the list.
+    for _ in 0..3 {
+        watch.send("1\r\n\n\r\n");
+        std::thread::sleep(Duration::from_millis(600));
+    }
+    drop(node);
+    let dump = Command::new(program).args(["store", "dump"]).arg(&store).output().unwrap();
+    let dump = String::from_utf8(dump.stdout).unwrap();
+    assert!(dump.contains("\"index\":6"), "{dump}");
+}
+
 // Guards against a store that accepts no one-shots after one failed write or sync until an operator restarts the node.
 #[test]
 fn a_store_accepts_one_shots_again_after_its_folder_failed_for_a_while() {
