--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -160,7 +160,7 @@
                 continue;
             }
             n if n.eq_ignore_ascii_case("expect") => {
-                head.expects_continue = true;
+                head.expects_continue |= has_token(header.value, "100-continue");
                 continue;
             }
             _ => continue,
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -24,6 +24,17 @@
     assert!((0..text.len() - 4).all(|n| http::parse_request(&text.as_bytes()[..n]).unwrap().is_none()));
 }
 
+// Only the expectation that the standard defines is one; a client that sends another gets no `100 Continue` that it did not ask for.
+#[rstest]
+#[case::none("", false)]
+#[case::standard("Expect: 100-Continue\r\n", true)]
+#[case::unknown("Expect: 200-ok\r\n", false)]
+fn an_expectation_is_recognized(#[case] header: &str, #[case] expected: bool) {
+    let text = format!("{VALID_HEAD}{header}\r\n");
+    let head = http::parse_request(text.as_bytes()).unwrap().unwrap();
+    assert_eq!(head.expects_continue, expected);
+}
+
 // A head whose body could end at different places for different parsers allows one request to hide another (request smuggling).
 #[rstest]
 #[case::two_lengths("Content-Length: 5\r\nContent-Length: 5\r\n", 400)]
