--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -40,6 +40,7 @@
 #[case::local_failures_of_discovery_requests(include_str!("../../../scenarios/soak/local-failures.toml"))]
 #[case::starts_while_discovery_is_down(include_str!("../../../scenarios/soak/start-in-an-outage.toml"))]
 #[case::new_clients_behind_partial_requests(include_str!("../../../scenarios/soak/newcomers-wait.toml"))]
+#[case::a_reload_before_lists_are_read(include_str!("../../../scenarios/soak/reload-of-a-paused-node.toml"))]
 fn a_recorded_plan_violates_no_rule(#[case] text: &str) {
     run_plan(&Plan::read(text).unwrap());
 }
