--- a/crates/accord/tests/proposals.rs
+++ b/crates/accord/tests/proposals.rs
@@ -1,5 +1,6 @@
 //! The answers to an operator who proposes the same change again before its outcome is known.
 
+#[allow(dead_code, reason = "the search uses the rest")]
 mod common;
 
 use common::{Faults, HOLD, LEASE, World};
