The watch on discovery has a file of its own

net/discovery.rs held the list's form and the watch, and net/mod.rs the watch's state and the change of its address. What belongs to the watch is in net/watch.rs now. Nothing else has changed.

--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod executors;
 pub mod list_stream;
 mod permission;
+pub(crate) mod watch;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -35,6 +36,7 @@
 use linestack_recovery::StoredOutcome;
 use linestack_recovery::start::Stage;
 use permission::{SendPermission, has_disconnected};
+use watch::WatchState;
 
 /// The pause of a coroutine that has more to read or accept, so that others run. A yield is not enough: `may` polls its
 /// sockets only when no coroutine can run.
@@ -187,23 +189,6 @@
     exit: Mutex<Option<Box<dyn FnOnce() + Send>>>,
 }
 
-/// The state of the watch on discovery's list.
-pub(crate) struct WatchState {
-    pub(crate) discovery: SocketAddr,
-    /// Increases by one with each change of the address; results of a watch of an earlier generation are ignored.
-    pub(crate) generation: u64,
-    /// The version of the last list that was received; `None` to request the complete list.
-    pub(crate) index: Option<u64>,
-    /// When the last message from discovery was received; 0 if none was.
-    pub(crate) last_message: Nanos,
-    /// After a change of the address: the time until which a watch that fails is retried without the reducer.
-    pub(crate) retry_until: Nanos,
-    /// Whether a coroutine follows the list at present.
-    running: bool,
-    /// A handle to the running watch's connection, used to shut it down.
-    pub(crate) socket: Option<std::net::TcpStream>,
-}
-
 /// The parts of a node other than the reducer.
 pub struct NodeParts {
     pub clock: Clock,
@@ -418,55 +403,6 @@
         lock(&self.state).core.is_at_client_limit()
     }
 
-    /// Reports the end of a watch to the reducer, which may request another one. `silent_for` is for how long this node
-    /// may have missed a change; `overloaded` is whether discovery rejected the request. Returns false, and reports
-    /// nothing, if the watch is of an earlier generation.
-    pub(crate) fn watch_ended(
-        self: &Arc<Self>,
-        generation: u64,
-        silent_for: Nanos,
-        overloaded: bool,
-    ) -> bool {
-        let is_current = {
-            let mut watch = lock(&self.watch);
-            let is_current = watch.generation == generation;
-            if is_current {
-                (watch.running, watch.socket) = (false, None);
-            }
-            is_current
-        };
-        if is_current {
-            self.handle_input(Input::ListFailed { silent_for, overloaded });
-        }
-        is_current
-    }
-
-    /// Changes the address of discovery. The known list and all executions are unaffected. The complete list is requested
-    /// from the new address at once, since its versions may be unrelated to the old ones.
-    pub fn change_discovery(self: &Arc<Self>, discovery: SocketAddr) {
-        let mut watch = lock(&self.watch);
-        if watch.discovery == discovery {
-            return;
-        }
-        if let Some(old) = watch.socket.take() {
-            let _ = old.shutdown(std::net::Shutdown::Both);
-        }
-        let generation = watch.generation + 1;
-        let retry_until = self.clock.now() + discovery::DISCOVERY_CHANGE_RETRY_NS;
-        *watch = WatchState {
-            discovery,
-            generation,
-            index: None,
-            last_message: 0,
-            retry_until,
-            running: true,
-            socket: None,
-        };
-        drop(watch);
-        let node = Arc::clone(self);
-        spawn(move || discovery::watch(&node, generation));
-    }
-
     fn register_client(&self, socket: &Arc<TcpStream>) -> (ClientId, Arc<Mailbox<clients::Message>>) {
         let mut state = lock(&self.state);
         let client = state.next_client;
@@ -525,7 +461,7 @@
                 let mut watch = lock(&self.watch);
                 if !std::mem::replace(&mut watch.running, true) {
                     let (node, generation) = (Arc::clone(self), watch.generation);
-                    spawn(move || discovery::watch(&node, generation));
+                    spawn(move || watch::run(&node, generation));
                 }
             }
             Effect::Persist { record, ticket } => {
