Lists that have arrived are received before a request's first byte is written

What callers saw: a process that stood still while a request and then the drain of its executor came sent the request to the draining executor, half a second after the grace.

Cause: the permission for the first byte goes by the lists that the reducer has been told of. The list lay unread in the watch's socket: a process that is stopped with a client's event in hand sends the request on before it asks for further events.

Change: the open connection of a watch (net/watch_connection.rs) is read by whoever must know all that was announced, and begin_execution does so before it asks. A permission's age counts from before that. The watch's timeout is kept by the node's alarm in place of may's timers; a handle of its own to the socket, and its descriptor, are gone.

Why this works: a list that came before the request for permission is in the reducer when that decides, whichever coroutine runs first; one that comes later is at most 5 ms old at the write.

--- a/crates/node/src/net/clock.rs
+++ b/crates/node/src/net/clock.rs
@@ -7,6 +7,8 @@
 
 use linestack_dispatch::types::Nanos;
 use may::coroutine::{self, Coroutine};
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::TcpStream;
 
 use super::lock;
 
@@ -53,7 +55,24 @@
 /// A coroutine to be woken at a given time.
 struct Wake {
     at: Nanos,
-    coroutine: Coroutine,
+    sleeper: Sleeper,
+}
+
+/// What a coroutine that is to be woken waits for besides.
+enum Sleeper {
+    /// Nothing: it is parked.
+    Parked(Coroutine),
+    /// An event on its socket.
+    OnSocket(WaitIoWaker),
+}
+
+impl Sleeper {
+    fn wake(&self) {
+        match self {
+            Self::Parked(coroutine) => coroutine.unpark(),
+            Self::OnSocket(waker) => waker.wakeup(),
+        }
+    }
 }
 
 impl PartialEq for Wake {
@@ -90,7 +109,7 @@
             let now = clock.now();
             while waiting.peek().is_some_and(|Reverse(wake)| wake.at <= now) {
                 if let Some(Reverse(wake)) = waiting.pop() {
-                    wake.coroutine.unpark();
+                    wake.sleeper.wake();
                 }
             }
             let wait = waiting.peek().map_or(MAX_WAIT, |Reverse(wake)| Duration::from_nanos(wake.at - now));
@@ -99,10 +118,10 @@
         }
     }
 
-    fn schedule(&self, at: Nanos, coroutine: Coroutine) {
+    fn schedule(&self, at: Nanos, sleeper: Sleeper) {
         let mut waiting = lock(&self.waiting);
         let earliest = waiting.peek().is_none_or(|Reverse(wake)| at < wake.at);
-        waiting.push(Reverse(Wake { at, coroutine }));
+        waiting.push(Reverse(Wake { at, sleeper }));
         if earliest {
             self.earlier_wake.notify_one();
         }
@@ -148,7 +167,7 @@
             && let Some(coroutine) = self.timer_coroutine.get()
         {
             state.scheduled = state.due;
-            self.waker.schedule(state.due, coroutine.clone());
+            self.waker.schedule(state.due, Sleeper::Parked(coroutine.clone()));
         }
     }
 
@@ -171,10 +190,15 @@
         state.due <= now
     }
 
+    /// Ends the wait for an event on this socket at a given time, if it lasts until then.
+    pub fn wake_socket_at(&self, at: Nanos, socket: &TcpStream) {
+        self.waker.schedule(at, Sleeper::OnSocket(socket.waker()));
+    }
+
     /// Suspends the calling coroutine for a time.
     pub fn sleep(&self, duration: Duration) {
         let until = self.clock.now() + duration.as_nanos() as Nanos;
-        self.waker.schedule(until, coroutine::current());
+        self.waker.schedule(until, Sleeper::Parked(coroutine::current()));
         while self.clock.now() < until {
             coroutine::park();
         }
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -10,6 +10,7 @@
 pub mod list_stream;
 mod permission;
 pub(crate) mod watch;
+mod watch_connection;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -236,15 +237,7 @@
             names,
             layout,
             stamped,
-            watch: Mutex::new(WatchState {
-                discovery,
-                generation: 0,
-                index,
-                last_message: 0,
-                retry_until: 0,
-                running: false,
-                socket: None,
-            }),
+            watch: Mutex::new(WatchState::new(discovery, index)),
             audit_log,
             store_records,
             lease_suspend_limit: AtomicU64::new(0),
@@ -294,20 +287,21 @@
         self: &Arc<Self>,
         connection: ConnectionId,
     ) -> Result<SendPermission, Refusal> {
+        let asked_at = self.clock.now();
+        self.receive_lists();
         let mut state = lock(&self.state);
         let state = &mut *state;
         let mut effects = std::mem::take(&mut state.effects);
         let client = state.core.waiting_client(connection);
         let socket = client.and_then(|client| state.clients.get(&client)).map(|c| Arc::clone(&c.socket));
         let disconnected = client.filter(|_| socket.as_deref().is_some_and(has_disconnected));
-        let now = self.clock.now();
-        let granted = state.core.begin_send(now, connection, disconnected, &mut effects);
+        let granted = state.core.begin_send(self.clock.now(), connection, disconnected, &mut effects);
         for effect in effects.drain(..) {
             self.apply_effect(state, effect);
         }
         state.effects = effects;
         self.alarm.set(state.core.next_due());
-        SendPermission::new(granted, now, socket)
+        SendPermission::new(granted, asked_at, socket)
     }
 
     /// Returns whether the node has a store for the outcomes of one-shots.
--- a/crates/node/src/net/permission.rs
+++ b/crates/node/src/net/permission.rs
@@ -1,8 +1,9 @@
 //! The permission to write the first byte of a request to an executor, which is valid for a moment only.
 //!
-//! A process may stand still at any point, for example when its machine is busy. What its clients did meanwhile waits in
-//! their sockets, and the coroutine of the client that has left may run after that of the executor. So the client's socket
-//! itself is asked, immediately before the request is written.
+//! A process may stand still at any point, for example when its machine is busy. What its clients and discovery did meanwhile
+//! waits in their sockets, and their coroutines may run after that of the executor. So the lists that have arrived are
+//! received before the permission is granted, and the client's socket itself is asked, immediately before the request is
+//! written.
 
 use std::os::fd::AsFd;
 use std::sync::Arc;
@@ -25,7 +26,8 @@
 pub(crate) struct SendPermission {
     /// The time that the executor may take.
     pub(crate) time_left: Nanos,
-    granted_at: Nanos,
+    /// When it was asked for. What has happened since is not considered.
+    asked_at: Nanos,
     /// The socket of the client that waits for the execution.
     client: Option<Arc<TcpStream>>,
 }
@@ -33,16 +35,16 @@
 impl SendPermission {
     pub(crate) fn new(
         granted: Result<Nanos, Refusal>,
-        granted_at: Nanos,
+        asked_at: Nanos,
         client: Option<Arc<TcpStream>>,
     ) -> Result<Self, Refusal> {
-        granted.map(|time_left| Self { time_left, granted_at, client })
+        granted.map(|time_left| Self { time_left, asked_at, client })
     }
 
     /// Checks that the permission is still valid. Returns the time of the check, or `None` if it must be requested again.
     pub(crate) fn check(&self, node: &Node) -> Option<Nanos> {
         let now = node.clock.now();
-        let is_valid = now.saturating_sub(self.granted_at) <= MAX_AGE_NS
+        let is_valid = now.saturating_sub(self.asked_at) <= MAX_AGE_NS
             && !self.client.as_deref().is_some_and(has_disconnected);
         is_valid.then_some(now)
     }
--- a/crates/node/src/net/watch.rs
+++ b/crates/node/src/net/watch.rs
@@ -1,31 +1,23 @@
 //! The watch on discovery: a request whose response is the list of executors, followed by each change to it.
 
-use std::io::{self, Read, Write};
+use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use linestack_dispatch::types::Nanos;
+use may::io::WaitIo;
 use thiserror::Error;
 
 use super::connect::{ConnectError, connect};
-use super::discovery::List;
-use super::list_stream::{self, ListStream, Message};
-use super::{Node, lock, spawn};
-use crate::http;
-use linestack_core::{Input, ListClocks};
+use super::watch_connection::{Received, WatchConnection};
+use super::{Node, YIELD_PAUSE, list_stream, lock, spawn};
+use crate::http::WriteQueue;
+use linestack_core::Input;
 
 /// The longest time for connecting to discovery.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// A watch that receives neither a complete list nor a heartbeat for this time has failed, even if its connection is
-/// open and bytes arrive. While nothing changes, discovery sends a heartbeat every 2 s, and it may queue a request for
-/// 3 s. A node must know a change within 6 s after discovery does, and within 4 s after the discovery address changed.
-/// The reducer's `MAX_LIST_CALL_DELAY` depends on this value.
-const MESSAGE_TIMEOUT_NS: Nanos = 3_000_000_000;
-/// The longest time until the first message. It is a little longer than [`MESSAGE_TIMEOUT_NS`], so that the node still
-/// receives the status if discovery rejects the request after queueing it for 3 s.
-const FIRST_MESSAGE_TIMEOUT_NS: Nanos = 3_250_000_000;
 /// The time after a change of the discovery address during which a failed watch is retried after [`RETRY_PAUSE`].
 const DISCOVERY_CHANGE_RETRY_NS: Nanos = 4_000_000_000;
 /// The pause before a watch is retried without the reducer: after a change of the discovery address, or after a failure
@@ -66,11 +58,34 @@
     pub(crate) retry_until: Nanos,
     /// Whether a coroutine follows the list at present.
     pub(crate) running: bool,
-    /// A handle to the running watch's connection, used to shut it down.
-    pub(crate) socket: Option<std::net::TcpStream>,
+    /// The connection of the running watch, while it is open.
+    connection: Option<Arc<WatchConnection>>,
+}
+
+impl WatchState {
+    /// The state before the first watch. `index` is the version of the list that is known.
+    pub(crate) fn new(discovery: SocketAddr, index: Option<u64>) -> Self {
+        Self {
+            discovery,
+            generation: 0,
+            index,
+            last_message: 0,
+            retry_until: 0,
+            running: false,
+            connection: None,
+        }
+    }
 }
 
 impl Node {
+    /// Receives the lists that have arrived, for a decision that must know them.
+    pub(crate) fn receive_lists(self: &Arc<Self>) {
+        let connection = lock(&self.watch).connection.clone();
+        if let Some(connection) = connection {
+            connection.receive_for_others(self);
+        }
+    }
+
     /// Reports the end of a watch to the reducer, which may request another one. `silent_for` is for how long this node
     /// may have missed a change; `overloaded` is whether discovery rejected the request. Returns false, and reports
     /// nothing, if the watch is of an earlier generation.
@@ -84,7 +99,7 @@
             let mut watch = lock(&self.watch);
             let is_current = watch.generation == generation;
             if is_current {
-                (watch.running, watch.socket) = (false, None);
+                watch.running = false;
             }
             is_current
         };
@@ -101,8 +116,8 @@
         if watch.discovery == discovery {
             return;
         }
-        if let Some(old) = watch.socket.take() {
-            let _ = old.shutdown(std::net::Shutdown::Both);
+        if let Some(old) = watch.connection.take() {
+            old.close();
         }
         let generation = watch.generation + 1;
         let retry_until = self.clock.now() + DISCOVERY_CHANGE_RETRY_NS;
@@ -113,7 +128,7 @@
             last_message: 0,
             retry_until,
             running: true,
-            socket: None,
+            connection: None,
         };
         drop(watch);
         let node = Arc::clone(self);
@@ -165,111 +180,73 @@
 }
 
 /// Opens a watch and follows it until it fails. `last_message` is set to the time of each message.
-fn follow(
-    node: &Arc<Node>,
-    generation: u64,
-    last_message: &mut Nanos,
-) -> Result<std::convert::Infallible, WatchError> {
-    let (discovery, after) = watch_target(node, generation)?;
+fn follow(node: &Arc<Node>, generation: u64, last_message: &mut Nanos) -> Result<Infallible, WatchError> {
+    let (discovery, known_index) = watch_target(node, generation)?;
     let still_current = || watch_target(node, generation).is_ok();
-    let mut socket = connect(node, discovery, CONNECT_TIMEOUT, generation, still_current)?;
-    let watch_error = |e: io::Error| match e.kind() {
-        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => WatchError::TimedOut,
-        _ => WatchError::ConnectionBroken(e),
-    };
-    {
-        let mut watch = lock(&node.watch);
-        if watch.generation != generation {
-            return Err(WatchError::Replaced);
+    let socket = connect(node, discovery, CONNECT_TIMEOUT, generation, still_current)?;
+    let connection = Arc::new(WatchConnection::new(socket, generation, known_index, *last_message));
+    set_connection(node, generation, Some(&connection))?;
+    let followed = send_request(node, &connection, discovery, known_index)
+        .and_then(|()| follow_connection(node, &connection, last_message));
+    set_connection(node, generation, None)?;
+    followed
+}
+
+/// Sets the connection that others receive lists from, if this is still the current watch.
+fn set_connection(
+    node: &Node,
+    generation: u64,
+    connection: Option<&Arc<WatchConnection>>,
+) -> Result<(), WatchError> {
+    let mut watch = lock(&node.watch);
+    if watch.generation != generation {
+        return Err(WatchError::Replaced);
+    }
+    watch.connection = connection.cloned();
+    Ok(())
+}
+
+/// Sends the request for the list, and for its changes from then on.
+fn send_request(
+    node: &Node,
+    connection: &WatchConnection,
+    discovery: SocketAddr,
+    known_index: Option<u64>,
+) -> Result<(), WatchError> {
+    let version = known_index.map_or(String::new(), |index| format!("&after={index}"));
+    let mut request = WriteQueue::default();
+    request.push(format!("GET /v1/servers?watch=1{version} HTTP/1.1\r\nHost: {discovery}\r\n\r\n"));
+    while !request.write(&mut connection.socket.inner()).map_err(WatchError::ConnectionBroken)? {
+        if node.clock.now() >= connection.due() {
+            return Err(WatchError::TimedOut);
         }
-        // By this handle a replaced watch is shut down, which would otherwise end only at its next message.
-        watch.socket = socket.inner().try_clone().ok();
+        node.alarm.sleep(YIELD_PAUSE);
     }
-    socket.set_write_timeout(Some(Duration::from_nanos(MESSAGE_TIMEOUT_NS))).map_err(watch_error)?;
-    let version = after.map_or(String::new(), |index| format!("&after={index}"));
-    let request = format!("GET /v1/servers?watch=1{version} HTTP/1.1\r\nHost: {discovery}\r\n\r\n");
-    socket.write_all(request.as_bytes()).map_err(watch_error)?;
-    let (mut input, mut decoded) = (BytesMut::new(), BytesMut::new());
-    let mut body: Option<http::BodyDecoder> = None;
-    let mut lists = ListStream::default();
-    let mut due = *last_message + FIRST_MESSAGE_TIMEOUT_NS;
-    // If the request names no known version, the first list is the complete one.
-    let mut first_is_whole = after.is_none();
+    Ok(())
+}
+
+/// Receives lists from a connection until it fails.
+fn follow_connection(
+    node: &Arc<Node>,
+    connection: &WatchConnection,
+    last_message: &mut Nanos,
+) -> Result<Infallible, WatchError> {
+    let mut next_wake = 0;
     loop {
-        let mut piece = [0; 4096];
-        // `may` treats a timeout of less than a millisecond as none at all.
-        let left = due.saturating_sub(node.clock.now());
-        let left = Duration::from_nanos(left).max(Duration::from_millis(1));
-        socket.set_read_timeout(Some(left)).map_err(watch_error)?;
-        let n = match socket.read(&mut piece) {
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-            read => read.map_err(watch_error)?,
-        };
-        watch_target(node, generation)?;
-        if n == 0 {
-            return Err(WatchError::Ended);
-        }
-        input.extend_from_slice(&piece[..n]);
-        if body.is_some() {
-            node.record_discovery_message(None);
-        } else {
-            let Some(head) =
-                http::parse_response(&input).map_err(|error| WatchError::InvalidResponse(error.reason))?
-            else {
-                if node.clock.now() > due {
-                    return Err(WatchError::TimedOut);
-                }
-                continue;
-            };
-            if head.status != 200 {
-                return Err(WatchError::Status(head.status));
-            }
-            let _ = input.split_to(head.length);
-            body = Some(http::BodyDecoder::new(head.framing));
-        }
-        let Some(body) = &mut body else { continue };
-        let body_complete = body
-            .decode(&mut input, &mut decoded)
-            .map_err(|error| WatchError::InvalidResponse(error.reason))?;
-        lists.push(&decoded.split());
-        while let Some(message) = lists.next_message()? {
-            *last_message = node.clock.now();
-            due = *last_message + MESSAGE_TIMEOUT_NS;
-            if let Message::List(mut list) = message {
-                list.whole |= std::mem::take(&mut first_is_whole) && !list.endpoints.is_empty();
-                deliver(node, generation, list)?;
-            }
-            let mut watch = lock(&node.watch);
-            if watch.generation == generation {
-                watch.last_message = *last_message;
-            }
+        let received = connection.receive(node);
+        *last_message = connection.last_message();
+        if matches!(received?, Received::Part) {
+            node.alarm.sleep(YIELD_PAUSE);
+            continue;
         }
-        if node.clock.now() > due {
+        let due = connection.due();
+        if node.clock.now() >= due {
             return Err(WatchError::TimedOut);
         }
-        if body_complete {
-            return Err(WatchError::Ended);
+        if due != next_wake {
+            next_wake = due;
+            node.alarm.wake_socket_at(due, &connection.socket);
         }
+        connection.socket.wait_io();
     }
 }
-
-/// Passes a list to the reducer, if this is still the current watch.
-fn deliver(node: &Arc<Node>, generation: u64, list: List) -> Result<(), WatchError> {
-    let (index, whole, entries) = (list.index, list.whole, list.endpoints.len());
-    let known_until = {
-        let mut watch = lock(&node.watch);
-        if watch.generation != generation {
-            return Err(WatchError::Replaced);
-        }
-        watch.index = Some(index);
-        watch.last_message
-    };
-    tracing::info!(index, whole, entries, "list");
-    node.handle_input(Input::ListClocks(ListClocks {
-        known_until,
-        wall_clock_shift: node.clock.wall_clock_shift(),
-    }));
-    node.handle_input(list.into());
-    node.record_discovery_message(Some(index));
-    Ok(())
-}
--- a/crates/node/tests/ends/harness.rs
+++ b/crates/node/tests/ends/harness.rs
@@ -10,6 +10,7 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
+use rustix::process::{Pid, Signal, kill_process};
 use socket2::{Domain, SockAddr, SockRef, Socket, Type};
 
 use crate::common::SETTINGS;
@@ -86,6 +87,11 @@
         (Self { listener, address }, queued)
     }
 
+    /// The listener itself, for a thread that accepts connections until the test run ends.
+    pub fn listener(&self) -> &TcpListener {
+        &self.listener
+    }
+
     /// Accepts the next connection. Panics if none arrives within [`WAIT_LIMIT`].
     pub fn accept(&self) -> Connection {
         let start = Instant::now();
@@ -344,6 +350,12 @@
         assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
     }
 
+    /// Sends a signal to the node at once, without a further process.
+    pub fn signal_now(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.process.id().cast_signed()).unwrap();
+        kill_process(pid, signal).unwrap();
+    }
+
     /// Runs `meanwhile` while the node is stopped by SIGSTOP, so that the node sees all of its effects at once when it continues.
     pub fn while_paused(&self, meanwhile: impl FnOnce()) {
         self.signal("-STOP");
--- a/crates/node/tests/ends/main.rs
+++ b/crates/node/tests/ends/main.rs
@@ -14,6 +14,7 @@
 mod large_fleet;
 mod machine;
 mod memory;
+mod paused_discovery;
 mod paused_process;
 mod restored_store;
 mod startup;
--- a/crates/node/tests/ends/paused_process.rs
+++ b/crates/node/tests/ends/paused_process.rs
@@ -4,6 +4,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use rustix::process::Signal;
+
 use crate::harness::{
     FakeServer, Node, WATCH_HEAD, chunked, configuration, done_response, entry, exchange, job, list_chunk,
     read_message, send, status,
@@ -185,12 +187,6 @@
     });
 }
 
-/// Sends a signal to the node at once, without a further process.
-fn signal_now(node: &Node, signal: rustix::process::Signal) {
-    let pid = rustix::process::Pid::from_raw(node.process.id().cast_signed()).unwrap();
-    rustix::process::kill_process(pid, signal).unwrap();
-}
-
 // The node is paused at any moment around the one at which it receives a returned request and sends it on, and the client leaves
 // meanwhile. Guards against an execution for a client that has left: only what was checked before the pause and is written after
 // it can't be helped, and the node reports each such write.
@@ -227,12 +223,12 @@
         while Instant::now() < pause_at {
             std::hint::spin_loop();
         }
-        signal_now(&node, rustix::process::Signal::STOP);
+        node.signal_now(Signal::STOP);
         std::thread::sleep(Duration::from_millis(6));
         let closed_at = Instant::now();
         drop(client);
         std::thread::sleep(Duration::from_millis(140));
-        signal_now(&node, rustix::process::Signal::CONT);
+        node.signal_now(Signal::CONT);
         std::thread::sleep(Duration::from_millis(40));
         if arrived().is_some_and(|at| at.saturating_duration_since(closed_at) > DISCONNECT_LIMIT) {
             late.push(id);
