What the old discovery has sent is received before a watch is replaced

What callers saw: a process stood still while lists came, and a SIGHUP named another discovery.

Cause: change_discovery shut the old connection down and raised the generation, so that lists in its socket were dropped.

Evidence: a_drain_that_is_unread_when_discovery_changes_is_respected, new, pauses the process at any moment of the reload.

Change: the connection is closed, what had arrived on it is passed to the reducer, and only then the next generation begins. A watch that was replaced reports nothing.

Why this works: what came before the close is readable after it, and no coroutine can receive on the old connection afterwards, so that no list is lost and none comes after one of the new discovery.

--- a/crates/node/src/net/watch.rs
+++ b/crates/node/src/net/watch.rs
@@ -109,30 +109,36 @@
         is_current
     }
 
-    /// Changes the address of discovery. The known list and all executions are unaffected. The complete list is requested
-    /// from the new address at once, since its versions may be unrelated to the old ones.
+    /// Changes the address of discovery. The known list and all executions are unaffected, and what the old discovery has
+    /// sent is received first. The complete list is requested from the new address at once, since its versions may be
+    /// unrelated to the old ones.
     pub fn change_discovery(self: &Arc<Self>, discovery: SocketAddr) {
-        let mut watch = lock(&self.watch);
-        if watch.discovery == discovery {
-            return;
+        let old_connection = {
+            let mut watch = lock(&self.watch);
+            if watch.discovery == discovery {
+                return;
+            }
+            watch.connection.take()
+        };
+        if let Some(connection) = old_connection {
+            connection.close_and_receive(self);
         }
-        if let Some(old) = watch.connection.take() {
-            old.close();
+        let generation = self.replace_watch(discovery);
+        let node = Arc::clone(self);
+        spawn(move || run(&node, generation));
+    }
+
+    /// Begins a watch of the next generation and returns that.
+    fn replace_watch(&self, discovery: SocketAddr) -> u64 {
+        let mut watch = lock(&self.watch);
+        // The old watch may have connected only now.
+        if let Some(connection) = watch.connection.take() {
+            connection.close();
         }
         let generation = watch.generation + 1;
         let retry_until = self.clock.now() + DISCOVERY_CHANGE_RETRY_NS;
-        *watch = WatchState {
-            discovery,
-            generation,
-            index: None,
-            last_message: 0,
-            retry_until,
-            running: true,
-            connection: None,
-        };
-        drop(watch);
-        let node = Arc::clone(self);
-        spawn(move || run(&node, generation));
+        *watch = WatchState { generation, retry_until, running: true, ..WatchState::new(discovery, None) };
+        generation
     }
 }
 
@@ -143,6 +149,9 @@
         // When the last message from discovery was received; `called_at` if none was.
         let mut last_message = called_at;
         let Err(error) = follow(node, generation, &mut last_message);
+        if matches!(error, WatchError::Replaced) {
+            return;
+        }
         let retry_now = {
             let watch = lock(&node.watch);
             watch.generation == generation && watch.index.is_none() && node.clock.now() < watch.retry_until
--- a/crates/node/src/net/watch_connection.rs
+++ b/crates/node/src/net/watch_connection.rs
@@ -120,6 +120,17 @@
         }
     }
 
+    /// Closes the connection for a watch that takes the place of this one, and passes the lists that arrived before to the
+    /// reducer. Nothing is received afterwards.
+    pub(super) fn close_and_receive(&self, node: &Arc<Node>) {
+        let mut response = lock(&self.response);
+        self.close();
+        if response.failure.is_none() {
+            while matches!(response.receive(node, self), Ok(Received::Part)) {}
+            response.failure = Some(WatchError::Replaced);
+        }
+    }
+
     /// Closes the connection, which ends the wait of the watch's coroutine.
     pub(super) fn close(&self) {
         let _ = self.socket.shutdown(Shutdown::Both);
--- a/crates/node/tests/ends/paused_discovery.rs
+++ b/crates/node/tests/ends/paused_discovery.rs
@@ -2,7 +2,7 @@
 //! must be read before a request is sent on and before the connection is given up.
 
 use std::collections::HashMap;
-use std::io::BufReader;
+use std::io::{BufReader, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -124,3 +124,59 @@
     late.retain(|id| !reported.iter().any(|line| line.contains(&format!("id={id} "))));
     assert!(late.is_empty(), "sent to a draining executor: {late:?}; reported: {reported:?}");
 }
+
+/// Returns whether the other end has closed this connection.
+fn is_closed(connection: &mut Connection) -> bool {
+    let socket = connection.0.get_mut();
+    socket.set_nonblocking(true).unwrap();
+    let closed = matches!(socket.read(&mut [0]), Ok(0));
+    socket.set_nonblocking(false).unwrap();
+    closed
+}
+
+// The node is told by SIGHUP to follow another discovery and is paused at any moment while it does so; the old discovery
+// announces a drain during the pause. Guards against a watch that is closed with lists unread: the node went by its old list
+// until the new discovery answered.
+#[test]
+fn a_drain_that_is_unread_when_discovery_changes_is_respected() {
+    const SPREAD: Duration = Duration::from_micros(1_200);
+    let (mut current, mut next, server) = (FakeServer::open(), FakeServer::open(), FakeServer::open());
+    let executor = server.address;
+    let arrivals = record_arrivals(server);
+    let node = Node::start_with(&node_configuration(executor, current.address));
+    let mut watch = current.accept();
+    watch.read_head().unwrap();
+    answer_watch(&mut watch, 1, executor);
+    let mut ignored = Vec::new();
+    let mut announced_drains = 0;
+    for attempt in 0..TRIES {
+        let mut client = node.client();
+        wait_until_served(&node, &mut client, 1_000 + 1_000 * attempt);
+        node.replace_configuration(&node_configuration(executor, next.address));
+        let signalled = Instant::now();
+        node.signal_now(Signal::HUP);
+        wait_until(signalled + offset_within(SPREAD, attempt));
+        node.signal_now(Signal::STOP);
+        std::thread::sleep(PAUSE_BEFORE);
+        let announced = !is_closed(&mut watch);
+        if announced {
+            announce_drain(&mut watch, 2, executor);
+            announced_drains += 1;
+        }
+        std::thread::sleep(PAUSE_AFTER);
+        node.signal_now(Signal::CONT);
+        // The new discovery has the node's request and does not answer yet.
+        let mut next_watch = next.accept();
+        next_watch.read_head().unwrap();
+        let id = 1 + attempt;
+        let answer = status(exchange(&mut client, &job(id, "look", 5_000)));
+        if announced && (answer != 503 || arrivals.lock().unwrap().contains_key(&id)) {
+            ignored.push(id);
+        }
+        answer_watch(&mut next_watch, 1, executor);
+        (current, next) = (next, current);
+        watch = next_watch;
+    }
+    drop((current, next));
+    assert!(ignored.is_empty(), "of {announced_drains} announced drains these were ignored: {ignored:?}");
+}
