Test of kept memory: short one-shots until a node is full, and a start with them

The review saw a node with memory_mb 32 at 100 MB when the eighth for outcomes was spent by one-shots with short bodies. The mended count was shown by a table alone, not by a node. The test fills a node's store and holds its memory, then and after a kill and a start, against the stated limit; it also holds that the node started again takes no more than a few.

--- a/crates/node/tests/ends/memory.rs
+++ b/crates/node/tests/ends/memory.rs
@@ -2,7 +2,9 @@
 
 use std::io::Write as _;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::time::Duration;
 
 use crate::harness::{
     FakeServer, Node, answer_all, configuration, confirming_discovery, exchange, job, memory_kb,
@@ -37,16 +39,22 @@
     memory_kb(node, "RssAnon")
 }
 
+/// Makes a store in this folder and returns its configuration file.
+fn init_store(folder: &Path) -> PathBuf {
+    let (store, file) = (folder.join("store"), folder.join("store.toml"));
+    let mut init = Command::new(env!("CARGO_BIN_EXE_linestack"));
+    assert!(init.args(["store", "init"]).arg(&store).status().unwrap().success());
+    std::fs::write(&file, format!("[store]\nfolder = {store:?}\nsame-by = \"req-id\"\n")).unwrap();
+    file
+}
+
 // Guards against a store whose node keeps the receive buffer of every one-shot that it remembers, and so exceeds its limit of memory
 // although the remembered keys and results are short.
 #[test]
 fn remembered_one_shots_keep_no_receive_buffers() {
     const ONE_SHOTS: u32 = 400;
     let folder = tempfile::tempdir().unwrap();
-    let (store, file) = (folder.path().join("store"), folder.path().join("store.toml"));
-    let mut init = Command::new(env!("CARGO_BIN_EXE_linestack"));
-    assert!(init.args(["store", "init"]).arg(&store).status().unwrap().success());
-    std::fs::write(&file, format!("[store]\nfolder = {store:?}\nsame-by = \"req-id\"\n")).unwrap();
+    let file = init_store(folder.path());
     let executor = answer_all(FakeServer::open(), "r");
     let text = configuration(&[executor], confirming_discovery(), &[NO_QUOTA]);
     let node = Node::start_with_store(&text, "", Some(&file));
@@ -59,6 +67,55 @@
     assert!(growth < MEMORY_LIMIT_KB / 8, "{growth} KiB for {ONE_SHOTS} one-shots");
 }
 
+/// Sends short one-shots with ids from `first_id` on, one after another, until new ones are turned away again and again. Returns
+/// how many were served. Panics if none is turned away.
+fn send_one_shots_until_full(node: &Node, first_id: u32) -> u32 {
+    /// More than fit into the eighth of the memory that remembered outcomes may take.
+    const MAX_ONE_SHOTS: u32 = 30_000;
+    /// One that is turned away for another reason than the memory is soon followed by one that is served.
+    const REJECTIONS_WHEN_FULL: u32 = 10;
+    let mut client = node.client();
+    let (mut served, mut rejections) = (0, 0);
+    for id in (first_id..).take(MAX_ONE_SHOTS as usize) {
+        if status(exchange(&mut client, &job(id, "pay", 5_000))) == 200 {
+            (served, rejections) = (served + 1, 0);
+            continue;
+        }
+        rejections += 1;
+        if rejections == REJECTIONS_WHEN_FULL {
+            return served;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    panic!("{served} one-shots were served and none was turned away for long");
+}
+
+// Guards against a node that exceeds its limit of memory on short one-shots before it turns new ones away, or when it is started
+// again with all of them in its store.
+#[test]
+fn remembered_short_one_shots_stay_within_the_memory() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = init_store(folder.path());
+    let executor = answer_all(FakeServer::open(), "r");
+    let text = configuration(&[executor], confirming_discovery(), &[NO_QUOTA]);
+    let node = Node::start_with_store(&text, "", Some(&file));
+    node.wait_until_ready();
+    let served = send_one_shots_until_full(&node, 1);
+    let filled = own_memory_kb(&node);
+    drop(node);
+    let node = Node::start_with_store(&text, "", Some(&file));
+    node.wait_until_ready();
+    let started = own_memory_kb(&node);
+    // The last results may have been lost with the process, so that there is room for a few more.
+    let served_after_start = send_one_shots_until_full(&node, 1_000_000);
+    println!(
+        "{served} one-shots: {filled} KiB; after a start {started} KiB, {served_after_start} more one-shots"
+    );
+    assert!(filled < MEMORY_LIMIT_KB, "{filled} KiB for {served} one-shots");
+    assert!(started < MEMORY_LIMIT_KB, "{started} KiB after a start with {served} one-shots");
+    assert!(served_after_start < served / 10, "{served_after_start} beside {served} one-shots");
+}
+
 // Guards against idle connections to executors each of which keeps the receive buffer of the last request that it carried, for the
 // recognition of a second response.
 #[test]
