A new configuration that meets a process without descriptors is read again

What callers saw: clients hold all descriptors of a process as SIGHUP comes; the new configuration is logged as faulty and never read.

Cause: one list of passing errors for the start and for a running process. EMFILE is not on it, since during a start nothing else frees a descriptor; in a running process each connection that ends does.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -8,7 +8,7 @@
 use thiserror::Error;
 use tracing::Level;
 
-use crate::io_failure::{START_RETRY_TIMEOUT, is_transient, retry_transient};
+use crate::io_failure::{START_RETRY_TIMEOUT, is_transient_while_running, retry_transient};
 use crate::net::discovery::List;
 
 /// An error in the configuration.
@@ -29,7 +29,8 @@
     Invalid,
     /// The value is set neither in the environment nor in the file.
     Missing,
-    /// The file cannot be read now because this machine lacks a resource; a later attempt may succeed.
+    /// The file cannot be read now because this machine or process lacks a resource; in a running node a later attempt may
+    /// succeed.
     Transient,
 }
 
@@ -183,7 +184,8 @@
     };
     let path = variable("PROXY_CONFIG").ok_or(invalid("PROXY_CONFIG", "not set".into()))?;
     let text = file(&path).map_err(|e| {
-        let kind = if is_transient(&e) { ConfigErrorKind::Transient } else { ConfigErrorKind::Invalid };
+        let is_transient = is_transient_while_running(&e);
+        let kind = if is_transient { ConfigErrorKind::Transient } else { ConfigErrorKind::Invalid };
         ConfigError { kind, ..invalid("PROXY_CONFIG", format!("{path}: {e}")) }
     })?;
     let parsed = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(&text));
--- a/crates/node/src/io_failure.rs
+++ b/crates/node/src/io_failure.rs
@@ -57,6 +57,12 @@
     Errno::from_io_error(error).is_some_and(|errno| transient.contains(&errno))
 }
 
+/// As [`is_transient`], for a running node, in which each connection that ends frees a descriptor.
+#[must_use]
+pub fn is_transient_while_running(error: &io::Error) -> bool {
+    is_transient(error) || Errno::from_io_error(error) == Some(Errno::MFILE)
+}
+
 /// Repeats a call on this thread until it succeeds, fails permanently, or `timeout` is over.
 ///
 /// # Errors
