Tests of a node's ends: an address at which nothing listens stays reserved

Nodes connect to such an address (a discovery that is down, an executor that is not there) again and again for seconds, while the system may give its port to the listener of a test that runs beside, which then sees a connection that nobody sent. Ports of closed listeners too are reserved now until the test is over.

No check has changed: listeners that were dropped and opened again at their address are closed and opened at their reserved port.

--- a/crates/node/tests/ends/descriptors.rs
+++ b/crates/node/tests/ends/descriptors.rs
@@ -26,7 +26,8 @@
     connection.send(&format!("{WATCH_HEAD}{}", list_chunk(1, false, &[])));
     node.wait_until_ready();
     // Discovery is down from now on.
-    drop((discovery, connection));
+    drop(connection);
+    let port = discovery.close();
     let mut idle = Vec::new();
     for id in 0..300 {
         let mut client = node.client();
@@ -38,7 +39,7 @@
     let open = std::fs::read_dir(format!("/proc/{}/fd", node.process.id())).unwrap().count();
     assert!(open > 100 && open < 256, "{open} descriptors");
     let back = Instant::now();
-    let mut connection = FakeServer::open_at(address).accept();
+    let mut connection = FakeServer::open_at(port).accept();
     assert!(back.elapsed() < Duration::from_secs(5), "{:?}", back.elapsed());
     connection.read_head().unwrap();
     let new = FakeServer::open();
--- a/crates/node/tests/ends/harness.rs
+++ b/crates/node/tests/ends/harness.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
@@ -49,10 +50,33 @@
 pub const DECLINED_RESPONSE: &str =
     "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
 
+/// The number of connections that may wait to be accepted, as with listeners of the standard library.
+const ACCEPT_QUEUE: i32 = 128;
+
+/// A local port that the system gives to nobody else while this exists. Connections to it are refused unless a [`FakeServer`]
+/// listens there.
+pub struct ReservedPort {
+    _socket: Socket,
+    pub address: SocketAddr,
+}
+
+impl ReservedPort {
+    /// Reserves a free port.
+    pub fn any() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        // So that a listener can be bound beside the reservation. Nobody else is given a port that is bound to.
+        socket.set_reuse_port(true).unwrap();
+        socket.bind(&SockAddr::from(SocketAddr::from(([127, 0, 0, 1], 0)))).unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
+        Self { _socket: socket, address }
+    }
+}
+
 /// A listener that stands in for an executor or for discovery.
 pub struct FakeServer {
     listener: TcpListener,
     pub address: SocketAddr,
+    port: Arc<ReservedPort>,
 }
 
 /// A connection accepted by a [`FakeServer`].
@@ -61,30 +85,40 @@
 impl FakeServer {
     /// Opens a listener at a free port.
     pub fn open() -> Self {
-        Self::open_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+        Self::open_at(Arc::new(ReservedPort::any()))
     }
 
-    /// Opens a listener at `address`.
-    pub fn open_at(address: SocketAddr) -> Self {
-        let listener = TcpListener::bind(address).unwrap();
-        let address = listener.local_addr().unwrap();
-        Self { listener, address }
+    /// Opens a listener at a reserved port.
+    pub fn open_at(port: Arc<ReservedPort>) -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_reuse_address(true).unwrap();
+        socket.set_reuse_port(true).unwrap();
+        socket.bind(&SockAddr::from(port.address)).unwrap();
+        socket.listen(ACCEPT_QUEUE).unwrap();
+        Self { listener: TcpListener::from(socket), address: port.address, port }
+    }
+
+    /// Closes the listener: connections are refused from now on. Returns its port, which remains reserved.
+    pub fn close(self) -> Arc<ReservedPort> {
+        self.port
     }
 
     /// Opens a listener whose accept queue is full: further connections are not established until `accept` is called.
     /// Also returns the connections that fill the queue.
     pub fn with_full_accept_queue() -> (Self, Vec<TcpStream>) {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&SockAddr::from(SocketAddr::from(([127, 0, 0, 1], 0)))).unwrap();
+        let port = Arc::new(ReservedPort::any());
+        let address = port.address;
+        socket.set_reuse_port(true).unwrap();
+        socket.bind(&SockAddr::from(address)).unwrap();
         socket.listen(0).unwrap();
         let listener = TcpListener::from(socket);
-        let address = listener.local_addr().unwrap();
         let first = TcpStream::connect(address).unwrap();
         let mut queued = vec![first];
         while let Ok(more) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
             queued.push(more);
         }
-        (Self { listener, address }, queued)
+        (Self { listener, address, port }, queued)
     }
 
     /// The listener itself, for a thread that accepts connections until the test run ends.
@@ -226,9 +260,13 @@
     }
 }
 
-/// Returns an address at which nothing listens.
+/// Returns an address at which nothing listens until the test run ends. Nodes connect to it again and again, so it must not be
+/// given to another test's listener.
 pub fn unused_address() -> SocketAddr {
-    FakeServer::open().address
+    let port = ReservedPort::any();
+    let address = port.address;
+    std::mem::forget(port);
+    address
 }
 
 /// Starts a discovery that tells every watch that the configured list is still current, and then sends heartbeats.
--- a/crates/node/tests/ends/startup.rs
+++ b/crates/node/tests/ends/startup.rs
@@ -1,5 +1,7 @@
 //! Starts of a node while discovery is down, does not answer or fails requests.
 
+use std::io::ErrorKind;
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
@@ -136,7 +138,8 @@
     drop((predecessor, watch));
 
     // Without a failure function the listener is closed, so that connections are refused.
-    let failing_discovery = failure.is_some().then_some(discovery);
+    let (discovery_port, failing_discovery) =
+        if failure.is_some() { (None, Some(discovery)) } else { (Some(discovery.close()), None) };
     let start = Instant::now();
     let node = Node::start_with(&text);
     let (mut id, mut ready_after, mut failed_connections) = (0, None, Vec::new());
@@ -159,9 +162,10 @@
         std::thread::sleep(Duration::from_millis(50));
     }
     assert!(ready_after.is_some_and(|after| after < READY_LIMIT), "{ready_after:?}");
-    drop((failing_discovery, failed_connections));
+    drop(failed_connections);
 
-    let (discovery, active) = (FakeServer::open_at(discovery_address), answer_all(FakeServer::open(), "r"));
+    let discovery_port = discovery_port.or(failing_discovery.map(FakeServer::close)).unwrap();
+    let (discovery, active) = (FakeServer::open_at(discovery_port), answer_all(FakeServer::open(), "r"));
     let mut watch = discovery.accept();
     watch.read_head().unwrap();
     watch.send(&format!("{WATCH_HEAD}{}", list_chunk(3, true, &[entry("w1", active)])));
@@ -190,7 +194,8 @@
     watch.send(&format!("{WATCH_HEAD}{}", list_chunk(2, false, &[entry_of_leaving])));
     predecessor.wait_until_ready();
     std::thread::sleep(ANNOUNCED_AFTER);
-    drop((predecessor, watch, discovery));
+    drop((predecessor, watch));
+    let _discovery_port = discovery.close();
     let node = Node::start_with(&text);
     for id in 1..=20 {
         assert_eq!(status(exchange(&mut node.client(), &job(id, "look", 500))), 503, "request {id}");
@@ -213,3 +218,18 @@
     connection.send(&format!("{WATCH_HEAD}{}", &list[..list.len() / 2]));
     None
 }
+
+// Guards against a test whose listener is found by the node of another test, which connects to an address where nothing listens
+// again and again.
+#[test]
+fn an_unused_address_is_not_given_to_a_listener() {
+    let address = unused_address();
+    let closed = FakeServer::open().close();
+    for address in [address, closed.address] {
+        assert!(TcpStream::connect(address).is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused));
+        assert!(TcpListener::bind(address).is_err_and(|error| error.kind() == ErrorKind::AddrInUse));
+    }
+    let reopened = FakeServer::open_at(closed);
+    let _client = TcpStream::connect(reopened.address).unwrap();
+    assert!(reopened.has_pending_connection());
+}
