Review case 7: bodies that outlive their clients take a node over its memory limit

One real node with 32 MB and no cancelling, clients that give up early, spoilt answers that never end, bad clients.

--- a/review/stand-ins-2/src/bin/case-silent.rs
+++ b/review/stand-ins-2/src/bin/case-silent.rs
@@ -1,4 +1,4 @@
-//! Case 9: lists are asked for; all watches fall silent, discovery is slow, and executors begin to drain right after.
+//! Case 10: lists are asked for; all watches fall silent, discovery is slow, and executors begin to drain right after.
 
 use std::thread;
 use std::time::{Duration, Instant};
@@ -30,7 +30,7 @@
     let entries = executors.addresses.iter().enumerate();
     let entries = entries.map(|(i, a)| Entry::new(&format!("s-{i}"), *a, "gulberg", "type-a", i as u32 / 4)).collect();
     let discovery = Discovery::start(entries, &record);
-    let temp = TempFolder::new("review-9");
+    let temp = TempFolder::new("review-10");
     let known = discovery.known();
     let settings = SETTINGS.replace("\"balancers\": 1", "\"balancers\": 3");
     let start = |name: &&'static str| {
@@ -42,6 +42,7 @@
             discovery: discovery.address,
             known: &known,
             settings: &settings,
+            memory_mb: 192,
             variables: &[],
         })
     };
--- a/review/stand-ins-2/src/bin/case-start.rs
+++ b/review/stand-ins-2/src/bin/case-start.rs
@@ -48,6 +48,7 @@
             discovery: discovery.address,
             known: &known,
             settings: SETTINGS,
+            memory_mb: 192,
             variables: &variables,
         })
     };
--- a/review/stand-ins-2/src/executor.rs
+++ b/review/stand-ins-2/src/executor.rs
@@ -16,6 +16,8 @@
     Run(Duration),
     /// Does not begin it, and turns it away after this time (`503`, `Srv-Declined: 1`).
     TurnAway(Duration),
+    /// Begins it, and after this time an answer whose line has this many bytes of its result and never ends.
+    Spoil(Duration, usize),
     /// Begins it, and sheds it after this time (`503`, `Srv-Declined: 1`).
     BeginAndShed(Duration),
 }
@@ -113,6 +115,12 @@
                 write!(socket, "{:x}\r\n{line}\r\n0\r\n\r\n", line.len())?;
                 record.add(format!("executor e{executor} done {id}"));
             }
+            Treatment::Spoil(time, length) => {
+                thread::sleep(time);
+                let part = "r".repeat(length);
+                let line = format!("{{\"id\":\"{id}\",\"from\":\"e{executor}\",\"state\":\"done\",\"result\":\"{part}");
+                write!(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n", line.len())?;
+            }
             Treatment::TurnAway(time) | Treatment::BeginAndShed(time) => {
                 thread::sleep(time);
                 socket.write_all(b"HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")?;
--- a/review/stand-ins-2/src/node.rs
+++ b/review/stand-ins-2/src/node.rs
@@ -62,6 +62,8 @@
     pub known: &'a str,
     /// The text of the settings.
     pub settings: &'a str,
+    /// The limit on the node's memory.
+    pub memory_mb: u64,
     /// Further environment variables.
     pub variables: &'a [(&'a str, String)],
 }
@@ -69,13 +71,13 @@
 impl Node {
     /// Starts a node by the command `run`.
     pub fn start(start: &NodeStart) -> Self {
-        let NodeStart { root, folder, name, address, discovery, known, settings, variables } = start;
+        let NodeStart { root, folder, name, address, discovery, known, settings, memory_mb, variables } = start;
         let config = folder.join(format!("{name}.json"));
         // A seed of its own for each start.
         let seed = Random(unix_ms() ^ name.bytes().map(u64::from).fold(0, |sum, byte| sum * 257 + byte)).next();
         let text = format!(
             "{{\"name\":\"{name}\",\"listen\":\"{address}\",\"discovery\":\"{discovery}\",\"seed\":\"{seed:016x}\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"known\":{known},\"settings\":{settings}}}"
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{memory_mb},\"sockets\":1024}},\"known\":{known},\"settings\":{settings}}}"
         );
         fs::write(&config, text).expect("the node's configuration");
         let log = folder.join(format!("{name}.log"));
@@ -120,6 +122,13 @@
         false
     }
 
+    /// Returns the memory of the process that is not mapped from files, in KiB.
+    pub fn own_memory_kb(&self) -> u64 {
+        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+    }
+
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
     }
