Review case 6: one-shots known to have run are refused by a node without leave

After a majority of the coordinators is killed, the same node answers 503, a promise of no effect, to all twelve, while GET /v1/submissions/KEY tells satisfied or may have run of them. The lease is asked for before the answer from the store.

Cases are numbered anew, the gravest first: 6 this one, 7 memory, 8 the answer to another operator, 9 the start in stages, 10 discovery's return.

--- a/review/stand-ins-2/src/bin/case-foreign.rs
+++ b/review/stand-ins-2/src/bin/case-foreign.rs
@@ -1,16 +1,16 @@
-//! Case 6: a coordinator that was killed and started again hands an operator the answer to another operator.
+//! Case 8: a coordinator that was killed and started again hands an operator the answer to another operator.
 
-use std::fs::{self, File};
+use std::fs;
 use std::io::{Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{mpsc, Arc};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use review_stand_ins_2::node::{deploy_command, root, TempFolder};
+use review_stand_ins_2::coordinators::{end, fleet, number, program, Coordinator};
+use review_stand_ins_2::node::{root, TempFolder};
 use review_stand_ins_2::{case_folder, free_address, ms, with_trouble, Record, BROKEN, COULD_NOT_RUN, HELD};
 
 /// The settings of `lahore-cards.toml`, in the names of the wire.
@@ -78,77 +78,6 @@
     }
 }
 
-struct Coordinator {
-    number: usize,
-    address: SocketAddr,
-    file: PathBuf,
-    log: PathBuf,
-    child: Option<Child>,
-}
-
-impl Coordinator {
-    fn start(&mut self, program: &Path, first: bool) {
-        let log = File::create(&self.log).expect("a coordinator's log");
-        let mut command = Command::new(program);
-        command.arg("coordinate").arg(&self.file);
-        if first {
-            command.arg("--first");
-        }
-        command.env("PROXY_LOG", "info").stdin(Stdio::null()).stdout(log.try_clone().expect("the log")).stderr(log);
-        let child = command.spawn().expect("the coordinator starts");
-        // `run.sh` ends what is left if this program itself is ended.
-        if let Ok(pids) = std::env::var("CASE_PIDS") {
-            let file = File::options().create(true).append(true).open(pids);
-            let _ = file.and_then(|mut file| writeln!(file, "{}", child.id()));
-        }
-        self.child = Some(child);
-    }
-
-    /// Waits until the process has said that it listens. No connection is made for that.
-    fn wait_until_started(&self) {
-        let start = Instant::now();
-        while start.elapsed() < Duration::from_secs(5) {
-            if fs::read_to_string(&self.log).unwrap_or_default().contains("started") {
-                return;
-            }
-            thread::sleep(ms(2));
-        }
-    }
-
-    fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
-impl Drop for Coordinator {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
-/// Starts a command of `linestack fleet`, asked of one coordinator.
-fn fleet(program: &Path, at: SocketAddr, wait_ms: u64, words: &[&str]) -> Child {
-    let mut command = Command::new(program);
-    command.args(["fleet", "--fleet", "review", "--coordinators", &at.to_string(), "--json", "--wait-ms", &wait_ms.to_string()]);
-    command.args(words).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null());
-    command.spawn().expect("an operator's command")
-}
-
-/// Returns the exit code of a command, and what it printed.
-fn end(child: Child) -> (i32, String) {
-    let output = child.wait_with_output().expect("an operator's command");
-    (output.status.code().unwrap_or(-1), String::from_utf8_lossy(&output.stdout).trim().to_owned())
-}
-
-/// Returns the number after this key of a JSON object.
-fn number(text: &str, key: &str) -> Option<u64> {
-    let rest = text.split_once(&format!("\"{key}\":"))?.1;
-    rest.chars().take_while(char::is_ascii_digit).collect::<String>().parse().ok()
-}
-
 /// What the operator was told in one play.
 enum Told {
     /// That its change was refused, or that the outcome is not known.
@@ -170,23 +99,12 @@
 
     let addresses: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
     let links: Vec<Vec<Link>> = (0..3).map(|_| addresses.iter().map(|to| Link::start(*to)).collect()).collect();
-    let mut coordinators: Vec<Coordinator> = Vec::new();
-    for number in 0..3 {
-        let peer = |to: usize| if to == number { addresses[to] } else { links[number][to].address };
-        let peers: Vec<String> = (0..3).map(|to| format!("\"{}\"", peer(to))).collect();
-        let text = format!(
-            "[coordinator]\nfleet = \"review\"\nnumber = {number}\nlisten = \"{}\"\npeers = [{}]\nfolder = \"{}\"\nfirst-policy = \"{}\"\n\
-             lease-ms = 3000\nhold-ms = 750\ndrift = 10\n",
-            addresses[number],
-            peers.join(", "),
-            temp.join(format!("c{number}")).display(),
-            temp.join("policy.json").display()
-        );
-        let file = temp.join(format!("c{number}.toml"));
-        fs::write(&file, text).expect("a coordinator's file");
-        let log = temp.join(format!("c{number}.log"));
-        coordinators.push(Coordinator { number, address: addresses[number], file, log, child: None });
-    }
+    let mut coordinators: Vec<Coordinator> = (0..3)
+        .map(|number| {
+            let peer = |to: usize| if to == number { addresses[to] } else { links[number][to].address };
+            Coordinator::new(temp, number, addresses[number], &[peer(0), peer(1), peer(2)])
+        })
+        .collect();
     coordinators.iter_mut().for_each(|c| c.start(program, true));
     coordinators.iter().for_each(Coordinator::wait_until_started);
 
@@ -255,8 +173,8 @@
     let folder = case_folder();
     let root = root(&folder);
     let record = Record::new();
-    let program = root.join(deploy_command(&root, "run").split_whitespace().next_back().expect("the command run"));
-    let temp = TempFolder::new("review-6");
+    let program = program(&root);
+    let temp = TempFolder::new("review-8");
     let (mut wrong, mut right, mut nothing) = (Vec::new(), 0, Vec::new());
     for count in 0..PLAYS {
         record.add(format!("play {}", count + 1));
--- a/review/stand-ins-2/src/bin/case-return.rs
+++ b/review/stand-ins-2/src/bin/case-return.rs
@@ -1,4 +1,4 @@
-//! Case 9: lists are pushed; discovery comes back from an outage with executors that have begun to drain meanwhile.
+//! Case 10: lists are pushed; discovery comes back from an outage with executors that have begun to drain meanwhile.
 
 use std::time::{Duration, Instant};
 use std::thread;
@@ -49,7 +49,7 @@
     let entries = executors.addresses.iter().enumerate();
     let entries = entries.map(|(i, a)| Entry::new(&format!("s-{i}"), *a, "tbilisi-dc", "fast-box", i as u32 / 4)).collect();
     let discovery = Discovery::start(entries, &record);
-    let temp = TempFolder::new("review-9");
+    let temp = TempFolder::new("review-10");
     let known = discovery.known();
     let names = ["n1", "n2", "n3", "n4", "n5", "n6"];
     let start = |name: &&'static str| {
--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -99,3 +99,12 @@
     };
     ask().unwrap_or(false)
 }
+
+/// Gets a page of a node: its status and text.
+pub fn get(node: SocketAddr, path: &str) -> Option<(u16, String)> {
+    let mut socket = TcpStream::connect_timeout(&node, Duration::from_millis(500)).ok()?;
+    socket.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+    write!(socket, "GET {path} HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n").ok()?;
+    let message = Reader::new(socket).next().ok()??;
+    Some((message.status(), String::from_utf8_lossy(&message.body).trim().to_owned()))
+}
--- a/review/stand-ins-2/src/executor.rs
+++ b/review/stand-ins-2/src/executor.rs
@@ -18,8 +18,8 @@
     TurnAway(Duration),
     /// Begins it, and after this time an answer whose line has this many bytes of its result and never ends.
     Spoil(Duration, usize),
-    /// Begins it, and sheds it after this time (`503`, `Srv-Declined: 1`).
-    BeginAndShed(Duration),
+    /// Begins it, and after this time ends the connection without an answer.
+    Break(Duration),
 }
 
 /// A request that an executor received.
@@ -121,7 +121,12 @@
                 let line = format!("{{\"id\":\"{id}\",\"from\":\"e{executor}\",\"state\":\"done\",\"result\":\"{part}");
                 write!(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n", line.len())?;
             }
-            Treatment::TurnAway(time) | Treatment::BeginAndShed(time) => {
+            Treatment::Break(time) => {
+                thread::sleep(time);
+                record.add(format!("executor e{executor} ends the connection under {id}"));
+                return Ok(());
+            }
+            Treatment::TurnAway(time) => {
                 thread::sleep(time);
                 socket.write_all(b"HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")?;
                 record.add(format!("executor e{executor} answered full {id}"));
--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -3,6 +3,7 @@
 //! chooses.
 
 pub mod client;
+pub mod coordinators;
 pub mod discovery;
 pub mod executor;
 pub mod http;
