--- a/review/stand-ins-2/src/bin/case-foreign.rs
+++ b/review/stand-ins-2/src/bin/case-foreign.rs
@@ -1,4 +1,4 @@
-//! Case 8: a coordinator that was killed and started again hands an operator the answer to another operator.
+//! Case 9: a coordinator that was killed and started again hands an operator the answer to another operator.
 
 use std::fs;
 use std::io::{Read as _, Write as _};
@@ -174,7 +174,7 @@
     let root = root(&folder);
     let record = Record::new();
     let program = program(&root);
-    let temp = TempFolder::new("review-8");
+    let temp = TempFolder::new("review-9");
     let (mut wrong, mut right, mut nothing) = (Vec::new(), 0, Vec::new());
     for count in 0..PLAYS {
         record.add(format!("play {}", count + 1));
--- a/review/stand-ins-2/src/bin/case-start.rs
+++ b/review/stand-ins-2/src/bin/case-start.rs
@@ -1,4 +1,4 @@
-//! Case 9: a node that starts in stages is started again in an outage of discovery, after an executor began to drain.
+//! Case 10: a node that starts in stages is started again in an outage of discovery, after an executor began to drain.
 
 use std::fs;
 use std::thread;
@@ -32,7 +32,7 @@
     let entries = executors.addresses.iter().enumerate();
     let entries = entries.map(|(i, a)| Entry::new(&format!("s-{i}"), *a, "gulberg", "type-a", i as u32 / 4)).collect();
     let discovery = Discovery::start(entries, &record);
-    let temp = TempFolder::new("review-9");
+    let temp = TempFolder::new("review-10");
     let start_file = temp.0.join("start.toml");
     fs::write(&start_file, START).expect("start.toml");
     let variables = [("PROXY_START", start_file.display().to_string())];
