--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -13,6 +13,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 pub use record::Record;
@@ -34,9 +35,19 @@
     PathBuf::from(std::env::args().nth(1).expect("the case's folder as the first argument"))
 }
 
-/// Returns a free port of the loopback address.
+/// Returns a free port of the loopback address. It is drawn below the ports that the system gives to connections and to listeners on
+/// port 0, so that none of these takes it before the process that it is meant for.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+    static DRAWN: AtomicU64 = AtomicU64::new(0);
+    for _ in 0..1000 {
+        let count = DRAWN.fetch_add(1, Ordering::Relaxed);
+        let mut random = Random(unix_ms() ^ (u64::from(std::process::id()) << 32) ^ (count << 20));
+        let port = 12_000 + (random.next() % 20_000) as u16;
+        if let Ok(address) = TcpListener::bind(("127.0.0.1", port)).and_then(|listener| listener.local_addr()) {
+            return address;
+        }
+    }
+    panic!("no free port")
 }
 
 pub fn unix_ms() -> u64 {
