--- a/review/stand-ins-2/src/bin/case-memory.rs
+++ b/review/stand-ins-2/src/bin/case-memory.rs
@@ -37,22 +37,30 @@
     format!("Idempotency-Key: {:016x}{:016x}\r\n", random.next(), random.next())
 }
 
-/// Hands in requests with the longest body. In the trouble it gives up after 150 ms, else it waits for the answer.
-fn usual_client(index: usize, node: SocketAddr, trouble: &AtomicBool, stop: &AtomicBool, counts: &Counts) {
+/// Hands in requests with the longest body. In the trouble it gives up after 300 ms, else it waits for the answer.
+fn usual_client(index: usize, node: SocketAddr, trouble: &AtomicBool, stop: &AtomicBool, counts: &Counts, record: &Record) {
     let mut random = Random(100 + index as u64);
     let body = vec![b'b'; BODY];
     while !stop.load(Ordering::SeqCst) {
         thread::sleep(Duration::from_secs_f64(2.0 * CLIENTS as f64 / RATE * random.unit()));
         let Ok(mut socket) = TcpStream::connect(node) else { continue };
-        let text = head(random.next(), "package-file", &key(&mut random), 20000);
+        let id = random.next();
+        let text = head(id, "package-file", &key(&mut random), 20000);
         if socket.write_all(text.as_bytes()).and_then(|()| socket.write_all(&body)).is_err() {
+            record.add(format!("client could not send {id:016x}"));
             continue;
         }
+        record.add(format!("client sends {id:016x}"));
         counts.sent.fetch_add(1, Ordering::SeqCst);
-        let patience = if trouble.load(Ordering::SeqCst) { ms(150) } else { ms(21_000) };
+        let patience = if trouble.load(Ordering::SeqCst) { ms(300) } else { ms(21_000) };
         let _ = socket.set_read_timeout(Some(patience));
         let mut answer = [0; 64];
-        match socket.read(&mut answer) {
+        let result = socket.read(&mut answer);
+        record.add(match &result {
+            Ok(count) => format!("client answered {id:016x} {}", String::from_utf8_lossy(&answer[..*count]).lines().next().unwrap_or("")),
+            Err(_) => format!("client gives up {id:016x}"),
+        });
+        match result {
             Ok(count) if answer[..count].starts_with(b"HTTP/1.1 200") => counts.served.fetch_add(1, Ordering::SeqCst),
             Ok(_) => counts.other.fetch_add(1, Ordering::SeqCst),
             Err(_) => counts.left.fetch_add(1, Ordering::SeqCst),
@@ -61,15 +69,20 @@
 }
 
 /// Sends a request but for its last byte, waits to be turned away, and does the same again.
-fn bad_client(index: usize, node: SocketAddr, stop: &AtomicBool) {
+fn bad_client(index: usize, node: SocketAddr, stop: &AtomicBool, record: &Record) {
     let mut random = Random(900 + index as u64);
     let body = vec![b'b'; BODY - 1];
     while !stop.load(Ordering::SeqCst) {
         if let Ok(mut socket) = TcpStream::connect(node) {
-            let text = head(random.next(), "package-file", &key(&mut random), 20000);
-            let _ = socket.write_all(text.as_bytes()).and_then(|()| socket.write_all(&body));
+            let id = random.next();
+            let text = head(id, "package-file", &key(&mut random), 20000);
+            let sent = socket.write_all(text.as_bytes()).and_then(|()| socket.write_all(&body));
+            record.add(format!("bad client sends {id:016x} but for its last byte: {}", sent.is_ok()));
             let _ = socket.set_read_timeout(Some(ms(4000)));
-            let _ = socket.read(&mut [0; 64]);
+            let mut answer = [0; 64];
+            let count = socket.read(&mut answer).unwrap_or(0);
+            let line = String::from_utf8_lossy(&answer[..count]).lines().next().unwrap_or("a close, or nothing").to_owned();
+            record.add(format!("bad client gets {id:016x}: {line}"));
         }
         thread::sleep(ms(100));
     }
@@ -124,8 +137,8 @@
     let (stop, counts, address) = (Arc::new(AtomicBool::new(false)), Arc::new(Counts::default()), node.address);
     let mut threads = Vec::new();
     for index in 0..CLIENTS {
-        let (trouble, stop, counts) = (Arc::clone(&trouble), Arc::clone(&stop), Arc::clone(&counts));
-        threads.push(thread::spawn(move || usual_client(index, address, &trouble, &stop, &counts)));
+        let (trouble, stop, counts, record) = (Arc::clone(&trouble), Arc::clone(&stop), Arc::clone(&counts), record.clone());
+        threads.push(thread::spawn(move || usual_client(index, address, &trouble, &stop, &counts, &record)));
     }
     // A client that checks that the node serves.
     let mut peak = 0;
@@ -149,8 +162,8 @@
         watch(&node, &record, Duration::from_secs(12));
         record.add("bad clients begin".into());
         for index in 0..BAD_CLIENTS {
-            let stop = Arc::clone(&stop);
-            threads.push(thread::spawn(move || bad_client(index, address, &stop)));
+            let (stop, record) = (Arc::clone(&stop), record.clone());
+            threads.push(thread::spawn(move || bad_client(index, address, &stop, &record)));
         }
     }
     let peak = watch(&node, &record, TROUBLE);
