--- a/review/stand-ins-2/src/bin/case-memory.rs
+++ b/review/stand-ins-2/src/bin/case-memory.rs
@@ -24,6 +24,7 @@
 const RATE: f64 = 60.0;
 const CLIENTS: usize = 30;
 const BAD_CLIENTS: usize = 90;
+const SILENT_CLIENTS: usize = 150;
 const TROUBLE: Duration = Duration::from_secs(20);
 
 fn head(id: u64, kind: &str, key: &str, deadline_ms: u64) -> String {
@@ -88,6 +89,18 @@
     }
 }
 
+/// Connects and says nothing, until the connection is closed, and does the same again.
+fn silent_client(node: SocketAddr, stop: &AtomicBool, record: &Record) {
+    while !stop.load(Ordering::SeqCst) {
+        if let Ok(mut socket) = TcpStream::connect(node) {
+            record.add("silent client connects".into());
+            let _ = socket.set_read_timeout(Some(ms(4000)));
+            let _ = socket.read(&mut [0; 64]);
+        }
+        thread::sleep(ms(100));
+    }
+}
+
 #[derive(Default)]
 struct Counts {
     sent: AtomicU64,
@@ -165,6 +178,10 @@
             let (stop, record) = (Arc::clone(&stop), record.clone());
             threads.push(thread::spawn(move || bad_client(index, address, &stop, &record)));
         }
+        for _ in 0..SILENT_CLIENTS {
+            let (stop, record) = (Arc::clone(&stop), record.clone());
+            threads.push(thread::spawn(move || silent_client(address, &stop, &record)));
+        }
     }
     let peak = watch(&node, &record, TROUBLE);
     stop.store(true, Ordering::SeqCst);
