Log the memory held for clients, executors and received requests

The line `counts` has the bytes reserved for clients' and executors' buffers, and those that received requests hold, whoever keeps them: a request is counted until its last slice is dropped. The budgets move from net/mod.rs to net/memory.rs.

--- a/crates/node/src/net/clients/mod.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -317,7 +317,7 @@
                                         now.saturating_sub(arrivals.arrival_of_consumed(input.len(), now));
                                     submission.timeout = submission.timeout.saturating_sub(waited);
                                     if let Some(request) = Arc::get_mut(&mut submission.request) {
-                                        request.body = body.split().freeze();
+                                        request.body = node.request_memory.reserved_copy(body);
                                     }
                                     state = State::Waiting { close_after, size };
                                     node.handle_input(Input::Submitted { client, submission });
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -8,13 +8,14 @@
 pub mod discovery;
 pub mod executors;
 pub mod list_stream;
+mod memory;
 mod permission;
 pub(crate) mod watch;
 mod watch_connection;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicIsize, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -36,6 +37,7 @@
 };
 use linestack_recovery::StoredOutcome;
 use linestack_recovery::start::Stage;
+use memory::MemoryBudget;
 use permission::{SendPermission, has_disconnected};
 use watch::WatchState;
 
@@ -104,47 +106,6 @@
     }
 }
 
-/// The bytes that a group of connections may hold in total, beyond those that each may hold without a reservation.
-pub(crate) struct MemoryBudget(AtomicIsize);
-
-impl MemoryBudget {
-    /// The bytes that each connection may hold without a reservation; they count as part of the connection's own cost.
-    const UNRESERVED_BYTES: usize = 4 * 1024;
-
-    fn new(bytes: usize) -> Self {
-        Self(AtomicIsize::new(isize::try_from(bytes).unwrap_or(isize::MAX)))
-    }
-
-    pub(crate) fn reservation(&self) -> MemoryReservation<'_> {
-        MemoryReservation { budget: self, size: 0 }
-    }
-}
-
-/// The part of a memory budget that one connection has reserved.
-pub(crate) struct MemoryReservation<'a> {
-    budget: &'a MemoryBudget,
-    size: usize,
-}
-
-impl MemoryReservation<'_> {
-    /// Sets how many bytes the connection holds. Returns false if that is more than before and exceeds the budget; the
-    /// bytes are reserved even then. Buffers double their capacity as they grow, so twice the number of bytes is
-    /// reserved.
-    pub(crate) fn resize(&mut self, bytes: usize) -> bool {
-        let size = 2 * bytes.saturating_sub(MemoryBudget::UNRESERVED_BYTES);
-        let more = size.cast_signed() - self.size.cast_signed();
-        self.size = size;
-        let left = self.budget.0.fetch_sub(more, Ordering::Relaxed) - more;
-        more <= 0 || left >= 0
-    }
-}
-
-impl Drop for MemoryReservation<'_> {
-    fn drop(&mut self) {
-        self.resize(0);
-    }
-}
-
 /// A client's connection, as others than its coroutine see it.
 struct ClientHandle {
     mailbox: Arc<Mailbox<clients::Message>>,
@@ -183,9 +144,11 @@
     /// The number of attempts to connect that failed on this machine.
     pub(crate) local_failures: AtomicU64,
     /// The memory budget for requests of clients and the responses to them.
-    pub(crate) client_memory: MemoryBudget,
+    pub(crate) client_memory: Arc<MemoryBudget>,
     /// The memory budget for responses of executors.
-    pub(crate) executor_memory: MemoryBudget,
+    pub(crate) executor_memory: Arc<MemoryBudget>,
+    /// The memory that requests hold once they are received, whoever keeps them.
+    pub(crate) request_memory: Arc<MemoryBudget>,
     /// Called once, on [`Effect::Exit`].
     exit: Mutex<Option<Box<dyn FnOnce() + Send>>>,
 }
@@ -243,8 +206,9 @@
             lease_suspend_limit: AtomicU64::new(0),
             last_logged: Mutex::new(0),
             local_failures: AtomicU64::new(0),
-            client_memory: MemoryBudget::new(memory / BUFFER_MEMORY_DIVISOR),
-            executor_memory: MemoryBudget::new(memory / BUFFER_MEMORY_DIVISOR),
+            client_memory: Arc::new(MemoryBudget::new(memory / BUFFER_MEMORY_DIVISOR)),
+            executor_memory: Arc::new(MemoryBudget::new(memory / BUFFER_MEMORY_DIVISOR)),
+            request_memory: Arc::new(MemoryBudget::new(usize::MAX)),
             exit: Mutex::new(Some(exit)),
         })
     }
@@ -510,6 +474,9 @@
                     links = stats.links,
                     workers = stats.workers,
                     open = stats.open,
+                    client_memory = self.client_memory.reserved(),
+                    executor_memory = self.executor_memory.reserved(),
+                    request_memory = self.request_memory.reserved(),
                     "counts"
                 );
             }
