Requests of clients that have left keep no bodies, and count while they are kept

Cause: a body counted in the budget for clients only while its client's coroutine lived; the reducer kept it until the last execution ended, the executor's connection kept it as long as its exchange, and a written piece of a message stayed in the queue.

A request now carries its reservation, which ends when its last slice is dropped, whoever keeps it. The reducer drops the body once nobody waits for the answer, since nothing may be sent for it then; the connection drops the request with its first byte written and each piece as it is written. No special case: a request that is still being written to a slow executor stays, and counts.

--- a/crates/core/src/clients.rs
+++ b/crates/core/src/clients.rs
@@ -145,9 +145,14 @@
         self.pending_events.push_back(Event::Submitted { submission, job });
     }
 
-    /// Detaches a submission from its client and returns the client, if it still waits for an answer.
+    /// Detaches a submission from its client and drops its body. Returns the client, if it still waits for an answer.
     pub(crate) fn release_client(&mut self, submission: Submission) -> Option<ClientId> {
-        let client = self.accepted.get_mut(submission as usize)?.as_mut()?.client.take();
+        let accepted = self.accepted.get_mut(submission as usize)?.as_mut()?;
+        let client = accepted.client.take();
+        // Nothing is sent for this submission any more, and an execution may last long after its client has left.
+        if !accepted.request.body.is_empty() {
+            accepted.request = Arc::new(accepted.request.without_body());
+        }
         if let Some(state) = client.and_then(|c| self.clients.get_mut(&c)) {
             state.submission = None;
         }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -47,6 +47,21 @@
     pub body: Bytes,
 }
 
+impl ForwardedRequest {
+    /// Returns a copy without the body, which shares the bytes of the head.
+    pub(crate) fn without_body(&self) -> Self {
+        let Self { method, path, host, id, idempotency_key, body: _ } = self;
+        Self {
+            method: method.clone(),
+            path: path.clone(),
+            host: host.clone(),
+            id: id.clone(),
+            idempotency_key: idempotency_key.clone(),
+            body: Bytes::new(),
+        }
+    }
+}
+
 /// A submission as it arrives from a client.
 #[derive(Debug)]
 pub struct NewSubmission {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -219,6 +219,7 @@
     persisted: bool,
     product: u8,
     deadline: Nanos,
+    /// Without its body once there is no client any more.
     request: Arc<ForwardedRequest>,
     executions: Vec<Attempt>,
 }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 messages: parses heads in place, decodes bodies by their framing, and writes messages as lists of slices.
 
+use std::collections::VecDeque;
 use std::io::{self, IoSlice, Write};
 use std::ops::Range;
 
@@ -324,9 +325,8 @@
 /// A message to be written: its pieces are written with one vectored call where the socket accepts it.
 #[derive(Debug, Default)]
 pub struct WriteQueue {
-    pieces: Vec<Bytes>,
-    /// The index of the first piece that is not written completely.
-    next: usize,
+    /// What is not written yet. A piece that is written is dropped, since it may keep a whole request in memory.
+    pending: VecDeque<Bytes>,
     /// The number of bytes written.
     pub written: usize,
 }
@@ -339,29 +339,28 @@
     pub fn push(&mut self, piece: impl Into<Bytes>) {
         let piece = piece.into();
         if !piece.is_empty() {
-            self.pieces.push(piece);
+            self.pending.push_back(piece);
         }
     }
 
     /// Returns the number of bytes that are not written yet.
     #[must_use]
     pub fn remaining(&self) -> usize {
-        self.pieces[self.next..].iter().map(Bytes::len).sum()
+        self.pending.iter().map(Bytes::len).sum()
     }
 
     /// Returns whether everything is written.
     #[must_use]
     pub fn is_done(&self) -> bool {
-        self.next == self.pieces.len()
+        self.pending.is_empty()
     }
 
     /// Writes as much as the socket accepts. Returns true once everything is written.
     pub fn write(&mut self, socket: &mut impl Write) -> io::Result<bool> {
         while !self.is_done() {
             let mut slices = [IoSlice::new(&[]); Self::MAX_SLICES];
-            let pending = &self.pieces[self.next..];
-            let count = pending.len().min(Self::MAX_SLICES);
-            for (slice, piece) in slices.iter_mut().zip(pending) {
+            let count = self.pending.len().min(Self::MAX_SLICES);
+            for (slice, piece) in slices.iter_mut().zip(&self.pending) {
                 *slice = IoSlice::new(piece);
             }
             let mut accepted = match socket.write_vectored(&slices[..count]) {
@@ -372,14 +371,14 @@
                 Err(e) => return Err(e),
             };
             self.written += accepted;
-            while let Some(piece) = self.pieces.get_mut(self.next) {
+            while let Some(piece) = self.pending.front_mut() {
                 let count = accepted.min(piece.len());
                 piece.advance(count);
                 accepted -= count;
                 if !piece.is_empty() {
                     break;
                 }
-                self.next += 1;
+                self.pending.pop_front();
             }
         }
         Ok(true)
--- a/crates/node/src/net/clients/mod.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -111,9 +111,9 @@
         head: Option<Box<Incoming>>,
         body: BytesMut,
     },
-    /// The reducer has the submission, whose body has `size` bytes. The client has requested to close the connection
-    /// after the answer if `close_after`.
-    Waiting { close_after: bool, size: usize },
+    /// The reducer has the submission, with its own reservation. The client has requested to close the connection after
+    /// the answer if `close_after`.
+    Waiting { close_after: bool },
     /// An answer is being written, after which the connection is closed if `close_after`.
     Answering { out: WriteQueue, close_after: bool },
     /// The last answer is written. Further bytes are read and dropped, since a close over unread bytes would reset the
@@ -136,13 +136,12 @@
         }
     }
 
-    /// Returns the number of bytes that the state holds.
+    /// Returns the number of bytes that the state holds without a reservation of their own.
     fn size(&self) -> usize {
         match self {
             Self::Reading { body, .. } => body.len(),
-            Self::Waiting { size, .. } => *size,
             Self::Answering { out, .. } => out.remaining(),
-            Self::Lingering | Self::Closing => 0,
+            Self::Waiting { .. } | Self::Lingering | Self::Closing => 0,
         }
     }
 }
@@ -311,15 +310,14 @@
                             let Some(incoming) = head.take() else { break };
                             match incoming.action {
                                 RequestAction::Execute { mut submission, close_after } => {
-                                    let size = body.len();
                                     let now = node.clock.now();
                                     let waited =
                                         now.saturating_sub(arrivals.arrival_of_consumed(input.len(), now));
                                     submission.timeout = submission.timeout.saturating_sub(waited);
                                     if let Some(request) = Arc::get_mut(&mut submission.request) {
-                                        request.body = node.request_memory.reserved_copy(body);
+                                        request.body = node.client_memory.reserved_copy(body);
                                     }
-                                    state = State::Waiting { close_after, size };
+                                    state = State::Waiting { close_after };
                                     node.handle_input(Input::Submitted { client, submission });
                                 }
                                 RequestAction::Respond { response, close_after } => {
--- a/crates/node/src/net/clients/request.rs
+++ b/crates/node/src/net/clients/request.rs
@@ -39,7 +39,7 @@
     let received = input.len();
     if head.is_none() {
         let Some(request) = http::parse_request(input)? else { return Ok(false) };
-        let head_text = node.request_memory.reserved_copy(&input[..request.length]);
+        let head_text = node.client_memory.reserved_copy(&input[..request.length]);
         input.advance(request.length);
         let body = BodyDecoder::new(request.framing.unwrap_or(Framing::Length(0)));
         *head = Some(Box::new(Incoming {
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -39,7 +39,7 @@
 
 /// The request that a connection carries, and what was received of its response.
 struct Exchange {
-    /// The request to execute; none for a probe.
+    /// The request to execute, until its first byte is written; none for a probe.
     request: Option<Arc<ForwardedRequest>>,
     /// The submission's id; none for a probe.
     id: Option<Bytes>,
@@ -219,6 +219,10 @@
             if let (Some(checked_at), Some(id)) = (checked_at, &current.id) {
                 report_late_write(node, id, checked_at);
             }
+            if current.out.written > 0 {
+                // The bytes that are not written yet are in `out`.
+                current.request = None;
+            }
             match written {
                 Ok(done) => current.fully_written = done,
                 Err(_) => return ConnectionEnd::Broken,
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -143,12 +143,10 @@
     last_logged: Mutex<Nanos>,
     /// The number of attempts to connect that failed on this machine.
     pub(crate) local_failures: AtomicU64,
-    /// The memory budget for requests of clients and the responses to them.
+    /// The memory budget for requests of clients, also of those that have left, and the responses to them.
     pub(crate) client_memory: Arc<MemoryBudget>,
     /// The memory budget for responses of executors.
     pub(crate) executor_memory: Arc<MemoryBudget>,
-    /// The memory that requests hold once they are received, whoever keeps them.
-    pub(crate) request_memory: Arc<MemoryBudget>,
     /// Called once, on [`Effect::Exit`].
     exit: Mutex<Option<Box<dyn FnOnce() + Send>>>,
 }
@@ -208,7 +206,6 @@
             local_failures: AtomicU64::new(0),
             client_memory: Arc::new(MemoryBudget::new(memory / BUFFER_MEMORY_DIVISOR)),
             executor_memory: Arc::new(MemoryBudget::new(memory / BUFFER_MEMORY_DIVISOR)),
-            request_memory: Arc::new(MemoryBudget::new(usize::MAX)),
             exit: Mutex::new(Some(exit)),
         })
     }
@@ -476,7 +473,6 @@
                     open = stats.open,
                     client_memory = self.client_memory.reserved(),
                     executor_memory = self.executor_memory.reserved(),
-                    request_memory = self.request_memory.reserved(),
                     "counts"
                 );
             }
--- a/crates/node/tests/ends/memory.rs
+++ b/crates/node/tests/ends/memory.rs
@@ -1,14 +1,15 @@
 //! The memory that a node still holds for a request after its answer.
 
-use std::io::Write as _;
+use std::io::{BufReader, Write as _};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::sync::mpsc::Sender;
 use std::time::Duration;
 
 use crate::harness::{
-    FakeServer, Node, answer_all, configuration, confirming_discovery, exchange, job, memory_kb,
-    read_message, status,
+    Connection, FakeServer, Node, WAIT_LIMIT, answer_all, configuration, confirming_discovery, exchange, job,
+    memory_kb, read_message, send, status,
 };
 
 /// The node's `limits.memory_mb` in the tests' configuration, in KiB.
@@ -34,6 +35,24 @@
     node.barrier();
 }
 
+/// Reads every request to this executor and answers none, for the rest of the test run. Passes on the ids of the requests.
+/// Returns the executor's address.
+fn never_answer(server: FakeServer, received: Sender<u32>) -> SocketAddr {
+    let address = server.address;
+    std::thread::spawn(move || {
+        for socket in server.listener().incoming().map_while(Result::ok) {
+            let received = received.clone();
+            std::thread::spawn(move || {
+                let mut connection = Connection(BufReader::new(socket));
+                while let Some(id) = connection.read_request_id() {
+                    let _ = received.send(id);
+                }
+            });
+        }
+    });
+    address
+}
+
 /// Returns the node's memory that is not mapped from files, in KiB.
 fn own_memory_kb(node: &Node) -> u64 {
     memory_kb(node, "RssAnon")
@@ -171,3 +190,32 @@
     println!("{peak} kB at the most, {before} kB before");
     assert!(peak < before + BUFFER_LIMIT_KB, "{peak} kB at the most, {before} kB before");
 }
+
+// Guards against a node that exceeds its limit of memory because it keeps the bodies of requests whose clients have left for as
+// long as their executions last.
+#[test]
+fn requests_whose_clients_have_left_keep_no_bodies() {
+    const REQUESTS: u32 = 80;
+    /// What a connection of a client and one to an executor are reckoned at.
+    const CONNECTIONS_KB: u64 = 2 * 20;
+    let (sender, received) = std::sync::mpsc::channel();
+    let executors: Vec<SocketAddr> =
+        (0..REQUESTS).map(|_| never_answer(FakeServer::open(), sender.clone())).collect();
+    let changes = [
+        NO_QUOTA,
+        ("\"agreedTimeMs\": 400.0", "\"agreedTimeMs\": 60000.0"),
+        ("\"cancel\": true", "\"cancel\": false"),
+    ];
+    let node = Node::start(&executors, &changes);
+    node.barrier();
+    let before = own_memory_kb(&node);
+    for id in 1..=REQUESTS {
+        let mut client = node.client();
+        send(&mut client, &large_job(id, "look").replace("Ms: 5000", "Ms: 60000"));
+        assert_eq!(received.recv_timeout(WAIT_LIMIT), Ok(id));
+    }
+    node.barrier();
+    let growth = own_memory_kb(&node).saturating_sub(before);
+    println!("{growth} KiB for {REQUESTS} requests");
+    assert!(growth < CONNECTIONS_KB * u64::from(REQUESTS), "{growth} KiB for {REQUESTS} requests");
+}
