Receive buffers give back what is processed, and are reckoned by their allocation

Callers would see a node killed for memory by executors that send long lines and go on, or by clients that wait behind a long pipeline of short requests. Cause: a buffer was reckoned by the bytes left in it, twice, but kept the size that it had grown to: a processed line of an executor up to 128 KiB and as much of the socket's buffer, a client's pipeline up to 128 KiB. The id that a connection keeps to recognize a second response was not reckoned at all.

ReceiveBuffer frees what is consumed once it is the larger part, so each byte is moved once at most; a connection reserves what it has allocated. A response's text is copied to its own size after a line. The harness takes the limit of descriptors from the configuration.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -327,6 +327,8 @@
 pub struct WriteQueue {
     /// What is not written yet. A piece that is written is dropped, since it may keep a whole request in memory.
     pending: VecDeque<Bytes>,
+    /// The number of bytes of the first pending piece that are written; they stay allocated.
+    front_written: usize,
     /// The number of bytes written.
     pub written: usize,
 }
@@ -343,10 +345,10 @@
         }
     }
 
-    /// Returns the number of bytes that are not written yet.
+    /// Returns the number of bytes in the pieces that are not completely written.
     #[must_use]
-    pub fn remaining(&self) -> usize {
-        self.pending.iter().map(Bytes::len).sum()
+    pub fn allocated(&self) -> usize {
+        self.front_written + self.pending.iter().map(Bytes::len).sum::<usize>()
     }
 
     /// Returns whether everything is written.
@@ -375,10 +377,11 @@
                 let count = accepted.min(piece.len());
                 piece.advance(count);
                 accepted -= count;
+                self.front_written += count;
                 if !piece.is_empty() {
                     break;
                 }
-                self.pending.pop_front();
+                (self.front_written, _) = (0, self.pending.pop_front());
             }
         }
         Ok(true)
--- a/crates/node/src/net/clients/excess.rs
+++ b/crates/node/src/net/clients/excess.rs
@@ -1,9 +1,11 @@
-//! Requests that a client sends behind more than may be read ahead. They are read all the same, since the end of the
-//! connection may lie behind them, but nothing of them is kept: each is counted, and rejected in its turn.
+//! Requests that a client sends behind more than may be read ahead, or for which no memory is left. They are read all the
+//! same, since the end of the connection may lie behind them, but nothing of them is kept: each is counted, and rejected in
+//! its turn.
 
 use bytes::BytesMut;
 
 use crate::http::{self, BodyDecoder, Framing, HttpError};
+use crate::net::receive_buffer::ReceiveBuffer;
 
 /// The requests that were read beyond the limit, and the one that is being received.
 #[derive(Default)]
@@ -11,7 +13,7 @@
     /// The number of complete requests that are not rejected yet.
     complete: usize,
     /// Bytes that are not decoded yet: part of a head, or of the framing of a body.
-    input: BytesMut,
+    input: ReceiveBuffer,
     /// The body that is being received.
     body: Option<BodyDecoder>,
     /// What follows once the complete requests are rejected.
@@ -40,16 +42,22 @@
 
 impl ExcessRequests {
     /// Takes what follows the last complete request off `input`.
-    pub(super) fn split_off(input: &mut BytesMut) -> Self {
+    pub(super) fn split_off(input: &mut ReceiveBuffer) -> Self {
         let (mut rest, mut end) = (BytesMut::from(&input[..]), 0);
         while let Ok(Some(length)) = http::take_request(&mut rest) {
             end += length;
         }
         let mut excess = Self::default();
-        excess.push(&input.split_off(end));
+        excess.push(&input[end..]);
+        *input = ReceiveBuffer::from(BytesMut::from(&input[..end]));
         excess
     }
 
+    /// Returns the number of bytes that are allocated.
+    pub(super) fn allocated(&self) -> usize {
+        self.input.allocated()
+    }
+
     /// Returns whether a complete request is not rejected yet.
     pub(super) fn has_request(&self) -> bool {
         self.complete > 0 || self.end.is_some()
@@ -60,10 +68,11 @@
         if self.end.is_some() {
             return;
         }
-        self.input.extend_from_slice(bytes);
+        self.input.push(bytes);
         if let Err(error) = self.decode() {
             self.end = Some(ExcessEnd::Invalid(error));
         }
+        self.input.release_consumed();
     }
 
     /// Counts the complete requests, and drops their bytes.
@@ -104,7 +113,7 @@
         match self.end.take() {
             Some(ExcessEnd::Invalid(error)) => Rejection::Invalid(error),
             _ if self.body.is_some() => Rejection::AwaitBody,
-            _ => Rejection::Finished(std::mem::take(&mut self.input)),
+            _ => Rejection::Finished(self.input.take()),
         }
     }
 }
--- a/crates/node/src/net/clients/mod.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -16,6 +16,7 @@
 use socket2::{Domain, Socket, Type};
 
 use super::arrivals::ArrivalTimes;
+use super::receive_buffer::ReceiveBuffer;
 use super::{Mailbox, Node, YIELD_PAUSE, spawn};
 use crate::NANOS_PER_MS;
 use crate::http::{self, HttpError, WriteQueue};
@@ -39,6 +40,9 @@
 /// The answer to a request that is not complete when its time limit is reached.
 const NOT_IN_TIME: HttpError = HttpError { status: 408, reason: "request not completed in time" };
 
+/// The answer to a request for which no memory is left.
+const NO_MEMORY: HttpError = HttpError { status: 503, reason: "no memory left for requests" };
+
 /// A message to a client connection's coroutine.
 pub(crate) enum Message {
     /// Send the answer to the current submission, and close the connection then if `close_after`.
@@ -136,11 +140,11 @@
         }
     }
 
-    /// Returns the number of bytes that the state holds without a reservation of their own.
-    fn size(&self) -> usize {
+    /// Returns the number of bytes that the state has allocated without a reservation of their own.
+    fn allocated(&self) -> usize {
         match self {
-            Self::Reading { body, .. } => body.len(),
-            Self::Answering { out, .. } => out.remaining(),
+            Self::Reading { body, .. } => body.capacity(),
+            Self::Answering { out, .. } => out.allocated(),
             Self::Waiting { .. } | Self::Lingering | Self::Closing => 0,
         }
     }
@@ -185,7 +189,7 @@
     // The bytes of the first read may have arrived while the connection waited to be accepted, so they count as having
     // arrived at the earliest possible time. Later bytes count as having arrived when they are read.
     let mut first_arrival = Some(earliest_connect);
-    let mut input = BytesMut::new();
+    let mut input = ReceiveBuffer::default();
     let mut state = State::reading();
     // Whether the connection is to be closed once the requests that were read are answered.
     let mut close = false;
@@ -229,7 +233,7 @@
             continue;
         }
         let length_before = input.len();
-        let mut excess_input = BytesMut::new();
+        let mut excess_input = ReceiveBuffer::default();
         let target = if excess.is_some() { &mut excess_input } else { &mut input };
         let more_available = match read(socket, target, state.received()) {
             // A client that closes its sending side has left.
@@ -249,10 +253,14 @@
             excess = Some(ExcessRequests::split_off(&mut input));
             arrivals.forget_last(length - input.len());
         }
-        // Many large requests that are never completed would exhaust the memory and so end the process.
-        if !reservation.resize(input.len() + state.size()) && matches!(state, State::Reading { .. }) {
-            input = BytesMut::new();
-            state = reject(node, client, HttpError { status: 503, reason: "no memory left for requests" });
+        input.release_consumed();
+        let allocated =
+            input.allocated() + state.allocated() + excess.as_ref().map_or(0, ExcessRequests::allocated);
+        // Many large requests that are never completed, or that wait for others, would exhaust the memory and so end the
+        // process.
+        if !reservation.resize(allocated) && matches!(state, State::Reading { .. }) {
+            input = ReceiveBuffer::default();
+            state = reject(node, client, NO_MEMORY);
         }
         loop {
             match &mut state {
@@ -273,7 +281,7 @@
                             }
                             Rejection::Finished(next) => {
                                 arrivals.record_read(next.len(), arrival);
-                                (input, excess) = (next, None);
+                                (input, excess) = (next.into(), None);
                             }
                         }
                         continue;
@@ -337,15 +345,11 @@
                             if shut_down_write(node, client, socket).is_err() {
                                 return;
                             }
-                            (input, excess) = (BytesMut::new(), None);
+                            (input, excess) = (ReceiveBuffer::default(), None);
                             state = State::Lingering;
                         }
                         Ok(true) => {
                             state = State::reading();
-                            if input.is_empty() {
-                                // An idle connection holds no buffer.
-                                input = BytesMut::new();
-                            }
                             node.handle_input(Input::ClientPhase { client, phase: ClientPhase::Idle });
                         }
                     }
@@ -353,6 +357,7 @@
                 State::Lingering | State::Closing => break,
             }
         }
+        input.release_consumed();
         // Bytes left in the socket cause no further event, so they are read again once there is room for them, after a
         // pause for other coroutines.
         if more_available && (input.len() <= READ_AHEAD_BYTES || excess.is_some()) {
--- a/crates/node/src/net/clients/reading.rs
+++ b/crates/node/src/net/clients/reading.rs
@@ -2,10 +2,10 @@
 
 use std::io::{self, Read as _};
 
-use bytes::BytesMut;
 use may::net::TcpStream;
 
 use crate::http;
+use crate::net::receive_buffer::ReceiveBuffer;
 
 /// The number of unprocessed bytes above which no more are stored: the longest head and the longest body.
 pub(super) const READ_AHEAD_BYTES: usize = http::MAX_HEAD_BYTES + http::MAX_BODY_BYTES;
@@ -30,12 +30,16 @@
 }
 
 /// Reads the available bytes, up to [`READ_AHEAD_BYTES`].
-pub(super) fn read(socket: &TcpStream, input: &mut BytesMut, received: Received) -> io::Result<ReadStatus> {
+pub(super) fn read(
+    socket: &TcpStream,
+    input: &mut ReceiveBuffer,
+    received: Received,
+) -> io::Result<ReadStatus> {
     let mut piece = [0; 4096];
     let mut length = 0;
     loop {
         if received == Received::Dropped {
-            input.clear();
+            drop(input.take());
         }
         // A client that never stops sending must not prevent other connections from being read.
         if length > READ_AHEAD_BYTES || input.len() > READ_AHEAD_BYTES {
@@ -45,7 +49,7 @@
             Ok(0) => return Ok(ReadStatus::Ended),
             Ok(n) => {
                 length += n;
-                input.extend_from_slice(&piece[..n]);
+                input.push(&piece[..n]);
             }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(ReadStatus::Drained),
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
--- a/crates/node/src/net/clients/request.rs
+++ b/crates/node/src/net/clients/request.rs
@@ -22,7 +22,7 @@
     pub(super) action: RequestAction,
     /// Whether the client waits for a `100 Continue`.
     pub(super) expects_continue: bool,
-    body: BodyDecoder,
+    pub(super) body: BodyDecoder,
 }
 
 /// Reads the next request from `input`. Returns true once it is complete. A request with an invalid head is rejected
@@ -36,7 +36,6 @@
     head: &mut Option<Box<Incoming>>,
     body: &mut BytesMut,
 ) -> Result<bool, HttpError> {
-    let received = input.len();
     if head.is_none() {
         let Some(request) = http::parse_request(input)? else { return Ok(false) };
         let head_text = node.client_memory.reserved_copy(&input[..request.length]);
@@ -50,11 +49,6 @@
     }
     let Some(incoming) = head else { return Ok(false) };
     let complete = incoming.body.decode(input, body)?;
-    let consumed = received - input.len();
-    if input.len() < consumed {
-        // Otherwise the few bytes that are left would keep a buffer that has grown to the size of the whole request.
-        *input = BytesMut::from(&input[..]);
-    }
     if body.len() > http::MAX_BODY_BYTES {
         return Err(HttpError { status: 413, reason: "body too large" });
     }
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -17,6 +17,7 @@
 
 use super::connect::{ConnectError, connect};
 use super::permission::report_late_write;
+use super::receive_buffer::ReceiveBuffer;
 use super::{Mailbox, Node, YIELD_PAUSE, parse_object};
 use crate::NANOS_PER_MS;
 use crate::http::{self, BodyDecoder, Response, WriteQueue};
@@ -155,7 +156,7 @@
     mailbox: &Mailbox<Message>,
     exchange: &mut Option<Exchange>,
 ) -> ConnectionEnd {
-    let mut input = BytesMut::new();
+    let mut input = ReceiveBuffer::default();
     let mut reservation = node.executor_memory.reservation();
     let mut previous_id: Option<Bytes> = None;
     loop {
@@ -182,7 +183,10 @@
         let more_available = input.len() > MAX_UNPARSED_BYTES;
         // Without memory for its response the connection is closed, and the execution counts as one that may have
         // run.
-        if !reservation.resize(input.len() + exchange.as_ref().map_or(0, |e| e.text.len())) {
+        let allocated = input.allocated()
+            + previous_id.as_ref().map_or(0, Bytes::len)
+            + exchange.as_ref().map_or(0, Exchange::allocated);
+        if !reservation.resize(allocated) {
             return ConnectionEnd::Broken;
         }
         let request_started = exchange.as_ref().is_some_and(|e| e.out.written > 0);
@@ -228,7 +232,9 @@
                 Err(_) => return ConnectionEnd::Broken,
             }
         }
-        match current.process(node, connection, &mut input, ended) {
+        let progress = current.process(node, connection, &mut input, ended);
+        input.release_consumed();
+        match progress {
             Progress::NeedMore if ended => return ConnectionEnd::Broken,
             // Bytes left in the socket cause no further event, so the socket is read again after a pause for other
             // coroutines.
@@ -241,7 +247,6 @@
                     current.id.is_some() && current.head.as_ref().is_some_and(|h| h.status == 200);
                 // A copy, since the id is a slice of its request's head, which would otherwise stay in memory.
                 previous_id = exchange.take().and_then(|e| e.id).map(|id| Bytes::copy_from_slice(&id));
-                input = BytesMut::new();
                 node.handle_input(Input::ConnectionReusable { connection, identified });
             }
             Progress::Reusable | Progress::Close => return ConnectionEnd::Broken,
@@ -251,7 +256,7 @@
 
 /// Reads the available bytes. Returns true at the end of the connection. A reset counts as an end too, since the bytes
 /// before it are still valid.
-fn read(socket: &mut TcpStream, input: &mut BytesMut) -> bool {
+fn read(socket: &mut TcpStream, input: &mut ReceiveBuffer) -> bool {
     let mut piece = [0; 4096];
     loop {
         if input.len() > MAX_UNPARSED_BYTES {
@@ -259,7 +264,7 @@
         }
         match socket.inner_mut().read(&mut piece) {
             Ok(0) => return true,
-            Ok(n) => input.extend_from_slice(&piece[..n]),
+            Ok(n) => input.push(&piece[..n]),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             Err(_) => return true,
@@ -268,6 +273,11 @@
 }
 
 impl Exchange {
+    /// Returns the number of bytes that are allocated, beside those of the request, which has a reservation of its own.
+    fn allocated(&self) -> usize {
+        self.text.capacity() + self.previous_id.as_ref().map_or(0, Bytes::len)
+    }
+
     /// Processes the bytes received. A response that cannot be parsed ends the connection, and the reducer counts the
     /// execution as one that may have run.
     fn process(
@@ -378,6 +388,15 @@
 
     /// Processes the complete lines of a response. Returns false if one is invalid.
     fn process_lines(&mut self, node: &Arc<Node>, connection: ConnectionId, complete: bool) -> bool {
+        let valid = self.process_complete_lines(node, connection, complete);
+        if self.text.capacity() > 2 * self.text.len() {
+            // The lines that were processed would keep their memory until the end of the response.
+            self.text = BytesMut::from(&self.text[..]);
+        }
+        valid
+    }
+
+    fn process_complete_lines(&mut self, node: &Arc<Node>, connection: ConnectionId, complete: bool) -> bool {
         loop {
             let line = match self.text.iter().position(|b| *b == b'\n') {
                 Some(end) => self.text.split_to(end + 1),
--- a/crates/node/src/net/memory.rs
+++ b/crates/node/src/net/memory.rs
@@ -45,11 +45,10 @@
 }
 
 impl MemoryReservation {
-    /// Sets how many bytes the connection holds. Returns false if that is more than before and exceeds the budget; the
-    /// bytes are reserved even then. Buffers double their capacity as they grow, so twice the number of bytes is
-    /// reserved.
-    pub(crate) fn resize(&mut self, bytes: usize) -> bool {
-        self.set_size(2 * bytes.saturating_sub(MemoryBudget::UNRESERVED_BYTES))
+    /// Sets the size in bytes of what the connection has allocated. Returns false if that is more than before and exceeds
+    /// the budget; the bytes are reserved even then.
+    pub(crate) fn resize(&mut self, allocated: usize) -> bool {
+        self.set_size(allocated.saturating_sub(MemoryBudget::UNRESERVED_BYTES))
     }
 
     /// Sets the number of reserved bytes. Returns false if that is more than before and exceeds the budget.
--- a/crates/node/tests/ends/harness.rs
+++ b/crates/node/tests/ends/harness.rs
@@ -293,6 +293,12 @@
     address
 }
 
+/// Returns `limits.sockets` of a node's configuration.
+fn configured_sockets(text: &str) -> u32 {
+    let (_, value) = text.split_once("\"sockets\":").unwrap();
+    value.split(|c: char| !c.is_ascii_digit()).next().unwrap().parse().unwrap()
+}
+
 /// Returns the list entry of an active executor.
 pub fn entry(name: &str, address: SocketAddr) -> String {
     format!(r#"{{"name":"{name}","address":"{address}","zone":"here","type":"small","status":"active"}}"#)
@@ -354,12 +360,13 @@
         // The same limit of file descriptors as `sockets` in the configuration.
         let mut command = Command::new("sh");
         let script = if fault_plan.is_empty() {
-            "ulimit -n 256 && exec \"$0\""
+            "ulimit -n \"$3\" && exec \"$0\""
         } else {
-            "ulimit -n 256 && LD_PRELOAD=\"$1\" LINESTACK_SHIM=\"$2\" exec \"$0\""
+            "ulimit -n \"$3\" && LD_PRELOAD=\"$1\" LINESTACK_SHIM=\"$2\" exec \"$0\""
         };
         command.args(["-c", script, env!("CARGO_BIN_EXE_linestack")]);
         command.arg(linestack_rig::shim::library_path().unwrap()).arg(fault_plan);
+        command.arg(configured_sockets(text).to_string());
         command
             .env("PROXY_CONFIG", &configuration_path)
             .env_remove("PROXY_LISTEN")
--- a/crates/node/tests/ends/memory.rs
+++ b/crates/node/tests/ends/memory.rs
@@ -1,21 +1,35 @@
 //! The memory that a node still holds for a request after its answer.
 
-use std::io::{BufReader, Write as _};
-use std::net::SocketAddr;
+use std::io::{BufReader, Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::mpsc::Sender;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
 
 use crate::harness::{
-    Connection, FakeServer, Node, WAIT_LIMIT, answer_all, configuration, confirming_discovery, exchange, job,
-    memory_kb, read_message, send, status,
+    Connection, FakeServer, Node, WAIT_LIMIT, WATCH_HEAD, answer_all, configuration, confirming_discovery,
+    exchange, job, memory_kb, read_message, send, status,
 };
 
 /// The node's `limits.memory_mb` in the tests' configuration, in KiB.
 const MEMORY_LIMIT_KB: u64 = 32 * 1024;
 /// A body near the longest that clients may send, in bytes.
 const LARGE_BODY: usize = 60 * 1024;
+/// How long a client waits for an answer before it comes again. A node owes bad clients an end within 3 s.
+const PATIENCE: Duration = Duration::from_secs(4);
+/// The pause of a client before it comes again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+/// The interval at which a node's memory is read.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
+/// What a connection of a client and one to an executor are reckoned at, in KiB.
+const CLIENT_AND_EXECUTOR_KB: u64 = 2 * 20;
+/// Fewer than three quarters of the room for clients (128), from which on idle ones are closed for new ones.
+const PIPELINING_CLIENTS: u64 = 80;
 /// Keeps the quota of tenants out of the tests.
 const NO_QUOTA: (&str, &str) = ("\"quotaPerS\": 50.0", "\"quotaPerS\": 1000000.0");
 
@@ -38,6 +52,11 @@
 /// Reads every request to this executor and answers none, for the rest of the test run. Passes on the ids of the requests.
 /// Returns the executor's address.
 fn never_answer(server: FakeServer, received: Sender<u32>) -> SocketAddr {
+    begin_answers(server, received, |_| String::new())
+}
+
+/// As [`never_answer`], but sends the text that `beginning` returns for the request's id.
+fn begin_answers(server: FakeServer, received: Sender<u32>, beginning: fn(u32) -> String) -> SocketAddr {
     let address = server.address;
     std::thread::spawn(move || {
         for socket in server.listener().incoming().map_while(Result::ok) {
@@ -45,6 +64,7 @@
             std::thread::spawn(move || {
                 let mut connection = Connection(BufReader::new(socket));
                 while let Some(id) = connection.read_request_id() {
+                    connection.send(&beginning(id));
                     let _ = received.send(id);
                 }
             });
@@ -154,24 +174,12 @@
     assert!(growth < CONNECTION_KB * EXECUTORS as u64, "{growth} KiB for {EXECUTORS} connections");
 }
 
-// Clients that send far more at once than is read ahead, all of them together: the node holds no more of it than it may use for the
-// buffers of clients, and answers every request.
-#[test]
-fn pipelined_requests_of_many_clients_take_no_more_memory_than_they_may() {
-    /// Fewer than three quarters of the room for clients (128), from which on idle ones are closed for new ones.
-    const CLIENTS: u32 = 80;
+/// Sends far more from each of [`PIPELINING_CLIENTS`] at once than is read ahead, all of them together, and checks that every request
+/// is answered.
+fn pipeline_requests(node: &Node) {
     const REQUESTS: u32 = 40;
-    const MEMORY_LIMIT_MB: u64 = 192;
-    /// The buffers of clients may take a quarter of the limit.
-    const BUFFER_LIMIT_KB: u64 = MEMORY_LIMIT_MB * 1024 / 4;
-    let executor = answer_all(FakeServer::open(), "r");
-    let text = configuration(&[executor], confirming_discovery(), &[NO_QUOTA]);
-    let node =
-        Node::start_with(&text.replace("\"memory_mb\":32", &format!("\"memory_mb\":{MEMORY_LIMIT_MB}")));
-    node.wait_until_ready();
-    let before = own_memory_kb(&node);
     std::thread::scope(|scope| {
-        for number in 0..CLIENTS {
+        for number in 0..PIPELINING_CLIENTS as u32 {
             let mut client = node.client();
             let requests: String =
                 (0..REQUESTS).map(|i| large_job(1 + number * REQUESTS + i, "look")).collect();
@@ -186,36 +194,146 @@
             });
         }
     });
+}
+
+// Clients that send far more at once than is read ahead, all of them together: the node holds no more of it than it may use for the
+// buffers of clients, and answers every request.
+#[test]
+fn pipelined_requests_of_many_clients_take_no_more_memory_than_they_may() {
+    const MEMORY_LIMIT_MB: u64 = 192;
+    /// The buffers of clients may take a quarter of the limit.
+    const BUFFER_LIMIT_KB: u64 = MEMORY_LIMIT_MB * 1024 / 4;
+    let executor = answer_all(FakeServer::open(), "r");
+    let text = configuration(&[executor], confirming_discovery(), &[NO_QUOTA]);
+    let node =
+        Node::start_with(&text.replace("\"memory_mb\":32", &format!("\"memory_mb\":{MEMORY_LIMIT_MB}")));
+    node.wait_until_ready();
+    let before = own_memory_kb(&node);
+    pipeline_requests(&node);
     let peak = memory_kb(&node, "VmHWM");
     println!("{peak} kB at the most, {before} kB before");
     assert!(peak < before + BUFFER_LIMIT_KB, "{peak} kB at the most, {before} kB before");
 }
 
+/// Settings under which a submission may last a minute and is not cancelled when its client leaves.
+const LONG_JOBS: [(&str, &str); 3] = [
+    NO_QUOTA,
+    ("\"agreedTimeMs\": 400.0", "\"agreedTimeMs\": 60000.0"),
+    ("\"cancel\": true", "\"cancel\": false"),
+];
+
+/// Returns a request as [`large_job`] does, which may last a minute.
+fn long_large_job(id: u32) -> String {
+    large_job(id, "look").replace("Ms: 5000", "Ms: 60000")
+}
+
 // Guards against a node that exceeds its limit of memory because it keeps the bodies of requests whose clients have left for as
 // long as their executions last.
 #[test]
 fn requests_whose_clients_have_left_keep_no_bodies() {
     const REQUESTS: u32 = 80;
-    /// What a connection of a client and one to an executor are reckoned at.
-    const CONNECTIONS_KB: u64 = 2 * 20;
     let (sender, received) = std::sync::mpsc::channel();
     let executors: Vec<SocketAddr> =
         (0..REQUESTS).map(|_| never_answer(FakeServer::open(), sender.clone())).collect();
-    let changes = [
-        NO_QUOTA,
-        ("\"agreedTimeMs\": 400.0", "\"agreedTimeMs\": 60000.0"),
-        ("\"cancel\": true", "\"cancel\": false"),
-    ];
-    let node = Node::start(&executors, &changes);
+    let node = Node::start(&executors, &LONG_JOBS);
     node.barrier();
     let before = own_memory_kb(&node);
     for id in 1..=REQUESTS {
         let mut client = node.client();
-        send(&mut client, &large_job(id, "look").replace("Ms: 5000", "Ms: 60000"));
+        send(&mut client, &long_large_job(id));
         assert_eq!(received.recv_timeout(WAIT_LIMIT), Ok(id));
     }
     node.barrier();
     let growth = own_memory_kb(&node).saturating_sub(before);
     println!("{growth} KiB for {REQUESTS} requests");
-    assert!(growth < CONNECTIONS_KB * u64::from(REQUESTS), "{growth} KiB for {REQUESTS} requests");
+    assert!(growth < CLIENT_AND_EXECUTOR_KB * u64::from(REQUESTS), "{growth} KiB for {REQUESTS} requests");
+}
+
+// Guards against a node that exceeds its limit of memory because a buffer keeps the size of the longest line of an executor, or of the
+// longest pipeline of a client, that is processed already.
+#[test]
+fn processed_bytes_take_no_memory() {
+    const REQUESTS: u32 = 80;
+    /// Short requests that a client sends ahead of the one that waits, together shorter than what may be read ahead.
+    const SHORT_REQUESTS: usize = 3_000;
+    let (sender, received) = std::sync::mpsc::channel();
+    let long_line = |id| {
+        let line =
+            format!("{{\"id\":\"{id}\",\"state\":\"running\",\"pad\":\"{}\"}}\n", "x".repeat(100 * 1024));
+        format!("{WATCH_HEAD}{:x}\r\n{line}\r\n", line.len())
+    };
+    let executors: Vec<SocketAddr> =
+        (0..REQUESTS).map(|_| begin_answers(FakeServer::open(), sender.clone(), long_line)).collect();
+    let node = Node::start(&executors, &LONG_JOBS);
+    node.barrier();
+    let before = own_memory_kb(&node);
+    let clients: Vec<_> = (1..=REQUESTS)
+        .map(|id| {
+            let mut client = node.client();
+            let short_requests = "GET /none HTTP/1.1\r\n\r\n".repeat(SHORT_REQUESTS);
+            send(&mut client, &(short_requests + &job(id, "look", 60_000)));
+            for _ in 0..SHORT_REQUESTS {
+                assert_eq!(status(read_message(&mut client)), 404);
+            }
+            assert_eq!(received.recv_timeout(WAIT_LIMIT), Ok(id));
+            client
+        })
+        .collect();
+    node.barrier();
+    let growth = own_memory_kb(&node).saturating_sub(before);
+    println!("{growth} KiB for {} requests", clients.len());
+    assert!(growth < CLIENT_AND_EXECUTOR_KB * u64::from(REQUESTS), "{growth} KiB for {REQUESTS} requests");
+}
+
+/// Connects clients that each send `text`, and again as soon as they are answered or turned away, until `stop`.
+fn send_again_and_again(
+    node: &Node,
+    clients: usize,
+    text: impl Fn(u32) -> String + Send + Sync + 'static,
+    stop: &Arc<AtomicBool>,
+) {
+    let (text, next_id, address) = (Arc::new(text), Arc::new(AtomicU32::new(1_000)), node.address);
+    for _ in 0..clients {
+        let (text, next_id, stop) = (Arc::clone(&text), Arc::clone(&next_id), Arc::clone(stop));
+        std::thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                if let Ok(mut socket) = TcpStream::connect(address) {
+                    let _ = socket.set_read_timeout(Some(PATIENCE));
+                    let text = text(next_id.fetch_add(1, Ordering::Relaxed));
+                    let _ = socket.write_all(text.as_bytes()).and_then(|()| socket.read(&mut [0]));
+                }
+                std::thread::sleep(RECONNECT_PAUSE);
+            }
+        });
+    }
+}
+
+// Guards against a node that exceeds its limit of memory when hundreds of clients at once send what it must hold: requests that stop half
+// way, heads of very many short fields, and requests behind one that is in hand.
+#[rstest]
+#[case::half_of_a_request(|id| long_large_job(id)[..LARGE_BODY / 2].to_owned())]
+#[case::all_of_a_request_but_its_end(|id| long_large_job(id)[..LARGE_BODY].to_owned())]
+#[case::many_short_fields(|id| long_large_job(id).replace("Host", &format!("{}Host", "a:\r\n".repeat(4_000))))]
+#[case::fields_without_an_end(|id| long_large_job(id).replace("Host: h", &format!("Host: {}", "h".repeat(15 * 1024)))[..15_000].to_owned())]
+#[case::requests_behind_one_in_hand(|id| long_large_job(id) + &long_large_job(id + 1_000_000))]
+fn hundreds_of_clients_take_no_more_memory_than_they_may(#[case] text: fn(u32) -> String) {
+    const CLIENTS: usize = 400;
+    const EXECUTORS: usize = 100;
+    const LENGTH: Duration = Duration::from_secs(4);
+    let (sender, _received) = std::sync::mpsc::channel();
+    let executors: Vec<SocketAddr> =
+        (0..EXECUTORS).map(|_| never_answer(FakeServer::open(), sender.clone())).collect();
+    let configuration = configuration(&executors, confirming_discovery(), &LONG_JOBS);
+    let node = Node::start_with(&configuration.replace("\"sockets\":256", "\"sockets\":1024"));
+    node.wait_until_ready();
+    let stop = Arc::new(AtomicBool::new(false));
+    send_again_and_again(&node, CLIENTS, text, &stop);
+    let (start, mut peak) = (Instant::now(), 0);
+    while start.elapsed() < LENGTH {
+        peak = peak.max(own_memory_kb(&node));
+        std::thread::sleep(SAMPLE_INTERVAL);
+    }
+    stop.store(true, Ordering::Relaxed);
+    println!("{peak} KiB at the most");
+    assert!(peak < MEMORY_LIMIT_KB, "{peak} KiB at the most");
 }
