Requests without memory are answered and not kept, also behind one in hand

Cause: without memory, all that had been read was dropped and one request rejected; and what waited behind a request in hand was kept whatever the budget said, up to 128 KiB a client.

Now what there is no memory for is read and counted like requests beyond the read-ahead, and each is answered 503 in its turn. A request of which only a part has come is rejected at once, as before.

--- a/crates/node/src/net/clients/excess.rs
+++ b/crates/node/src/net/clients/excess.rs
@@ -53,6 +53,25 @@
         excess
     }
 
+    /// Continues after a head that was received: `body` is what decodes its body, and `input` what was received behind the
+    /// head.
+    pub(super) fn after_head(body: BodyDecoder, input: &[u8]) -> Self {
+        let mut excess = Self { body: Some(body), ..Self::default() };
+        excess.push(input);
+        excess
+    }
+
+    /// Adds complete requests that were received before these.
+    pub(super) fn prepend(&mut self, input: &[u8]) {
+        let mut earlier = Self::default();
+        earlier.push(input);
+        if earlier.end.is_some() {
+            *self = earlier;
+        } else {
+            self.complete += earlier.complete;
+        }
+    }
+
     /// Returns the number of bytes that are allocated.
     pub(super) fn allocated(&self) -> usize {
         self.input.allocated()
--- a/crates/node/src/net/clients/mod.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -258,9 +258,9 @@
             input.allocated() + state.allocated() + excess.as_ref().map_or(0, ExcessRequests::allocated);
         // Many large requests that are never completed, or that wait for others, would exhaust the memory and so end the
         // process.
-        if !reservation.resize(allocated) && matches!(state, State::Reading { .. }) {
-            input = ReceiveBuffer::default();
-            state = reject(node, client, NO_MEMORY);
+        if !reservation.resize(allocated) && !input.is_empty() {
+            arrivals.forget_last(input.len());
+            state = shed_input(node, client, state, &input.take(), &mut excess);
         }
         loop {
             match &mut state {
@@ -368,6 +368,36 @@
     }
 }
 
+/// Drops what a client has sent, because no memory is left for it. Complete requests are rejected in their turn; a request
+/// of which only a part is received is rejected at once. Returns the new state.
+fn shed_input(
+    node: &Arc<Node>,
+    client: ClientId,
+    state: State,
+    input: &[u8],
+    excess: &mut Option<ExcessRequests>,
+) -> State {
+    if let Some(excess) = excess {
+        excess.prepend(input);
+        return state;
+    }
+    let (state, shed) = match state {
+        State::Reading { head: Some(head), .. } => {
+            (State::reading(), ExcessRequests::after_head(head.body, input))
+        }
+        state => {
+            let mut shed = ExcessRequests::default();
+            shed.push(input);
+            (state, shed)
+        }
+    };
+    if !shed.has_request() && matches!(state, State::Reading { .. }) {
+        return reject(node, client, NO_MEMORY);
+    }
+    *excess = Some(shed);
+    state
+}
+
 /// Writes an answer after a `100 Continue` that may not be written completely. Returns true once everything is written.
 fn write_after(
     continue_response: &mut WriteQueue,
--- a/crates/node/tests/ends/memory.rs
+++ b/crates/node/tests/ends/memory.rs
@@ -215,6 +215,22 @@
     assert!(peak < before + BUFFER_LIMIT_KB, "{peak} kB at the most, {before} kB before");
 }
 
+// Guards against a node that keeps what waits behind a request in hand although no memory is left for it, or that leaves it without an
+// answer.
+#[test]
+fn pipelined_requests_without_memory_are_answered_and_not_kept() {
+    /// The buffers of clients may take a quarter of the limit, beside what connections are reckoned at.
+    const GROWTH_LIMIT_KB: u64 = MEMORY_LIMIT_KB / 4 + PIPELINING_CLIENTS * CLIENT_AND_EXECUTOR_KB;
+    let executor = answer_all(FakeServer::open(), "r");
+    let node = Node::start(&[executor], &[NO_QUOTA]);
+    node.barrier();
+    let before = own_memory_kb(&node);
+    pipeline_requests(&node);
+    let peak = memory_kb(&node, "VmHWM") - memory_kb(&node, "RssFile");
+    println!("{peak} kB at the most, {before} kB before");
+    assert!(peak < before + GROWTH_LIMIT_KB, "{peak} kB at the most, {before} kB before");
+}
+
 /// Settings under which a submission may last a minute and is not cancelled when its client leaves.
 const LONG_JOBS: [(&str, &str); 3] = [
     NO_QUOTA,
