Timers of what is over are cancelled, so that none is kept for a client at full speed

Cause: each submission set a timer for its deadline, up to four times the longest of the settings ahead, each connection one for its limit, and none was taken out of the heap when what it was for was over. The heap grows by 49 to 197 bytes a request or connection; at some ten thousand a second and a deadline of a minute that is over 32 MB.

TimerQueue (a B-tree) cancels a timer by its key; a submission, a client's connection and one to an executor cancel theirs when they are over, so that there are as many timers as things that wait. A timer that fires is always the current one, and needs no check.

--- a/crates/core/src/clients.rs
+++ b/crates/core/src/clients.rs
@@ -60,7 +60,8 @@
 
     /// Removes a client connection; an open submission of it is abandoned.
     pub(crate) fn client_disconnected(&mut self, client: ClientId) {
-        let Some(state) = self.clients.remove(&client) else { return };
+        let Some(mut state) = self.clients.remove(&client) else { return };
+        state.limit.cancel(&mut self.timers);
         self.update_room();
         if let Some(submission) = state.submission {
             self.stats.left += 1;
@@ -129,6 +130,7 @@
         let NewSubmission { product, tenant, slots, memory, request, .. } = new;
         self.set_key_open(product, &request, true);
         let (serial, client, executions) = (self.stats.taken, Some(client), Vec::new());
+        let deadline_timer = self.timers.set(deadline, Timer::Deadline(submission));
         self.accepted[submission as usize] = Some(AcceptedSubmission {
             serial,
             client,
@@ -136,11 +138,10 @@
             settings_version: self.settings_version,
             persisted: false,
             product,
-            deadline,
+            deadline_timer,
             request,
             executions,
         });
-        self.set_timer(deadline, Timer::Deadline(submission, serial));
         let job = Job { product, tenant, deadline, slots, memory };
         self.pending_events.push_back(Event::Submitted { submission, job });
     }
@@ -149,6 +150,7 @@
     pub(crate) fn release_client(&mut self, submission: Submission) -> Option<ClientId> {
         let accepted = self.accepted.get_mut(submission as usize)?.as_mut()?;
         let client = accepted.client.take();
+        self.timers.cancel(accepted.deadline_timer);
         // Nothing is sent for this submission any more, and an execution may last long after its client has left.
         if !accepted.request.body.is_empty() {
             accepted.request = Arc::new(accepted.request.without_body());
--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -262,7 +262,8 @@
 
     /// Removes a connection from the records; the socket is not touched.
     pub(crate) fn remove_connection(&mut self, connection: ConnectionId) -> Option<ConnectionState> {
-        let state = self.connections.remove(&connection)?;
+        let mut state = self.connections.remove(&connection)?;
+        state.limit.cancel(&mut self.timers);
         let worker_state = &mut self.workers[state.worker as usize];
         worker_state.open_connections -= 1;
         worker_state.failure_signs.established -= usize::from(state.established);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,10 +27,10 @@
 mod repeats;
 mod staged_start;
 mod start_times;
+mod timer_queue;
 mod timers;
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -45,6 +45,7 @@
 use linestack_recovery::start::Stage;
 
 use first_list::ListState;
+use timer_queue::{Timer, TimerKey, TimerQueue};
 
 pub use io::*;
 pub use linestack_dispatch::types::{Nanos, Outcome, ProbeOutcome};
@@ -147,47 +148,32 @@
 /// leaves it out by mistake.
 const MAX_EXTRA_DEPARTED: usize = 1024;
 
-/// What a timer is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
-    /// A timer of the dispatcher, with its identifier.
-    Dispatcher(u64),
-    /// The time limit of a connection to an executor.
-    Connection(ConnectionId),
-    /// The time limit of a client's connection.
-    Client(ClientId),
-    /// The deadline of a submission, with its serial number.
-    Deadline(Submission, u64),
-    /// The list of executors is to be asked for.
-    ListCall,
-    /// A stopping node closes the connections of its clients.
-    CloseClients,
-    /// A stopping node exits as soon as it has no clients.
-    ExitWhenEmpty,
-    /// A stopping node answers all open submissions.
-    AnswerDeadline,
-    /// A stopping node exits, before it is killed.
-    Exit,
-    /// The statistics are to be logged.
-    Stats,
-    /// A staged start may proceed because time has passed.
-    StagedStart,
-    /// A staged start allows this connection to be opened.
-    OpenConnection(ConnectionId),
-    /// Room for clients is to be checked, since the limit was reached.
-    ClientRoom,
-}
-
 /// A time limit that is moved often and seldom reached. Only one timer is set for it, which is set again when it fires early.
 #[derive(Clone, Copy, Debug)]
 struct Limit {
     until: Nanos,
-    /// When the timer that is set fires.
-    timer_at: Nanos,
+    /// The timer that is set, which fires at `until` or before.
+    timer: Option<TimerKey>,
 }
 
 impl Limit {
-    const NONE: Self = Self { until: Nanos::MAX, timer_at: Nanos::MAX };
+    const NONE: Self = Self { until: Nanos::MAX, timer: None };
+
+    /// Moves the limit. The timer is replaced if it would fire too late.
+    fn set(&mut self, until: Nanos, timers: &mut TimerQueue, timer: Timer) {
+        self.until = until;
+        if self.timer.is_none_or(|set| until < set.at) {
+            self.cancel(timers);
+            self.timer = Some(timers.set(until, timer));
+        }
+    }
+
+    /// Cancels the timer, if one is set.
+    fn cancel(&mut self, timers: &mut TimerQueue) {
+        if let Some(timer) = self.timer.take() {
+            timers.cancel(timer);
+        }
+    }
 }
 
 /// A connection of a client.
@@ -218,7 +204,8 @@
     /// The record that the submission may have run is durable.
     persisted: bool,
     product: u8,
-    deadline: Nanos,
+    /// The timer of its deadline.
+    deadline_timer: TimerKey,
     /// Without its body once there is no client any more.
     request: Arc<ForwardedRequest>,
     executions: Vec<Attempt>,
@@ -367,8 +354,7 @@
     clients: HashMap<ClientId, ClientState>,
     connections: HashMap<ConnectionId, ConnectionState>,
     next_connection: ConnectionId,
-    timers: BinaryHeap<Reverse<(Nanos, u64, Timer)>>,
-    next_timer: u64,
+    timers: TimerQueue,
     pending_events: VecDeque<Event<'static>>,
     effects: Vec<Effect>,
     stats: Stats,
@@ -467,8 +453,7 @@
             clients: HashMap::new(),
             connections: HashMap::new(),
             next_connection: 0,
-            timers: BinaryHeap::new(),
-            next_timer: 0,
+            timers: TimerQueue::default(),
             pending_events: VecDeque::new(),
             effects: Vec::new(),
             stats: Stats::default(),
@@ -534,7 +519,7 @@
     /// When [`Input::Tick`] is due next.
     #[must_use]
     pub fn next_due(&self) -> Nanos {
-        self.timers.peek().map_or(Nanos::MAX, |Reverse((at, ..))| *at)
+        self.timers.next_due()
     }
 
     /// The statistics as of now.
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -5,37 +5,24 @@
 impl Core {
     /// Sets a timer. Timers of the same time fire in the order in which they were set.
     pub(crate) fn set_timer(&mut self, at: Nanos, timer: Timer) {
-        self.next_timer += 1;
-        self.timers.push(Reverse((at, self.next_timer, timer)));
+        self.timers.set(at, timer);
     }
 
     /// Moves the time limit of a connection to an executor.
     pub(crate) fn limit_connection(&mut self, connection: ConnectionId, until: Nanos) {
         let Some(state) = self.connections.get_mut(&connection) else { return };
-        state.limit.until = until;
-        if until < state.limit.timer_at {
-            state.limit.timer_at = until;
-            self.set_timer(until, Timer::Connection(connection));
-        }
+        state.limit.set(until, &mut self.timers, Timer::Connection(connection));
     }
 
     /// Moves the time limit of a client connection.
     pub(crate) fn limit_client(&mut self, client: ClientId, until: Nanos) {
         let Some(state) = self.clients.get_mut(&client) else { return };
-        state.limit.until = until;
-        if until < state.limit.timer_at {
-            state.limit.timer_at = until;
-            self.set_timer(until, Timer::Client(client));
-        }
+        state.limit.set(until, &mut self.timers, Timer::Client(client));
     }
 
     /// Fires all timers that are due.
     pub(crate) fn tick(&mut self) {
-        while let Some(Reverse((at, _, timer))) = self.timers.peek().copied() {
-            if at > self.now {
-                break;
-            }
-            self.timers.pop();
+        while let Some((at, timer)) = self.timers.pop_due(self.now) {
             self.timer_fired(at, timer);
             self.process_events();
         }
@@ -46,11 +33,8 @@
         match timer {
             Timer::Dispatcher(timer_id) => self.pending_events.push_back(Event::TimerFired { timer_id }),
             Timer::Connection(connection) => {
-                let Some(state) = self.connections.get_mut(&connection).filter(|c| c.limit.timer_at == at)
-                else {
-                    return;
-                };
-                state.limit.timer_at = Nanos::MAX;
+                let Some(state) = self.connections.get_mut(&connection) else { return };
+                state.limit.timer = None;
                 let until = state.limit.until;
                 if until > self.now {
                     self.limit_connection(connection, until);
@@ -59,10 +43,8 @@
                 }
             }
             Timer::Client(client) => {
-                let Some(state) = self.clients.get_mut(&client).filter(|c| c.limit.timer_at == at) else {
-                    return;
-                };
-                state.limit.timer_at = Nanos::MAX;
+                let Some(state) = self.clients.get_mut(&client) else { return };
+                state.limit.timer = None;
                 let (until, phase) = (state.limit.until, state.phase);
                 if until == Nanos::MAX {
                     // The client waits for the answer to its submission.
@@ -74,11 +56,9 @@
                     self.effects.push(Effect::DropClient { client });
                 }
             }
-            Timer::Deadline(submission, serial) => {
+            Timer::Deadline(submission) => {
                 let accepted = self.accepted.get(submission as usize).and_then(Option::as_ref);
-                if accepted
-                    .is_some_and(|a| a.serial == serial && a.client.is_some() && a.deadline <= self.now)
-                {
+                if accepted.is_some_and(|a| a.client.is_some()) {
                     check_invariant!(self, false, "submission unanswered at its deadline");
                     self.answer(submission, Answer::Aborted);
                     self.pending_events.push_back(Event::ClientLeft { submission });
