An id that may have run is not run again after its client has left

Cause: an id was known only while its submission was open. Once the execution was cancelled or over, the same id was taken for a new submission and sent on, whatever its product.

The reducer remembers the ids of submissions that may have run without their clients knowing how they ended (the client left, or was answered that the outcome is unknown), in up to a 64th of the memory, the oldest forgotten first, and answers them 409 like an id that is open. An id that has certainly not run, or whose client got its result, may come again, as before.

New tests, failed before: reducer an_id_that_may_have_run_is_not_run_again (6 of 6) and an_aborted_id_is_not_run_again; on real sockets client_disconnects::an_id_that_comes_again_after_its_client_has_left_is_not_run_again (12 of 12). core memory case running_submissions holds the bound.

--- a/crates/core/src/clients.rs
+++ b/crates/core/src/clients.rs
@@ -107,9 +107,10 @@
                 (self.closing_clients, self.settings_version, Answer::Dismissed(retry_after));
             return self.effects.push(Effect::Answer { client, answer, last, version });
         }
-        // A second submission with an id that is still open would be a copy of the first, and an executor that is asked
-        // twice for one id answers with an error, which would count as a failure of the executor.
-        if !self.open_ids.insert(new.request.id.clone()) {
+        // A second submission with an id that is still open, or that may have run unknown to its client, would be a copy of the first, and an
+        // executor that is asked twice for one id answers with an error, which would count as a failure of the executor.
+        let id = &new.request.id;
+        if self.recent_ids.contains(id) || !self.open_ids.insert(id.clone()) {
             self.stats.turned_down += 1;
             self.set_client_phase(client, ClientPhase::Answering);
             return self.effects.push(Effect::Answer {
@@ -135,6 +136,7 @@
             serial,
             client,
             client_left: false,
+            aborted: false,
             settings_version: self.settings_version,
             persisted: false,
             product,
@@ -172,7 +174,12 @@
         match answer {
             Answer::Completed(_) => self.stats.satisfied += 1,
             Answer::Dismissed(_) => self.stats.dismissed += 1,
-            Answer::Aborted => self.stats.aborted += 1,
+            Answer::Aborted => {
+                self.stats.aborted += 1;
+                if let Some(accepted) = self.accepted.get_mut(submission as usize).and_then(Option::as_mut) {
+                    accepted.aborted = true;
+                }
+            }
             Answer::DuplicateId => {}
         }
         if matches!(answer, Answer::Dismissed(_)) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 mod outcomes;
 mod peer_observations;
 mod permission;
+mod recent_ids;
 mod repeats;
 mod staged_start;
 mod start_times;
@@ -45,6 +46,7 @@
 use linestack_recovery::start::Stage;
 
 use first_list::ListState;
+use recent_ids::RecentIds;
 use timer_queue::{Timer, TimerKey, TimerQueue};
 
 pub use io::*;
@@ -140,6 +142,8 @@
 const CONNECTIONS_MEMORY_DIVISOR: usize = 8;
 /// Bytes of memory for one connection: the part of its stack that is touched, and its initial buffers.
 const CONNECTION_BYTES: usize = 20 * 1024;
+/// The ids in [`Core::recent_ids`] may use the memory divided by this.
+const RECENT_IDS_MEMORY_DIVISOR: usize = 64;
 /// A client's timeout is capped at this many times the longest deadline; holding a submission for longer serves no purpose.
 const MAX_TIMEOUT_FACTOR: Nanos = 4;
 /// The most names of zones, and of kinds, that are kept; lists may bring names that the settings do not have.
@@ -199,6 +203,8 @@
     client: Option<ClientId>,
     /// The client disconnected before it was answered.
     client_left: bool,
+    /// The client was told that the outcome is unknown.
+    aborted: bool,
     /// The version of the settings under which the submission was accepted; it holds to the end.
     settings_version: u64,
     /// The record that the submission may have run is durable.
@@ -211,6 +217,13 @@
     executions: Vec<Attempt>,
 }
 
+impl AcceptedSubmission {
+    /// Whether an execution may have run, but the client does not know how it ended and may hand in the same again.
+    fn may_have_run_unknown_to_client(&self) -> bool {
+        (self.client_left || self.aborted) && self.executions.iter().any(|attempt| attempt.sent_at.is_some())
+    }
+}
+
 /// One execution of a submission.
 #[derive(Clone, Copy, Debug)]
 struct Attempt {
@@ -350,6 +363,8 @@
     accepted: Vec<Option<AcceptedSubmission>>,
     /// The request ids of accepted submissions.
     open_ids: HashSet<Bytes>,
+    /// The request ids of submissions that are over and may have run, without their clients knowing how they ended.
+    recent_ids: RecentIds,
     free_submissions: Vec<Submission>,
     clients: HashMap<ClientId, ClientState>,
     connections: HashMap<ConnectionId, ConnectionState>,
@@ -449,6 +464,7 @@
             present_workers: 0,
             accepted: Vec::new(),
             open_ids: HashSet::new(),
+            recent_ids: RecentIds::new(memory / RECENT_IDS_MEMORY_DIVISOR),
             free_submissions: Vec::new(),
             clients: HashMap::new(),
             connections: HashMap::new(),
@@ -666,6 +682,9 @@
                 let accepted = self.accepted.get_mut(submission as usize).and_then(Option::take);
                 if let Some(accepted) = &accepted {
                     self.open_ids.remove(&accepted.request.id);
+                    if accepted.may_have_run_unknown_to_client() {
+                        self.recent_ids.add(&accepted.request.id);
+                    }
                     self.set_key_open(accepted.product, &accepted.request, false);
                 }
                 let is_over = accepted.as_ref().is_some_and(|accepted| {
--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -117,6 +117,15 @@
     }
 }
 
+/// A submission whose client leaves while it runs, so that its id is remembered.
+fn leave_running_submission(node: &mut Node) {
+    let effects = node.submit();
+    let connection = opened(&effects).unwrap();
+    let effects = node.handle(Input::ExecutorConnected { connection });
+    assert_eq!(sent(&effects), Some(connection));
+    node.disconnect_client();
+}
+
 /// A client that connects and leaves.
 fn connect_client(node: &mut Node) {
     node.next_client += 1;
@@ -129,9 +138,11 @@
 #[rstest]
 #[case::completed_submissions(complete_submission)]
 #[case::abandoned_submissions(abandon_submission)]
+#[case::running_submissions(leave_running_submission)]
 #[case::connections_without_a_request(connect_client)]
 fn what_is_over_takes_no_memory(#[case] play: fn(&mut Node)) {
-    const WARM_UP: u32 = 2_000;
+    /// More plays than there are ids that may be remembered.
+    const WARM_UP: u32 = 10_000;
     const PLAYS: u32 = 20_000;
     /// Less than a byte for each play.
     const MAX_GROWTH_BYTES: usize = 16 * 1024;
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -1517,3 +1517,55 @@
     node.advance(1_500 * MS);
     assert_eq!(all_opened(&node), 0);
 }
+
+/// Connects another client, which hands in a submission with the id of the first one.
+fn submit_first_id_again(node: &mut Node, product: u8) -> ClientId {
+    node.last_client += 1;
+    node.handle(Input::ClientConnected { client: node.last_client });
+    node.submit_as(1, product, 5_000 * MS)
+}
+
+// Guards against an id that is run twice because it comes again after its client has left: the first execution was cancelled, or has ended,
+// but may have run.
+#[rstest]
+fn an_id_that_may_have_run_is_not_run_again(
+    #[values(PAY, TOP_UP, LOOK)] product: u8,
+    #[values("\"cancel\": true", "\"cancel\": false")] cancel: &str,
+) {
+    let mut node = Node::with(&common::SETTINGS.replace("\"cancel\": true", cancel), 1);
+    let (client, connection) = node.start_execution(product);
+    node.handle(Input::ClientDisconnected { client });
+    if !node.has_closed(connection) {
+        node.end_execution(connection, Outcome::Completed);
+        node.handle(Input::ConnectionReusable { connection, identified: true });
+    }
+    let again = submit_first_id_again(&mut node, product);
+    assert_eq!(node.answers(), [(again, Answer::DuplicateId)]);
+    assert_eq!((node.opened_connection(), node.sent_over()), (None, None));
+}
+
+// The same, where the client was answered that the outcome is unknown.
+#[test]
+fn an_aborted_id_is_not_run_again() {
+    let mut node = Node::new(1);
+    let (client, connection) = node.start_execution(PAY);
+    node.handle(Input::ExecutorDisconnected { connection, disconnect: WRITTEN });
+    assert_eq!(node.answers(), [(client, Answer::Aborted)]);
+    let again = submit_first_id_again(&mut node, PAY);
+    assert_eq!(node.answers(), [(again, Answer::DuplicateId)]);
+    assert_eq!((node.opened_connection(), node.sent_over()), (None, None));
+}
+
+// The same id is run if it has certainly not run before.
+#[rstest]
+fn an_id_that_has_not_run_may_come_again(#[values(PAY, TOP_UP, LOOK)] product: u8) {
+    let mut node = Node::new(1);
+    let client = node.submit(product, 5_000 * MS);
+    let (connection, _) = node.opened_connection().unwrap();
+    node.handle(Input::ClientDisconnected { client });
+    node.handle(Input::ExecutorConnected { connection });
+    assert_eq!(node.sent_over(), None);
+    submit_first_id_again(&mut node, product);
+    assert_eq!(node.answers(), []);
+    assert_eq!(node.sent_over(), Some(connection));
+}
--- a/crates/node/tests/ends/client_disconnects.rs
+++ b/crates/node/tests/ends/client_disconnects.rs
@@ -1,12 +1,14 @@
 //! Clients that disconnect while a request of theirs is in flight.
 
-use std::io::BufReader;
+use std::io::{BufReader, Write as _};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
 
-use crate::harness::{FakeServer, Node, chunked, done_response, job, read_message, reset, send};
+use crate::harness::{
+    FakeServer, Node, chunked, done_response, exchange, job, read_message, reset, send, status,
+};
 
 fn close_connection(client: BufReader<TcpStream>) {
     drop(client);
@@ -99,3 +101,66 @@
     }
     assert_eq!(read_message(&mut next).unwrap().1, "r");
 }
+
+// Guards against an id that is run twice because it comes again after its client has left, whether or not its execution was cancelled.
+#[rstest]
+fn an_id_that_comes_again_after_its_client_has_left_is_not_run_again(
+    #[values("look", "top-up", "pay")] kind: &str,
+    #[values("\"cancel\": true", "\"cancel\": false")] cancel: &str,
+    #[values(close_connection, reset_connection)] disconnect: fn(BufReader<TcpStream>),
+) {
+    let server = FakeServer::open();
+    let node = Node::start(&[server.address], &[("\"cancel\": true", cancel)]);
+    let mut client = node.client();
+    send(&mut client, &job(1, kind, 10_000));
+    let mut connection = server.accept();
+    assert_eq!(connection.read_request_id(), Some(1));
+    disconnect(client);
+    (0..5).for_each(|_| node.barrier());
+    if cancel.ends_with("false") {
+        connection.send(&done_response(1, "r"));
+        node.barrier();
+    }
+    assert_eq!(status(exchange(&mut node.client(), &job(1, kind, 1_500))), 409);
+    node.barrier();
+    assert!(!server.has_pending_connection());
+    // Neither is it sent over the connection that is there.
+    assert!(!connection.has_data());
+}
+
+// Guards against requests that are sent on although their client has closed its connection behind them, with much of what it sent unread.
+#[rstest]
+#[case::small("body".to_owned(), 4_000, close_connection)]
+#[case::large("x".repeat(60_000), 40, close_connection)]
+#[case::reset("body".to_owned(), 4_000, reset_connection)]
+fn unread_requests_of_a_disconnected_client_are_not_sent_on(
+    #[case] body: String,
+    #[case] count: u32,
+    #[case] disconnect: fn(BufReader<TcpStream>),
+) {
+    let server = FakeServer::open();
+    let node = Node::start(&[server.address], &[("\"quotaPerS\": 50.0", "\"quotaPerS\": 1000000.0")]);
+    let requests: String = (1..=count)
+        .map(|id| {
+            let text = job(id, "look", 10_000);
+            let (head, _) = text.split_once("\r\n\r\n").unwrap();
+            let head = head.replace("Content-Length: 4", &format!("Content-Length: {}", body.len()));
+            format!("{head}\r\n\r\n{body}")
+        })
+        .collect();
+    let mut client = node.client();
+    let mut writer = client.get_ref().try_clone().unwrap();
+    let writing = std::thread::spawn(move || {
+        let _ = writer.write_all(requests.as_bytes());
+    });
+    // The first request is in hand and the others lie behind it, some of them unread, when the client leaves.
+    let mut connection = server.accept();
+    assert_eq!(connection.read_request_id(), Some(1));
+    std::thread::sleep(Duration::from_millis(50));
+    client.get_mut().shutdown(std::net::Shutdown::Both).unwrap();
+    writing.join().unwrap();
+    disconnect(client);
+    assert!(connection.closed_without_data());
+    (0..50).for_each(|_| node.barrier());
+    assert!(!server.has_pending_connection(), "sent on for a client that is gone");
+}
