Known red: a request in the system's send buffer is completed after its client left

An executor that does not read for a moment has a part of a request when its client leaves; the rest lies in the system's send buffer of the node, which delivers it although the connection is closed (or, where attempts can't be cancelled, left open). An executor begins a request with its last byte.

--- a/crates/node/tests/ends/client_disconnects.rs
+++ b/crates/node/tests/ends/client_disconnects.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use socket2::SockRef;
 
 use crate::harness::{
     FakeServer, Node, chunked, done_response, exchange, job, read_message, reset, send, status,
@@ -164,3 +165,28 @@
     (0..50).for_each(|_| node.barrier());
     assert!(!server.has_pending_connection(), "sent on for a client that is gone");
 }
+
+// Guards against a request of which the executor had received a part when its client left, and whose last bytes are written long after:
+// an executor begins a request with its last byte.
+#[rstest]
+fn a_partly_written_request_is_not_completed_for_a_disconnected_client(
+    #[values("\"cancel\": true", "\"cancel\": false")] cancel: &str,
+) {
+    /// So small that the node can't write the whole request before the executor reads.
+    const RECEIVE_BUFFER: usize = 2 * 1024;
+    let server = FakeServer::open();
+    SockRef::from(server.listener()).set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
+    let node = Node::start(&[server.address], &[("\"cancel\": true", cancel)]);
+    let mut client = node.client();
+    send(
+        &mut client,
+        &job(1, "look", 10_000)
+            .replace("Content-Length: 4", "Content-Length: 65504")
+            .replace("body", &"x".repeat(65504)),
+    );
+    let mut connection = server.accept();
+    std::thread::sleep(Duration::from_millis(100));
+    drop(client);
+    (0..5).for_each(|_| node.barrier());
+    assert!(connection.read_head().is_none(), "the executor begins the request");
+}
