A dropped connection's burst is finished as what arrived before; waiting for a close apart

A pause after a burst must not forget that the connection is to be dropped: what is left would be held to the next time limit.

--- a/crates/node/src/net/clients/mod.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -200,8 +200,9 @@
     let mut continue_response = WriteQueue::default();
     let mut arrivals = ArrivalTimes::default();
     let mut reservation = node.client_memory.reservation();
+    // Whether the connection is to be dropped once the requests that have arrived are answered.
+    let mut dropped = false;
     loop {
-        let mut dropped = false;
         while let Some(message) = mailbox.next() {
             match message {
                 // The client has timed out or is evicted. Bytes that arrived just before are read first, since a request
@@ -222,16 +223,9 @@
             }
         }
         if matches!(state, State::Closing) {
-            // A request that arrives after the shutdown is not read, since it would be lost without an answer: the client
-            // sees the end of the connection and sends the request again. A close over unread bytes resets the
-            // connection, so it waits until the client has had the time to receive its last answer.
-            match socket.inner().peek(&mut [0]) {
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                Err(e) if e.kind() != io::ErrorKind::WouldBlock => return,
-                Ok(0) => return,
-                _ if dropped => return,
-                _ => socket.wait_io(),
-            };
+            if wait_for_close(socket, std::mem::take(&mut dropped)) {
+                return;
+            }
             continue;
         }
         let length_before = input.len();
@@ -365,6 +359,8 @@
         // Bytes left in the socket or in `input` cause no further event, so they are read again once there is room for them,
         // after a pause for other coroutines.
         let may_read = more_available && (input.len() <= READ_AHEAD_BYTES || excess.is_some());
+        // What is left in `input` after a burst is still processed as what arrived before a drop.
+        dropped &= burst == ANSWER_BURST;
         if may_read || burst == ANSWER_BURST {
             node.alarm.sleep(YIELD_PAUSE);
         } else {
@@ -373,6 +369,25 @@
     }
 }
 
+/// Waits for the client of a connection whose sending side is shut down; not if the connection is `dropped`. Returns true
+/// once the connection is over.
+///
+/// A request that arrives after the shutdown is not read, since it would be lost without an answer: the client sees the end
+/// of the connection and sends the request again. A close over unread bytes resets the connection, so it waits until the
+/// client has had the time to receive its last answer.
+fn wait_for_close(socket: &TcpStream, dropped: bool) -> bool {
+    match socket.inner().peek(&mut [0]) {
+        Err(e) if e.kind() == io::ErrorKind::Interrupted => false,
+        Err(e) if e.kind() != io::ErrorKind::WouldBlock => true,
+        Ok(0) => true,
+        _ if dropped => true,
+        _ => {
+            socket.wait_io();
+            false
+        }
+    }
+}
+
 /// Drops what a client has sent, because no memory is left for it. Complete requests are rejected in their turn; a request
 /// of which only a part is received is rejected at once. Returns the new state.
 fn shed_input(
