--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -52,7 +52,7 @@
 
 /// The buffers of all clients, and those of all executors, may each use one part in this many of the program's memory. The
 /// connections themselves, the store and the program need the rest.
-const BUFFER_MEMORY_DIVISOR: usize = 5;
+const BUFFER_MEMORY_DIVISOR: usize = 6;
 
 /// Starts a coroutine.
 #[allow(unsafe_code)]
