--- a/crates/core/src/clients.rs
+++ b/crates/core/src/clients.rs
@@ -107,8 +107,9 @@
                 (self.closing_clients, self.settings_version, Answer::Dismissed(retry_after));
             return self.effects.push(Effect::Answer { client, answer, last, version });
         }
-        // A second submission with an id that is still open, or that may have run unknown to its client, would be a copy of the first, and an
-        // executor that is asked twice for one id answers with an error, which would count as a failure of the executor.
+        // A second submission with an id that is still open, or that may have run without its client knowing how it ended,
+        // would be a copy of the first, and an executor that is asked twice for one id answers with an error, which would
+        // count as a failure of the executor.
         let id = &new.request.id;
         if self.recent_ids.contains(id) || !self.open_ids.insert(id.clone()) {
             self.stats.turned_down += 1;
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -396,6 +396,7 @@
         valid
     }
 
+    /// Takes the complete lines off `text` and processes them. Returns false if one is invalid.
     fn process_complete_lines(&mut self, node: &Arc<Node>, connection: ConnectionId, complete: bool) -> bool {
         loop {
             let line = match self.text.iter().position(|b| *b == b'\n') {
--- a/crates/node/tests/ends/memory.rs
+++ b/crates/node/tests/ends/memory.rs
@@ -6,7 +6,7 @@
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::mpsc::Sender;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
@@ -391,14 +391,17 @@
     const LENGTH: Duration = Duration::from_secs(4);
     static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
     let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
-    let (sender, _received) = std::sync::mpsc::channel();
+    /// The executors of all cases, which last for the rest of the test run.
+    static EXECUTOR_ADDRESSES: OnceLock<Vec<SocketAddr>> = OnceLock::new();
     let beginning = |id| {
         let line = format!("{{\"id\":\"{id}\",\"state\":\"running\",\"pad\":\"{}", "x".repeat(100 * 1024));
         format!("{WATCH_HEAD}{:x}\r\n{line}\r\n", line.len())
     };
-    let executors: Vec<SocketAddr> =
-        (0..EXECUTORS).map(|_| begin_answers(FakeServer::open(), sender.clone(), beginning)).collect();
-    let configuration = configuration(&executors, confirming_discovery(), &LONG_JOBS);
+    let executors = EXECUTOR_ADDRESSES.get_or_init(|| {
+        let (sender, _) = std::sync::mpsc::channel();
+        (0..EXECUTORS).map(|_| begin_answers(FakeServer::open(), sender.clone(), beginning)).collect()
+    });
+    let configuration = configuration(executors, confirming_discovery(), &LONG_JOBS);
     let node = Node::start_with(&configuration.replace("\"sockets\":256", "\"sockets\":1024"));
     node.wait_until_ready();
     let stop = Arc::new(AtomicBool::new(false));
