Log the longest time for which no socket is polled while there is work

Callers saw answers seconds late beside clients at full speed; neither the log nor the counts could tell whether the process had no time, waited, or did other work.

The scheduler polls its sockets only when no coroutine can run. An eventfd that is polled with the sockets is signalled after 64 steps of work and tells when the next poll happens: longest_poll_delay_ms in the counts, and a warning over 100 ms. An idle process does nothing for it.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -14,7 +14,7 @@
 use linestack::fleet::coordinate::StartMode;
 use linestack::fleet::session::FleetMember;
 use linestack::io_failure::{START_RETRY_TIMEOUT, is_transient, retry_transient};
-use linestack::net::{Node, NodeParts, clients, clock::Clock, spawn};
+use linestack::net::{Node, NodeParts, clients, clock::Clock, event_loop::EventLoop, spawn};
 use linestack::peers;
 use linestack::persistence::{self, NodeStore};
 use linestack::staged_start;
@@ -169,6 +169,13 @@
         }
     };
     let clock = Clock::start();
+    let event_loop = match retry_transient(START_RETRY_TIMEOUT, || EventLoop::new(clock)) {
+        Ok(event_loop) => event_loop,
+        Err(error) => {
+            tracing::error!(why = %error, "event loop");
+            return ExitCode::FAILURE;
+        }
+    };
     let audit_log = member.as_ref().and_then(|OpenedMember { member, .. }| {
         let path = member.config().history.as_ref()?;
         let run_number = member.record.incarnation.run_number;
@@ -210,6 +217,7 @@
     let (store_records, writer) = store.map(NodeStore::into_writer).unzip();
     let parts = NodeParts {
         clock,
+        event_loop,
         names: settings.names.clone(),
         layout: settings.layout,
         stamped: settings
@@ -262,6 +270,8 @@
     };
     let timer_node = Arc::clone(&node);
     spawn(move || timer_node.run_timers());
+    let event_loop_node = Arc::clone(&node);
+    spawn(move || event_loop_node.run_event_loop());
     tracing::info!(name, %listen, %discovery, sockets, memory_mb, "started");
     warn_if_messages_expected(&config);
     let in_fleet = member.is_some();
--- a/crates/node/src/net/clients/mod.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -203,6 +203,7 @@
     // Whether the connection is to be dropped once the requests that have arrived are answered.
     let mut dropped = false;
     loop {
+        node.event_loop.count_step();
         while let Some(message) = mailbox.next() {
             match message {
                 // The client has timed out or is evicted. Bytes that arrived just before are read first, since a request
@@ -260,6 +261,7 @@
         }
         let mut burst = 0;
         while burst < ANSWER_BURST {
+            node.event_loop.count_step();
             match &mut state {
                 State::Reading { head, body } => {
                     let request_started = head.is_some() || !input.is_empty();
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -160,6 +160,7 @@
     let mut reservation = node.executor_memory.reservation();
     let mut previous_id: Option<Bytes> = None;
     loop {
+        node.event_loop.count_step();
         while let Some(message) = mailbox.next() {
             let (request, out) = match message {
                 Message::Close => return ConnectionEnd::ClosedByReducer,
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 mod connect;
 pub mod discovery;
+pub mod event_loop;
 pub mod executors;
 pub mod list_stream;
 mod memory;
@@ -28,10 +29,12 @@
 use may::net::TcpStream;
 use serde::Deserialize;
 
+use crate::NANOS_PER_MS;
 use crate::fleet::audit_log::AuditLog;
 use crate::fleet::time_suspended;
 use crate::persistence::StoreRecord;
 use clock::{Alarm, Clock};
+use event_loop::EventLoop;
 use linestack_core::{ClientId, ConnectionId, Core, Effect, Input, Refusal};
 use linestack_peers::{
     ExecutorObservation, Observation, PeerSnapshot, SnapshotError, SnapshotTimes, usable_observations,
@@ -129,6 +132,7 @@
     state: Mutex<NodeState>,
     pub clock: Clock,
     pub(crate) alarm: Alarm,
+    pub(crate) event_loop: EventLoop,
     /// The names of products, tenants and load figures in the settings.
     pub names: Names,
     /// The figures in the load reports of executors that the settings use.
@@ -156,6 +160,7 @@
 /// The parts of a node other than the reducer.
 pub struct NodeParts {
     pub clock: Clock,
+    pub event_loop: EventLoop,
     /// As in [`Node::names`].
     pub names: Names,
     /// As in [`Node::layout`].
@@ -182,6 +187,7 @@
     pub fn new(core: Core, parts: NodeParts) -> Arc<Self> {
         let NodeParts {
             clock,
+            event_loop,
             names,
             layout,
             stamped,
@@ -197,6 +203,7 @@
             state: Mutex::new(NodeState { core, effects, connections, clients, next_client: 0 }),
             clock,
             alarm: Alarm::start(clock),
+            event_loop,
             names,
             layout,
             stamped,
@@ -475,6 +482,7 @@
                     open = stats.open,
                     client_memory = self.client_memory.reserved(),
                     executor_memory = self.executor_memory.reserved(),
+                    longest_poll_delay_ms = self.event_loop.longest_poll_delay() / NANOS_PER_MS,
                     "counts"
                 );
             }
@@ -490,7 +498,13 @@
     pub fn run_timers(self: &Arc<Self>) {
         loop {
             self.alarm.wait();
+            self.event_loop.count_step();
             self.handle_input(Input::Tick);
         }
     }
+
+    /// Measures the polls of the event loop. Never returns.
+    pub fn run_event_loop(&self) {
+        self.event_loop.run();
+    }
 }
