--- a/crates/node/tests/ends/main.rs
+++ b/crates/node/tests/ends/main.rs
@@ -11,6 +11,7 @@
 mod descriptors;
 mod discovery;
 mod flood;
+mod full_speed;
 mod harness;
 mod large_fleet;
 mod machine;
