Sockets are polled at short intervals, however much the coroutines have to do

Beside clients at full speed others were answered up to 8 s late or never, requests that executors had completed in time were answered 502 or 503 at their deadlines, and hardly anything reached an executor.

Cause: the scheduler polls its sockets only when no coroutine can run. A connection that had more to do after a burst paused for 1 ms by a thread's timer, which makes it runnable without a poll; with eight of them something was always runnable, so no event was received for as long as they sent.

A pause now ends only after a poll, and once the last poll is 64 steps and 2 ms ago whoever begins a step waits for the next one. Timers, executors, discovery, new connections and answers that are owed go first; further requests of clients continue in turn, for 2 ms a round. Bytes that are read after such a wait count as having arrived before it, so that no executor is told too much time.

--- a/crates/node/src/net/clients/mod.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -16,6 +16,7 @@
 use socket2::{Domain, Socket, Type};
 
 use super::arrivals::ArrivalTimes;
+use super::event_loop::Priority;
 use super::receive_buffer::ReceiveBuffer;
 use super::{Mailbox, Node, YIELD_PAUSE, spawn};
 use crate::NANOS_PER_MS;
@@ -77,6 +78,7 @@
                 node.alarm.sleep(ACCEPT_RETRY_PAUSE);
                 continue;
             }
+            node.event_loop.begin_step(Priority::High);
             let called_at = node.clock.now();
             match listener.accept() {
                 Ok((socket, _)) => {
@@ -93,7 +95,7 @@
                     spawn(move || serve(&node_of_client, client, &socket, queue_empty_at, &mailbox));
                     if burst >= ACCEPT_BURST {
                         burst = 0;
-                        node.alarm.sleep(YIELD_PAUSE);
+                        node.pause(Priority::High);
                     }
                 }
                 // No file descriptor is left, or the client has closed already; others may still wait in the queue.
@@ -189,7 +191,7 @@
     mailbox: &Mailbox<Message>,
 ) {
     // The bytes of the first read may have arrived while the connection waited to be accepted, so they count as having
-    // arrived at the earliest possible time. Later bytes count as having arrived when they are read.
+    // arrived at the earliest possible time. Later bytes count as having arrived when the connection was ready to read them.
     let mut first_arrival = Some(earliest_connect);
     let mut input = ReceiveBuffer::default();
     let mut state = State::reading();
@@ -202,8 +204,9 @@
     let mut reservation = node.client_memory.reservation();
     // Whether the connection is to be dropped once the requests that have arrived are answered.
     let mut dropped = false;
+    // Answers that are owed, and a client that connects, go before the further requests of others.
+    let mut is_new = true;
     loop {
-        node.event_loop.count_step();
         while let Some(message) = mailbox.next() {
             match message {
                 // The client has timed out or is evicted. Bytes that arrived just before are read first, since a request
@@ -229,6 +232,10 @@
             }
             continue;
         }
+        // What is read after a wait for others may have arrived before it.
+        let arrival = first_arrival.take().unwrap_or_else(|| node.clock.now());
+        let is_owed = std::mem::take(&mut is_new) || matches!(state, State::Answering { .. });
+        node.event_loop.begin_step(if is_owed { Priority::High } else { Priority::Normal });
         let length_before = input.len();
         let mut excess_input = ReceiveBuffer::default();
         let target = if excess.is_some() { &mut excess_input } else { &mut input };
@@ -238,7 +245,6 @@
             Ok(ReadStatus::MoreAvailable) => true,
             Ok(ReadStatus::Drained) => false,
         };
-        let arrival = first_arrival.take().unwrap_or_else(|| node.clock.now());
         arrivals.record_read(input.len().saturating_sub(length_before), arrival);
         if dropped && matches!(state, State::Answering { .. } | State::Lingering) {
             return;
@@ -261,7 +267,9 @@
         }
         let mut burst = 0;
         while burst < ANSWER_BURST {
-            node.event_loop.count_step();
+            if burst > 0 && matches!(state, State::Reading { .. }) {
+                node.event_loop.begin_step(Priority::Normal);
+            }
             match &mut state {
                 State::Reading { head, body } => {
                     let request_started = head.is_some() || !input.is_empty();
@@ -364,7 +372,7 @@
         // What is left in `input` after a burst is still processed as what arrived before a drop.
         dropped &= burst == ANSWER_BURST;
         if may_read || burst == ANSWER_BURST {
-            node.alarm.sleep(YIELD_PAUSE);
+            node.pause(Priority::Normal);
         } else {
             socket.wait_io();
         }
--- a/crates/node/src/net/clock.rs
+++ b/crates/node/src/net/clock.rs
@@ -199,12 +199,17 @@
     pub fn sleep(&self, duration: Duration) {
         let until = self.clock.now() + duration.as_nanos() as Nanos;
         self.waker.schedule(until, Sleeper::Parked(coroutine::current()));
-        while self.clock.now() < until {
-            coroutine::park();
-        }
-        // If the wake occurs while `may` is parking the coroutine, `may` resumes the coroutine from within its own call
-        // of `park`. If the coroutine ended there, that call would wait for itself, and no coroutine would run any
-        // more. After a yield the coroutine runs from the scheduler's queue instead.
-        coroutine::yield_now();
+        park_until(|| self.clock.now() >= until);
+    }
+}
+
+/// Parks the calling coroutine until a wake after which `condition` holds.
+pub(super) fn park_until(condition: impl Fn() -> bool) {
+    while !condition() {
+        coroutine::park();
     }
+    // If the wake occurs while `may` is parking the coroutine, `may` resumes the coroutine from within its own call of
+    // `park`. If the coroutine ended there, that call would wait for itself, and no coroutine would run any more. After a
+    // yield the coroutine runs from the scheduler's queue instead.
+    coroutine::yield_now();
 }
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -16,9 +16,10 @@
 use serde_json::value::RawValue;
 
 use super::connect::{ConnectError, connect};
+use super::event_loop::Priority;
 use super::permission::report_late_write;
 use super::receive_buffer::ReceiveBuffer;
-use super::{Mailbox, Node, YIELD_PAUSE, parse_object};
+use super::{Mailbox, Node, parse_object};
 use crate::NANOS_PER_MS;
 use crate::http::{self, BodyDecoder, Response, WriteQueue};
 use linestack_core::{ConnectionId, Disconnect, ForwardedRequest, Input};
@@ -160,7 +161,7 @@
     let mut reservation = node.executor_memory.reservation();
     let mut previous_id: Option<Bytes> = None;
     loop {
-        node.event_loop.count_step();
+        node.event_loop.begin_step(Priority::High);
         while let Some(message) = mailbox.next() {
             let (request, out) = match message {
                 Message::Close => return ConnectionEnd::ClosedByReducer,
@@ -239,7 +240,7 @@
             Progress::NeedMore if ended => return ConnectionEnd::Broken,
             // Bytes left in the socket cause no further event, so the socket is read again after a pause for other
             // coroutines.
-            Progress::NeedMore if more_available => node.alarm.sleep(YIELD_PAUSE),
+            Progress::NeedMore if more_available => node.pause(Priority::High),
             Progress::NeedMore => {
                 socket.wait_io();
             }
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -34,7 +34,7 @@
 use crate::fleet::time_suspended;
 use crate::persistence::StoreRecord;
 use clock::{Alarm, Clock};
-use event_loop::EventLoop;
+use event_loop::{EventLoop, Priority};
 use linestack_core::{ClientId, ConnectionId, Core, Effect, Input, Refusal};
 use linestack_peers::{
     ExecutorObservation, Observation, PeerSnapshot, SnapshotError, SnapshotTimes, usable_observations,
@@ -45,8 +45,7 @@
 use permission::{SendPermission, has_disconnected};
 use watch::WatchState;
 
-/// The pause of a coroutine that has more to read or accept, so that others run. A yield is not enough: `may` polls its
-/// sockets only when no coroutine can run.
+/// The pause of a coroutine that has more to read, accept or answer after a burst, so that others run.
 pub(crate) const YIELD_PAUSE: Duration = Duration::from_millis(1);
 
 /// The length of the accept queue of a listener to which a whole fleet may connect at once. The standard library's value
@@ -498,12 +497,19 @@
     pub fn run_timers(self: &Arc<Self>) {
         loop {
             self.alarm.wait();
-            self.event_loop.count_step();
+            self.event_loop.begin_step(Priority::High);
             self.handle_input(Input::Tick);
         }
     }
 
-    /// Measures the polls of the event loop. Never returns.
+    /// Suspends the calling coroutine, which has more to do after a burst, until others have run and the sockets have
+    /// been polled.
+    pub(crate) fn pause(&self, priority: Priority) {
+        self.alarm.sleep(YIELD_PAUSE);
+        self.event_loop.wait_for_poll(priority);
+    }
+
+    /// Resumes the coroutines that wait for a poll of the sockets. Never returns.
     pub fn run_event_loop(&self) {
         self.event_loop.run();
     }
--- a/crates/node/src/net/watch.rs
+++ b/crates/node/src/net/watch.rs
@@ -11,8 +11,9 @@
 use thiserror::Error;
 
 use super::connect::{ConnectError, connect};
+use super::event_loop::Priority;
 use super::watch_connection::{Received, WatchConnection};
-use super::{Node, YIELD_PAUSE, list_stream, lock, spawn};
+use super::{Node, list_stream, lock, spawn};
 use crate::http::WriteQueue;
 use linestack_core::Input;
 
@@ -229,7 +230,7 @@
         if node.clock.now() >= connection.due() {
             return Err(WatchError::TimedOut);
         }
-        node.alarm.sleep(YIELD_PAUSE);
+        node.pause(Priority::High);
     }
     Ok(())
 }
@@ -242,10 +243,11 @@
 ) -> Result<Infallible, WatchError> {
     let mut next_wake = 0;
     loop {
+        node.event_loop.begin_step(Priority::High);
         let received = connection.receive(node);
         *last_message = connection.last_message();
         if matches!(received?, Received::Part) {
-            node.alarm.sleep(YIELD_PAUSE);
+            node.pause(Priority::High);
             continue;
         }
         let due = connection.due();
