A connection's step of work is bounded: 16 KiB read, 16 requests answered between pauses

Cause: a step could take some 10 ms. perf: 88% of the node's time went into counting requests beyond the read-ahead, 80 KiB in one step; and requests that were answered at once without an executor's part (dismissed, deadline 0) began a new burst each, so that their connection never paused. A client that had just connected and sent its request a moment later waited behind all of them.

Now 16 KiB are read in a step, with the same 80 KiB between two pauses; the burst of 16 counts whatever way requests are answered, until the connection has nothing to do; and a client that had nothing to do goes before the further requests of others.

--- a/crates/node/src/net/clients/mod.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -35,7 +35,7 @@
 const ACCEPT_BURST: u32 = 8;
 /// If an accept blocked for at least this long, the listener's queue was empty before.
 const MIN_ACCEPT_WAIT_NS: Nanos = NANOS_PER_MS / 2;
-/// After answering this many requests in a row without waiting, a connection pauses for others.
+/// After answering this many requests that had arrived before the answers, a connection pauses for others.
 const ANSWER_BURST: u32 = 16;
 /// The shortest time between two log lines that clients can cause, such as that of a rejected request.
 pub(crate) const REJECTION_LOG_INTERVAL_NS: Nanos = 1_000 * NANOS_PER_MS;
@@ -204,8 +204,10 @@
     let mut reservation = node.client_memory.reservation();
     // Whether the connection is to be dropped once the requests that have arrived are answered.
     let mut dropped = false;
-    // Answers that are owed, and a client that connects, go before the further requests of others.
-    let mut is_new = true;
+    // The number of requests that were answered since the connection last paused, or had nothing to do.
+    let mut burst = 0;
+    // The number of bytes that were read since then.
+    let mut read_length = 0;
     loop {
         while let Some(message) = mailbox.next() {
             match message {
@@ -234,8 +236,9 @@
         }
         // What is read after a wait for others may have arrived before it.
         let arrival = first_arrival.take().unwrap_or_else(|| node.clock.now());
-        let is_owed = std::mem::take(&mut is_new) || matches!(state, State::Answering { .. });
-        node.event_loop.begin_step(if is_owed { Priority::High } else { Priority::Normal });
+        // Answers that are owed, and clients that had nothing to do, go before the further requests of others.
+        let goes_first = matches!(state, State::Answering { .. }) || (burst == 0 && excess.is_none());
+        node.event_loop.begin_step(if goes_first { Priority::High } else { Priority::Normal });
         let length_before = input.len();
         let mut excess_input = ReceiveBuffer::default();
         let target = if excess.is_some() { &mut excess_input } else { &mut input };
@@ -249,6 +252,7 @@
         if dropped && matches!(state, State::Answering { .. } | State::Lingering) {
             return;
         }
+        read_length += excess_input.len() + input.len().saturating_sub(length_before);
         if let Some(excess) = &mut excess {
             excess.push(&excess_input);
         } else if input.len() > READ_AHEAD_BYTES && matches!(state, State::Waiting { .. }) {
@@ -265,7 +269,6 @@
             arrivals.forget_last(input.len());
             state = shed_input(node, client, state, &input.take(), &mut excess);
         }
-        let mut burst = 0;
         while burst < ANSWER_BURST {
             if burst > 0 && matches!(state, State::Reading { .. }) {
                 node.event_loop.begin_step(Priority::Normal);
@@ -371,9 +374,13 @@
         let may_read = more_available && (input.len() <= READ_AHEAD_BYTES || excess.is_some());
         // What is left in `input` after a burst is still processed as what arrived before a drop.
         dropped &= burst == ANSWER_BURST;
-        if may_read || burst == ANSWER_BURST {
+        if burst == ANSWER_BURST || (may_read && read_length > READ_AHEAD_BYTES) {
+            (burst, read_length) = (0, 0);
             node.pause(Priority::Normal);
-        } else {
+        } else if !may_read {
+            if input.is_empty() && excess.is_none() {
+                (burst, read_length) = (0, 0);
+            }
             socket.wait_io();
         }
     }
--- a/crates/node/src/net/clients/reading.rs
+++ b/crates/node/src/net/clients/reading.rs
@@ -10,6 +10,9 @@
 /// The number of unprocessed bytes above which no more are stored: the longest head and the longest body.
 pub(super) const READ_AHEAD_BYTES: usize = http::MAX_HEAD_BYTES + http::MAX_BODY_BYTES;
 
+/// The number of bytes that are read in a step, before others are served.
+const READ_STEP_BYTES: usize = 16 * 1024;
+
 /// What is done with the bytes that are received.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum Received {
@@ -29,7 +32,7 @@
     Ended,
 }
 
-/// Reads the available bytes, up to [`READ_AHEAD_BYTES`].
+/// Reads the available bytes, up to [`READ_STEP_BYTES`] and for as long as at most [`READ_AHEAD_BYTES`] are stored.
 pub(super) fn read(
     socket: &TcpStream,
     input: &mut ReceiveBuffer,
@@ -42,7 +45,7 @@
             drop(input.take());
         }
         // A client that never stops sending must not prevent other connections from being read.
-        if length > READ_AHEAD_BYTES || input.len() > READ_AHEAD_BYTES {
+        if length >= READ_STEP_BYTES || input.len() > READ_AHEAD_BYTES {
             return Ok(ReadStatus::MoreAvailable);
         }
         match socket.inner().read(&mut piece) {
--- a/crates/node/src/net/event_loop.rs
+++ b/crates/node/src/net/event_loop.rs
@@ -34,7 +34,8 @@
 /// The order in which coroutines continue after a poll.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Priority {
-    /// Timers, executors, discovery, and clients that connect: all continue after each poll.
+    /// Timers, executors, discovery, answers that are owed, and the next request of a client that had nothing to do: all
+    /// continue after each poll.
     High,
     /// Further requests of clients: they continue in turn, for as long as the round lasts.
     Normal,
