Received bytes count as work, so that sockets are polled between them too

A step of 16 KiB takes some ms in a debug build, and 64 steps without a poll are allowed: one round took 209 ms (strace: 202 recvfrom between two polls) when 32 clients began to send. Health checks took 355 to 562 ms then, beside 8 busy processes, and 234 to 437 ms beside executors that report progress without end, which were read 80 KiB in one step.

Each KiB that is received now counts as a step; executors are read in steps of 16 KiB too, by the same function as clients, and one that sends more than a response may have continues in turn; what a client sends behind a request in hand is read after what others ask.

A trial had no effect and was dropped: to look for the complete requests of what is read ahead as they arrive (562 ms before and after). The tests are a program of their own, so that no others run beside them.

--- a/crates/node/src/net/clients/mod.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -17,6 +17,7 @@
 
 use super::arrivals::ArrivalTimes;
 use super::event_loop::Priority;
+use super::reading::ReadStatus;
 use super::receive_buffer::ReceiveBuffer;
 use super::{Mailbox, Node, YIELD_PAUSE, spawn};
 use crate::NANOS_PER_MS;
@@ -25,7 +26,7 @@
 
 use answer::{CONTINUE, empty_response, encode_answer};
 use excess::{ExcessRequests, Rejection};
-use reading::{READ_AHEAD_BYTES, ReadStatus, Received, read};
+use reading::{READ_AHEAD_BYTES, Received, read};
 use request::{Incoming, RequestAction, read_request};
 
 /// The pause before the next accept when no file descriptor is left or the limit of clients is reached.
@@ -237,8 +238,12 @@
         // What is read after a wait for others may have arrived before it.
         let arrival = first_arrival.take().unwrap_or_else(|| node.clock.now());
         // Answers that are owed, and clients that had nothing to do, go before the further requests of others.
-        let goes_first = matches!(state, State::Answering { .. }) || (burst == 0 && excess.is_none());
-        node.event_loop.begin_step(if goes_first { Priority::High } else { Priority::Normal });
+        let priority = match state {
+            State::Answering { .. } => Priority::High,
+            State::Reading { .. } if burst == 0 && excess.is_none() => Priority::High,
+            _ => Priority::Normal,
+        };
+        node.event_loop.begin_step(priority);
         let length_before = input.len();
         let mut excess_input = ReceiveBuffer::default();
         let target = if excess.is_some() { &mut excess_input } else { &mut input };
@@ -252,7 +257,9 @@
         if dropped && matches!(state, State::Answering { .. } | State::Lingering) {
             return;
         }
-        read_length += excess_input.len() + input.len().saturating_sub(length_before);
+        let received = excess_input.len() + input.len().saturating_sub(length_before);
+        node.event_loop.count_received(received);
+        read_length += received;
         if let Some(excess) = &mut excess {
             excess.push(&excess_input);
         } else if input.len() > READ_AHEAD_BYTES && matches!(state, State::Waiting { .. }) {
--- a/crates/node/src/net/event_loop.rs
+++ b/crates/node/src/net/event_loop.rs
@@ -26,6 +26,8 @@
 
 /// The number of steps of work after which the next poll is requested.
 const STEPS_PER_SIGNAL: u32 = 64;
+/// The bytes that are as much work as a step: a few requests, or lines of a response.
+const BYTES_PER_STEP: usize = 1024;
 /// The time from the request of a poll for which work goes on, and the time after a poll for which turns are granted.
 const ROUND_NS: Nanos = 2 * NANOS_PER_MS;
 /// A longer time without a poll is reported in the log: new clients and answers of executors waited for as long.
@@ -37,7 +39,7 @@
     /// Timers, executors, discovery, answers that are owed, and the next request of a client that had nothing to do: all
     /// continue after each poll.
     High,
-    /// Further requests of clients: they continue in turn, for as long as the round lasts.
+    /// Further requests of clients, and executors that send much: they continue in turn, for as long as the round lasts.
     Normal,
 }
 
@@ -109,6 +111,12 @@
         }
     }
 
+    /// Counts bytes that were received, each [`BYTES_PER_STEP`] of which are as much work as a step.
+    pub(crate) fn count_received(&self, length: usize) {
+        let steps = u32::try_from(length / BYTES_PER_STEP).unwrap_or(STEPS_PER_SIGNAL);
+        self.steps.fetch_add(steps, Ordering::Relaxed);
+    }
+
     /// Suspends the calling coroutine until the sockets have been polled and it is its turn.
     pub(crate) fn wait_for_poll(&self, priority: Priority) {
         let queue = self.queue(priority);
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -3,7 +3,6 @@
 
 use std::borrow::Cow;
 use std::collections::BTreeMap;
-use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +17,7 @@
 use super::connect::{ConnectError, connect};
 use super::event_loop::Priority;
 use super::permission::report_late_write;
+use super::reading::{ReadStatus, read_step};
 use super::receive_buffer::ReceiveBuffer;
 use super::{Mailbox, Node, parse_object};
 use crate::NANOS_PER_MS;
@@ -160,6 +160,8 @@
     let mut input = ReceiveBuffer::default();
     let mut reservation = node.executor_memory.reservation();
     let mut previous_id: Option<Bytes> = None;
+    // The number of bytes that were read since the connection last paused or waited.
+    let mut read_length = 0;
     loop {
         node.event_loop.begin_step(Priority::High);
         while let Some(message) = mailbox.next() {
@@ -181,8 +183,13 @@
                 outcome_reported: false,
             });
         }
-        let ended = read(socket, &mut input);
-        let more_available = input.len() > MAX_UNPARSED_BYTES;
+        let length_before = input.len();
+        // A reset counts as an end too, since the bytes before it are still valid.
+        let status = read_step(socket, &mut input, MAX_UNPARSED_BYTES).unwrap_or(ReadStatus::Ended);
+        let ended = status == ReadStatus::Ended;
+        let received = input.len() - length_before;
+        node.event_loop.count_received(received);
+        read_length += received;
         // Without memory for its response the connection is closed, and the execution counts as one that may have
         // run.
         let allocated = input.allocated()
@@ -238,10 +245,16 @@
         input.release_consumed();
         match progress {
             Progress::NeedMore if ended => return ConnectionEnd::Broken,
-            // Bytes left in the socket cause no further event, so the socket is read again after a pause for other
-            // coroutines.
-            Progress::NeedMore if more_available => node.pause(Priority::High),
+            // Bytes left in the socket cause no further event, so the socket is read again, after a pause for other
+            // coroutines if it was much.
+            Progress::NeedMore if status == ReadStatus::MoreAvailable => {
+                if read_length.max(input.len()) > MAX_UNPARSED_BYTES {
+                    read_length = 0;
+                    node.pause(Priority::Normal);
+                }
+            }
             Progress::NeedMore => {
+                read_length = 0;
                 socket.wait_io();
             }
             Progress::Reusable if !ended && current.fully_written && input.is_empty() => {
@@ -256,24 +269,6 @@
     }
 }
 
-/// Reads the available bytes. Returns true at the end of the connection. A reset counts as an end too, since the bytes
-/// before it are still valid.
-fn read(socket: &mut TcpStream, input: &mut ReceiveBuffer) -> bool {
-    let mut piece = [0; 4096];
-    loop {
-        if input.len() > MAX_UNPARSED_BYTES {
-            return false;
-        }
-        match socket.inner_mut().read(&mut piece) {
-            Ok(0) => return true,
-            Ok(n) => input.push(&piece[..n]),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-            Err(_) => return true,
-        }
-    }
-}
-
 impl Exchange {
     /// Returns the number of bytes that are allocated, beside those of the request, which has a reservation of its own.
     fn allocated(&self) -> usize {
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod list_stream;
 mod memory;
 mod permission;
+mod reading;
 mod receive_buffer;
 pub(crate) mod watch;
 mod watch_connection;
--- a/crates/node/tests/ends/main.rs
+++ b/crates/node/tests/ends/main.rs
@@ -11,7 +11,6 @@
 mod descriptors;
 mod discovery;
 mod flood;
-mod full_speed;
 mod harness;
 mod large_fleet;
 mod machine;
--- a/crates/node/tests/ends/full_speed.rs
+++ b/crates/node/tests/full_speed.rs
@@ -1,5 +1,10 @@
 //! Several clients that send prepared requests as fast as they can, beside others whose answers must come in time.
 
+mod common;
+#[allow(dead_code, reason = "other tests use the rest")]
+#[path = "ends/harness.rs"]
+mod harness;
+
 use std::io::{BufReader, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::ops::Range;
@@ -10,7 +15,7 @@
 
 use rstest::rstest;
 
-use crate::harness::{
+use harness::{
     Connection, FakeServer, Node, WATCH_HEAD, chunked, configuration, done_response, entry, exchange, job,
     list_chunk, status,
 };
@@ -107,6 +112,7 @@
 }
 
 /// Requests that are written at once, whose ids are replaced in place.
+#[derive(Clone)]
 struct Batch {
     text: Vec<u8>,
     /// Where the ids are, with the number of the request that each belongs to.
@@ -152,9 +158,9 @@
 
 impl Load {
     fn start(address: SocketAddr, clients: u32, request: fn(u32) -> String, answers: Answers) -> Self {
-        let ended = Arc::<AtomicBool>::default();
+        let (ended, prepared) = (Arc::<AtomicBool>::default(), Batch::new(request));
         let clients = (0..clients).map(|number| {
-            let (ended, mut batch) = (Arc::clone(&ended), Batch::new(request));
+            let (ended, mut batch) = (Arc::clone(&ended), prepared.clone());
             let mut next_id = FIRST_LOAD_ID + number * IDS_PER_CLIENT;
             std::thread::spawn(move || {
                 while !ended.load(Ordering::Relaxed) {
