A request that is shed while it arrives does not end its connection

Cause: where no memory is left, a request of which only a part was received is rejected at once and its connection closed. A step may end within a request whose rest, and others behind it, are in the socket already; those were lost. The rest is read first now, without keeping it, if more is available; then each is rejected in its turn.

--- a/crates/node/src/net/clients/mod.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -274,7 +274,7 @@
         // process.
         if !reservation.resize(allocated) && !input.is_empty() {
             arrivals.forget_last(input.len());
-            state = shed_input(node, client, state, &input.take(), &mut excess);
+            state = shed_input(node, client, state, &input.take(), more_available, &mut excess);
         }
         while burst < ANSWER_BURST {
             if burst > 0 && matches!(state, State::Reading { .. }) {
@@ -413,12 +413,14 @@
 }
 
 /// Drops what a client has sent, because no memory is left for it. Complete requests are rejected in their turn; a request
-/// of which only a part is received is rejected at once. Returns the new state.
+/// of which only a part has arrived is rejected at once; if more is available, its rest is read first, so that the requests
+/// behind it are found. Returns the new state.
 fn shed_input(
     node: &Arc<Node>,
     client: ClientId,
     state: State,
     input: &[u8],
+    more_available: bool,
     excess: &mut Option<ExcessRequests>,
 ) -> State {
     if let Some(excess) = excess {
@@ -435,7 +437,7 @@
             (state, shed)
         }
     };
-    if !shed.has_request() && matches!(state, State::Reading { .. }) {
+    if !shed.has_request() && !more_available && matches!(state, State::Reading { .. }) {
         return reject(node, client, NO_MEMORY);
     }
     *excess = Some(shed);
