--- a/crates/node/tests/full_speed.rs
+++ b/crates/node/tests/full_speed.rs
@@ -353,6 +353,35 @@
     assert_eq!(code, Some(0));
 }
 
+// Guards against a stop that ends too late where deadlines, and so the time until the kill, are short.
+#[rstest]
+#[case::requests_with_a_millisecond_left(8, |id| job(id, "look", 1))]
+#[case::new_paths(32, |id| format!("GET /{id} HTTP/1.1\r\n\r\n"))]
+fn a_stop_with_short_deadlines_beside_clients_at_full_speed_ends_before_the_kill(
+    #[case] clients: u32,
+    #[case] request: fn(u32) -> String,
+) {
+    const LONGEST_DEADLINE: Duration = Duration::from_millis(500);
+    /// What the threads of the test may be late, as in the judge of the soak.
+    const OWN_DELAY: Duration = Duration::from_millis(100);
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let deadline = format!("\"cutOffMs\": {}.0, \"agreedTimeMs\": 400.0", LONGEST_DEADLINE.as_millis());
+    let mut node = Node::start(&start_executors().1, &[("\"agreedTimeMs\": 400.0", &deadline)]);
+    let load = Load::start(node.address, clients, request, Answers::Read);
+    std::thread::sleep(SLOW_EXECUTION_TIME / 5);
+    let begun: Vec<_> = (FIRST_ID..FIRST_ID + SLOW_REQUESTS)
+        .map(|id| ask(&node, sound_request(id, LONGEST_DEADLINE.as_millis() as u32)))
+        .collect();
+    node.signal("-TERM");
+    let exit = node.exit_within(LONGEST_DEADLINE + Duration::from_millis(700) + OWN_DELAY);
+    load.stop();
+    let begun: Vec<Answer> = begun.into_iter().map(|thread| thread.join().unwrap()).collect();
+    println!("{exit:?}, begun before: {begun:?}");
+    assert!(begun.iter().all(|(status, _)| *status == 200), "{begun:?}");
+    let (code, _) = exit.expect("still running at the time of the kill");
+    assert_eq!(code, Some(0));
+}
+
 // Guards against a drain that lies unread in the socket of the watch.
 #[rstest]
 #[case::keyed_requests(8, |id| job(id, "top-up", 60_000))]
