A request that lies in the socket whole is not given up when its time to arrive ends

A connection that is dropped for its time limit processes what has arrived before. That was read at once, up to 80 KiB; since then only 16 KiB were, and a larger request got 408 although it was whole.

The rest is read first, up to the read-ahead. A step says how many bytes it has read, so that those that are dropped after the last answer count as work as well.

--- a/crates/node/src/net/clients/mod.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -247,19 +247,20 @@
         let length_before = input.len();
         let mut excess_input = ReceiveBuffer::default();
         let target = if excess.is_some() { &mut excess_input } else { &mut input };
-        let more_available = match read(socket, target, state.received()) {
-            // A client that closes its sending side has left.
-            Ok(ReadStatus::Ended) | Err(_) => return,
-            Ok(ReadStatus::MoreAvailable) => true,
-            Ok(ReadStatus::Drained) => false,
-        };
+        let received = read(socket, target, state.received());
+        // A client that closes its sending side has left.
+        if received.status == ReadStatus::Ended {
+            return;
+        }
+        let more_available = received.status == ReadStatus::MoreAvailable;
+        node.event_loop.count_received(received.length);
+        read_length += received.length;
+        // Whether the rest of a request may lie in the socket, within what may be read ahead.
+        let rest_follows = more_available && read_length <= READ_AHEAD_BYTES;
         arrivals.record_read(input.len().saturating_sub(length_before), arrival);
         if dropped && matches!(state, State::Answering { .. } | State::Lingering) {
             return;
         }
-        let received = excess_input.len() + input.len().saturating_sub(length_before);
-        node.event_loop.count_received(received);
-        read_length += received;
         if let Some(excess) = &mut excess {
             excess.push(&excess_input);
         } else if input.len() > READ_AHEAD_BYTES && matches!(state, State::Waiting { .. }) {
@@ -291,7 +292,9 @@
                                 state = State::Answering { out, close_after };
                             }
                             Rejection::Invalid(error) => state = reject(node, client, error),
-                            Rejection::AwaitBody if dropped => state = reject(node, client, NOT_IN_TIME),
+                            Rejection::AwaitBody if dropped && !rest_follows => {
+                                state = reject(node, client, NOT_IN_TIME);
+                            }
                             Rejection::AwaitBody => {
                                 node.handle_input(Input::ClientPhase { client, phase: ClientPhase::Reading });
                                 break;
@@ -315,7 +318,7 @@
                         break;
                     }
                     match read_request(node, &mut input, head, body) {
-                        Ok(false) if dropped => {
+                        Ok(false) if dropped && !rest_follows => {
                             state = reject(node, client, NOT_IN_TIME);
                         }
                         Ok(false) => {
@@ -379,8 +382,9 @@
         // Bytes left in the socket or in `input` cause no further event, so they are read again once there is room for them,
         // after a pause for other coroutines.
         let may_read = more_available && (input.len() <= READ_AHEAD_BYTES || excess.is_some());
-        // What is left in `input` after a burst is still processed as what arrived before a drop.
-        dropped &= burst == ANSWER_BURST;
+        // What is left in `input` after a burst, or in the socket after a part of a request, is still processed as what arrived
+        // before a drop.
+        dropped &= burst == ANSWER_BURST || (rest_follows && matches!(state, State::Reading { .. }));
         if burst == ANSWER_BURST || (may_read && read_length > READ_AHEAD_BYTES) {
             (burst, read_length) = (0, 0);
             node.pause(Priority::Normal);
--- a/crates/node/src/net/clients/reading.rs
+++ b/crates/node/src/net/clients/reading.rs
@@ -1,11 +1,9 @@
 //! Reads the bytes that clients send, up to the limit of what may be read ahead.
 
-use std::io;
-
 use may::net::TcpStream;
 
 use crate::http;
-use crate::net::reading::{ReadStatus, read_step};
+use crate::net::reading::{ReadStep, read_step};
 use crate::net::receive_buffer::ReceiveBuffer;
 
 /// The number of unprocessed bytes above which no more are stored: the longest head and the longest body.
@@ -21,17 +19,13 @@
 }
 
 /// Reads a step of the available bytes, for as long as at most [`READ_AHEAD_BYTES`] are stored.
-pub(super) fn read(
-    socket: &TcpStream,
-    input: &mut ReceiveBuffer,
-    received: Received,
-) -> io::Result<ReadStatus> {
+pub(super) fn read(socket: &TcpStream, input: &mut ReceiveBuffer, received: Received) -> ReadStep {
     if received == Received::Dropped {
         drop(input.take());
     }
-    let status = read_step(socket, input, READ_AHEAD_BYTES)?;
+    let step = read_step(socket, input, READ_AHEAD_BYTES);
     if received == Received::Dropped {
         drop(input.take());
     }
-    Ok(status)
+    step
 }
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -183,13 +183,10 @@
                 outcome_reported: false,
             });
         }
-        let length_before = input.len();
-        // A reset counts as an end too, since the bytes before it are still valid.
-        let status = read_step(socket, &mut input, MAX_UNPARSED_BYTES).unwrap_or(ReadStatus::Ended);
-        let ended = status == ReadStatus::Ended;
-        let received = input.len() - length_before;
-        node.event_loop.count_received(received);
-        read_length += received;
+        let received = read_step(socket, &mut input, MAX_UNPARSED_BYTES);
+        let ended = received.status == ReadStatus::Ended;
+        node.event_loop.count_received(received.length);
+        read_length += received.length;
         // Without memory for its response the connection is closed, and the execution counts as one that may have
         // run.
         let allocated = input.allocated()
@@ -247,7 +244,7 @@
             Progress::NeedMore if ended => return ConnectionEnd::Broken,
             // Bytes left in the socket cause no further event, so the socket is read again, after a pause for other
             // coroutines if it was much.
-            Progress::NeedMore if status == ReadStatus::MoreAvailable => {
+            Progress::NeedMore if received.status == ReadStatus::MoreAvailable => {
                 if read_length.max(input.len()) > MAX_UNPARSED_BYTES {
                     read_length = 0;
                     node.pause(Priority::Normal);
--- a/crates/node/src/net/reading.rs
+++ b/crates/node/src/net/reading.rs
@@ -20,25 +20,33 @@
     Ended,
 }
 
-/// Reads the available bytes, up to [`READ_STEP_BYTES`] and for as long as at most `max_stored` bytes are stored.
-pub(super) fn read_step(
-    socket: &TcpStream,
-    input: &mut ReceiveBuffer,
-    max_stored: usize,
-) -> io::Result<ReadStatus> {
+/// What a step has read.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReadStep {
+    /// The number of bytes.
+    pub(super) length: usize,
+    pub(super) status: ReadStatus,
+}
+
+/// Reads the available bytes, up to [`READ_STEP_BYTES`] and for as long as at most `max_stored` bytes are stored. A broken
+/// connection has ended; the bytes before the break are valid.
+pub(super) fn read_step(socket: &TcpStream, input: &mut ReceiveBuffer, max_stored: usize) -> ReadStep {
     let mut piece = [0; 4096];
     let mut length = 0;
-    while length < READ_STEP_BYTES && input.len() <= max_stored {
+    let status = loop {
+        if length >= READ_STEP_BYTES || input.len() > max_stored {
+            break ReadStatus::MoreAvailable;
+        }
         match socket.inner().read(&mut piece) {
-            Ok(0) => return Ok(ReadStatus::Ended),
+            Ok(0) => break ReadStatus::Ended,
             Ok(n) => {
                 length += n;
                 input.push(&piece[..n]);
             }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(ReadStatus::Drained),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => break ReadStatus::Drained,
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-            Err(e) => return Err(e),
+            Err(_) => break ReadStatus::Ended,
         }
-    }
-    Ok(ReadStatus::MoreAvailable)
+    };
+    ReadStep { length, status }
 }
--- a/crates/node/tests/ends/connection_close.rs
+++ b/crates/node/tests/ends/connection_close.rs
@@ -88,6 +88,39 @@
     }
 }
 
+// Guards against a complete request that is given up because more of it arrived in the meantime than is read in one step.
+#[test]
+fn a_large_request_completed_as_its_read_timeout_expires_is_answered() {
+    const BODY_LENGTH: usize = 60_000;
+    const CLIENTS: u32 = 48;
+    let executor = answer_all(FakeServer::open(), "r");
+    let node = Node::start(&[executor], &[]);
+    let mut clients: Vec<_> = (0..CLIENTS).map(|_| node.client()).collect();
+    let requests: Vec<String> = (1..=CLIENTS)
+        .map(|id| {
+            let length = format!("Content-Length: {BODY_LENGTH}");
+            let head = job(id, "look", 1_500).replace("Content-Length: 4", &length);
+            format!("{}{}", head.strip_suffix("body").unwrap(), "x".repeat(BODY_LENGTH))
+        })
+        .collect();
+    for (client, request) in clients.iter_mut().zip(&requests) {
+        send(client, &request[..40]);
+    }
+    node.barrier();
+    // A new client has 2.5 s to send its request. This time runs out while the node is paused, and the rest arrives then, too.
+    node.while_paused(|| {
+        std::thread::sleep(Duration::from_millis(2_600));
+        for (client, request) in clients.iter_mut().zip(&requests) {
+            send(client, &request[40..]);
+        }
+    });
+    for client in &mut clients {
+        // Each complete request is served, or dismissed if the only executor has no free slot.
+        let status = status(read_message(client));
+        assert!([200, 503].contains(&status), "{status}");
+    }
+}
+
 // The client gets a 408, because a close without a response would give it no reason.
 #[test]
 fn a_partial_request_is_rejected_when_its_read_timeout_expires() {
