Reservations follow what was processed before a connection waits

Cause: a connection reserves what it has allocated when it has read, before it processes that, and then waits; what is processed counts until the next event. An executor's line of 100 KiB used to be followed by such an event, mostly; read in steps it is not. Some 57 to 78 executions that go on spent the budget, the next connection was closed for want of memory, and its request, harmless, executed again.

The reservation is set once more before each wait, at clients' connections too.

--- a/crates/node/src/net/clients/mod.rs
+++ b/crates/node/src/net/clients/mod.rs
@@ -269,11 +269,9 @@
             arrivals.forget_last(length - input.len());
         }
         input.release_consumed();
-        let allocated =
-            input.allocated() + state.allocated() + excess.as_ref().map_or(0, ExcessRequests::allocated);
         // Many large requests that are never completed, or that wait for others, would exhaust the memory and so end the
         // process.
-        if !reservation.resize(allocated) && !input.is_empty() {
+        if !reservation.resize(allocated(&input, &state, excess.as_ref())) && !input.is_empty() {
             arrivals.forget_last(input.len());
             state = shed_input(node, client, state, &input.take(), more_available, &mut excess);
         }
@@ -392,11 +390,18 @@
             if input.is_empty() && excess.is_none() {
                 (burst, read_length) = (0, 0);
             }
+            // Without this, what is processed would count until the next event.
+            reservation.resize(allocated(&input, &state, excess.as_ref()));
             socket.wait_io();
         }
     }
 }
 
+/// Returns the number of bytes that a connection has allocated without a reservation of their own.
+fn allocated(input: &ReceiveBuffer, state: &State, excess: Option<&ExcessRequests>) -> usize {
+    input.allocated() + state.allocated() + excess.map_or(0, ExcessRequests::allocated)
+}
+
 /// Waits for the client of a connection whose sending side is shut down; not if the connection is `dropped`. Returns true
 /// once the connection is over.
 ///
--- a/crates/node/src/net/executors.rs
+++ b/crates/node/src/net/executors.rs
@@ -189,10 +189,7 @@
         read_length += received.length;
         // Without memory for its response the connection is closed, and the execution counts as one that may have
         // run.
-        let allocated = input.allocated()
-            + previous_id.as_ref().map_or(0, Bytes::len)
-            + exchange.as_ref().map_or(0, Exchange::allocated);
-        if !reservation.resize(allocated) {
+        if !reservation.resize(allocated(&input, previous_id.as_ref(), exchange.as_ref())) {
             return ConnectionEnd::Broken;
         }
         let request_started = exchange.as_ref().is_some_and(|e| e.out.written > 0);
@@ -252,6 +249,8 @@
             }
             Progress::NeedMore => {
                 read_length = 0;
+                // Without this, what is processed would count until the next event.
+                reservation.resize(allocated(&input, previous_id.as_ref(), exchange.as_ref()));
                 socket.wait_io();
             }
             Progress::Reusable if !ended && current.fully_written && input.is_empty() => {
@@ -266,6 +265,11 @@
     }
 }
 
+/// Returns the number of bytes that a connection has allocated.
+fn allocated(input: &ReceiveBuffer, previous_id: Option<&Bytes>, exchange: Option<&Exchange>) -> usize {
+    input.allocated() + previous_id.map_or(0, Bytes::len) + exchange.map_or(0, Exchange::allocated)
+}
+
 impl Exchange {
     /// Returns the number of bytes that are allocated, beside those of the request, which has a reservation of its own.
     fn allocated(&self) -> usize {
