Known red: a plan of the soak kills a node sooner after SIGTERM than the protocol allows

Trace: in both an outright kill of the plan falls on a node that was told to end, 0.70003 and 1.076 s after SIGTERM, while its longest deadline is 0.981 and 1.417 s: the protocol's earliest kill is 1.681 and 2.117 s after SIGTERM. The requests came 0.694 and 0.954 s after SIGTERM on kept connections, had 981 and 1,417 ms left, and were at their executors. Neither the check nor the generator is changed here; the plan is recorded and listed, for the soak to be mended.

--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -42,6 +42,7 @@
 #[case::new_clients_behind_partial_requests(include_str!("../../../scenarios/soak/newcomers-wait.toml"))]
 #[case::a_reload_before_lists_are_read(include_str!("../../../scenarios/soak/reload-of-a-paused-node.toml"))]
 #[case::discovery_returns_after_a_failed_call(include_str!("../../../scenarios/soak/return-after-a-failed-call.toml"))]
+#[case::a_kill_soon_after_a_stop(include_str!("../../../scenarios/soak/kill-soon-after-a-stop.toml"))]
 fn a_recorded_plan_violates_no_rule(#[case] text: &str) {
     run_plan(&Plan::read(text).unwrap());
 }
